--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/attempts/tests/test_table.py
@@ -0,0 +1,126 @@
+"""Tests of the agent's attempt table."""
+
+from datetime import timedelta
+
+import testtools
+
+from chicoryplank.attempts import AttemptKey, AttemptTable
+from chicoryplank.clock import ManualClock
+from chicoryplank.configuration import RequestLimits
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.ids import Incarnation
+from chicoryplank.verdict import Verdict
+
+_KEY = AttemptKey(Incarnation("entry-1-a"), 7)
+_SECOND = timedelta(seconds=1)
+
+
+class TestAttemptTable(testtools.TestCase):
+    """One start for each attempt, truthful settling and replay."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        limits = RequestLimits(max_tombstones=3, max_buffer_bytes=8)
+        self.table = AttemptTable(self.clock, limits, 0.5 * _SECOND)
+
+    def _admit(self, key=_KEY, budget=10 * _SECOND):
+        deadline = self.clock.now() + budget
+        return self.table.admit(key, False, budget, deadline)
+
+    def _assert_rejected(self, code, call, *arguments):
+        error = self.assertRaises(ChicoryplankError, call, *arguments)
+        self.assertEqual(code, error.code)
+        return error
+
+    def test_duplicate_start_is_ignored(self):
+        """Guards against running a request twice for a repeated message."""
+        record = self._admit()
+        self.assertIsNotNone(record)
+        self.assertIsNone(self._admit())
+
+    def test_late_start_after_settling_is_rejected(self):
+        """Guards against a run after the entry was told "not run"."""
+        self.assertFalse(self.table.settle(_KEY))
+        error = self._assert_rejected(ErrorCode.ATTEMPT_ABANDONED, self._admit)
+        self.assertIs(Verdict.NOT_RUN, error.verdict)
+
+    def test_queued_attempt_that_was_settled_cannot_start(self):
+        """Guards against a start between settling and the backend call."""
+        record = self._admit()
+        self.assertFalse(self.table.settle(_KEY))
+        self._assert_rejected(
+            ErrorCode.ATTEMPT_ABANDONED, self.table.start, record
+        )
+
+    def test_running_attempt_settles_as_started(self):
+        """Guards against "not run" for a request that runs."""
+        self.table.start(self._admit())
+        self.assertTrue(self.table.settle(_KEY))
+
+    def test_message_after_its_deadline_is_rejected(self):
+        """Guards against work for a request that was given up long ago."""
+        deadline = self.clock.now() + _SECOND
+        self.clock.advance(2 * _SECOND)
+        self._assert_rejected(
+            ErrorCode.DEADLINE_EXCEEDED,
+            self.table.admit,
+            _KEY,
+            True,
+            _SECOND,
+            deadline,
+        )
+
+    def test_pause_before_the_start_is_noticed(self):
+        """Guards against a frozen agent that starts expired work."""
+        record = self._admit(budget=_SECOND)
+        self.clock.advance(2 * _SECOND)
+        self._assert_rejected(
+            ErrorCode.DEADLINE_EXCEEDED, self.table.start, record
+        )
+
+    def test_draining_rejects_new_work_only(self):
+        """Guards against new work at a leaving backend server."""
+        record = self._admit()
+        self.table.draining = True
+        other = AttemptKey(_KEY.incarnation, 8)
+        self._assert_rejected(ErrorCode.SHUTTING_DOWN, self._admit, other)
+        self.table.start(record)
+
+    def test_full_table_rejects_instead_of_forgetting(self):
+        """Guards against dropping a tombstone that is still needed."""
+        for sequence in range(3):
+            self.table.settle(AttemptKey(_KEY.incarnation, sequence))
+        self._assert_rejected(ErrorCode.TOO_MANY_REQUESTS, self._admit)
+        self._assert_rejected(
+            ErrorCode.OUTCOME_UNKNOWN, self.table.settle, _KEY
+        )
+
+    def test_finished_attempt_is_not_started_again(self):
+        """Guards against a duplicate that arrives after the response."""
+        record = self._admit()
+        self.table.start(record)
+        self.table.append(record, b"abc")
+        self.table.finish(record)
+        self.table.acknowledge(_KEY, 3)
+        self.assertEqual(0, len(self.table))
+        self._assert_rejected(ErrorCode.ATTEMPT_ABANDONED, self._admit)
+
+    def test_replay_starts_at_the_asked_offset(self):
+        """Guards against lost or repeated bytes after a reconnect."""
+        record = self._admit()
+        self.table.start(record)
+        self.table.append(record, b"abcdef")
+        self.table.acknowledge(_KEY, 2)
+        self.assertEqual(b"def", self.table.read_from(record, 3))
+        self._assert_rejected(
+            ErrorCode.ANSWER_TRUNCATED, self.table.read_from, record, 1
+        )
+
+    def test_unread_output_is_bounded(self):
+        """Guards against memory that a slow caller can fill."""
+        record = self._admit()
+        self.table.append(record, b"12345678")
+        self._assert_rejected(
+            ErrorCode.CALLER_TOO_SLOW, self.table.append, record, b"9"
+        )
