Add stand-ins for store, instances, weights, engine and service

The tests, the demo and the soak test need the platform as separate processes. The key-value stand-in speaks a subset of the etcd v3 JSON interface; the engine generates tokens that follow from model, prompt and position, so a caller can tell whether an answer is its own and whole.

The engine, store and instance state are free of I/O with an injected time, so that the tests run steps, leases and lags by hand through the ASGI interface. Streams through starlette's StreamingResponse were kept: uvicorn announces ASGI 2.3, so the response sees a client that has gone. A connection is cut through the transport that a small subclass of uvicorn's protocol puts into the request's state.

--- /dev/null
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_ranks.py
@@ -0,0 +1,221 @@
+"""Ranks of an engine: expert maps, steps and the orders to change them."""
+
+import dataclasses
+from collections import OrderedDict
+from typing import Any
+
+MAX_ORDERS = 10_000
+MAX_SEGMENTS = 10_000
+
+
+class OrderError(Exception):
+    """An order that the engine refuses.
+
+    Args:
+        status: HTTP status.
+        code: Short code.
+        message: What is wrong.
+    """
+
+    def __init__(self, status: int, code: str, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+
+
+@dataclasses.dataclass(slots=True)
+class Rank:
+    """Expert map of a rank and the change that it is prepared for.
+
+    Attributes:
+        digest: Map in force.
+        prepared: Map that the rank can switch to; empty for none.
+        stop_step: First step that the rank does not start undecided.
+        first_step: First step under the prepared map; None if undecided.
+    """
+
+    digest: str
+    prepared: str = ""
+    stop_step: int = 0
+    first_step: int | None = None
+
+    def is_waiting(self, step: int) -> bool:
+        """Tells whether the rank waits for a decision before a step."""
+        undecided = self.prepared and self.first_step is None
+        return bool(undecided) and step >= self.stop_step
+
+    def begin_step(self, step: int) -> str:
+        """Switches if it is time and returns the map used in the step."""
+        if self.first_step is not None and step >= self.first_step:
+            self.digest = self.prepared
+            self.prepared = ""
+            self.first_step = None
+        return self.digest
+
+
+class RankGroup:
+    """Ranks that advance in lock-step.
+
+    Args:
+        count: Number of ranks.
+        digest: Map in force at the start.
+
+    Attributes:
+        step: Number of the next step.
+        mixed_steps: Steps in which ranks used different maps.
+    """
+
+    def __init__(self, count: int, digest: str = "initial") -> None:
+        self.step = 0
+        self.mixed_steps = 0
+        self.ranks = [Rank(digest) for _ in range(count)]
+        self._segments: list[dict[str, Any]] = []
+
+    @property
+    def is_changing(self) -> bool:
+        """Tells whether a rank is prepared, so that idle steps count."""
+        return any(rank.prepared for rank in self.ranks)
+
+    def is_waiting(self) -> bool:
+        """Tells whether a rank waits; then the whole group waits."""
+        return any(rank.is_waiting(self.step) for rank in self.ranks)
+
+    def run_step(self) -> str:
+        """Runs a step and returns the map of the first rank."""
+        digests = [rank.begin_step(self.step) for rank in self.ranks]
+        if len(set(digests)) > 1:
+            self.mixed_steps += 1
+        if self._segments and self._segments[-1]["digests"] == digests:
+            self._segments[-1]["last_step"] = self.step
+        else:
+            segment = {
+                "first_step": self.step,
+                "last_step": self.step,
+                "digests": digests,
+            }
+            self._segments.append(segment)
+            del self._segments[:-MAX_SEGMENTS]
+        self.step += 1
+        return digests[0]
+
+    def prepare(self, arguments: dict[str, Any]) -> dict[str, Any]:
+        """Prepares ranks for a map."""
+        digest = _read_digest(arguments)
+        stop_step = _read_step(arguments, "stop_step")
+        if stop_step < self.step:
+            raise OrderError(409, "step_passed", f"step {stop_step} has passed")
+        ranks = self._select(arguments)
+        for rank in ranks:
+            if rank.prepared and rank.prepared != digest:
+                raise OrderError(
+                    409, "other_change", f"prepared for {rank.prepared}"
+                )
+        for rank in ranks:
+            if rank.first_step is None:
+                rank.prepared = digest
+                rank.stop_step = stop_step
+        return {"step": self.step}
+
+    def decide(self, arguments: dict[str, Any]) -> dict[str, Any]:
+        """Tells prepared ranks the first step under the new map."""
+        digest = _read_digest(arguments)
+        first_step = _read_step(arguments, "first_step")
+        ranks = [
+            rank for rank in self._select(arguments) if rank.digest != digest
+        ]
+        for rank in ranks:
+            if rank.prepared != digest:
+                raise OrderError(
+                    409, "not_prepared", f"not prepared for {digest}"
+                )
+            if rank.first_step not in (None, first_step):
+                raise OrderError(
+                    409, "decided", f"decided for step {rank.first_step}"
+                )
+        if ranks and first_step < self.step:
+            raise OrderError(
+                409, "step_passed", f"step {first_step} has passed"
+            )
+        for rank in ranks:
+            rank.first_step = first_step
+        return {"step": self.step}
+
+    def abort(self, arguments: dict[str, Any]) -> dict[str, Any]:
+        """Drops an undecided change."""
+        digest = _read_digest(arguments)
+        ranks = self._select(arguments)
+        for rank in ranks:
+            if rank.prepared == digest and rank.first_step is not None:
+                raise OrderError(409, "decided", "the change is decided")
+        for rank in ranks:
+            if rank.prepared == digest:
+                rank.prepared = ""
+        return {"step": self.step}
+
+    def to_json(self) -> dict[str, Any]:
+        """Returns the state of the ranks."""
+        ranks = [
+            dataclasses.asdict(rank)
+            | {"rank": index, "waiting": rank.is_waiting(self.step)}
+            for index, rank in enumerate(self.ranks)
+        ]
+        return {"step": self.step, "ranks": ranks}
+
+    def read_segments(self) -> list[dict[str, Any]]:
+        """Returns the maps per rank for each range of equal steps."""
+        return self._segments
+
+    def _select(self, arguments: dict[str, Any]) -> list[Rank]:
+        index = arguments.get("rank")
+        if index is None:
+            return self.ranks
+        if not isinstance(index, int) or not 0 <= index < len(self.ranks):
+            raise OrderError(400, "invalid", f"unknown rank {index!r}")
+        return [self.ranks[index]]
+
+
+class OrderBook:
+    """Orders by id and the highest fencing token.
+
+    Args:
+        checks_fencing: Whether an order with a lower token is refused.
+    """
+
+    def __init__(self, checks_fencing: bool) -> None:
+        self.highest_token = 0
+        self._checks_fencing = checks_fencing
+        self._answers: OrderedDict[str, dict[str, Any]] = OrderedDict()
+
+    def find(self, order_id: str) -> dict[str, Any] | None:
+        """Returns the answer of an order that took effect before."""
+        return self._answers.get(order_id)
+
+    def check(self, token: int) -> None:
+        """Refuses a token below the highest one seen, if so configured."""
+        if self._checks_fencing and token < self.highest_token:
+            raise OrderError(
+                409,
+                "stale_fencing_token",
+                f"token {token} is below {self.highest_token}",
+            )
+        self.highest_token = max(self.highest_token, token)
+
+    def keep(self, order_id: str, answer: dict[str, Any]) -> None:
+        """Keeps the answer of an order that took effect."""
+        self._answers[order_id] = answer
+        if len(self._answers) > MAX_ORDERS:
+            self._answers.popitem(last=False)
+
+
+def _read_digest(arguments: dict[str, Any]) -> str:
+    digest = arguments.get("digest")
+    if not isinstance(digest, str) or not digest:
+        raise OrderError(400, "invalid", "digest must be a text")
+    return digest
+
+
+def _read_step(arguments: dict[str, Any], name: str) -> int:
+    step = arguments.get(name)
+    if not isinstance(step, int) or step < 0:
+        raise OrderError(400, "invalid", f"{name} must be a step number")
+    return step
--- /dev/null
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/instances.py
@@ -0,0 +1,122 @@
+"""Stand-in for the instance list, whose answers lag behind changes."""
+
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import click
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from chicoryplank_standins._serving import answer_error, read_json, serve
+
+TEXT_FIELDS = (
+    "instance",
+    "role",
+    "zone",
+    "address",
+    "caller_address",
+    "deployment",
+)
+
+
+class InstanceList:
+    """Instances now and as they are visible after the lag.
+
+    Args:
+        lag_s: Time in seconds until a change becomes visible.
+        elapsed: Returns the time in seconds.
+    """
+
+    def __init__(
+        self, lag_s: float = 0, elapsed: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._lag_s = lag_s
+        self._elapsed = elapsed
+        self._current: dict[str, dict[str, Any]] = {}
+        self._visible: list[dict[str, Any]] = []
+        self._pending: deque[tuple[float, list[dict[str, Any]]]] = deque()
+
+    def put(self, instance: dict[str, Any]) -> None:
+        """Adds or replaces an instance."""
+        fields: dict[str, Any] = {
+            name: str(instance.get(name) or "") for name in TEXT_FIELDS
+        }
+        fields["leaving"] = bool(instance.get("leaving", False))
+        self._current[fields["instance"]] = fields
+        self._schedule()
+
+    def mark_leaving(self, instance: str) -> bool:
+        """Marks an instance as leaving; returns False if it is unknown."""
+        if instance not in self._current:
+            return False
+        self._current[instance] = self._current[instance] | {"leaving": True}
+        self._schedule()
+        return True
+
+    def remove(self, instance: str) -> bool:
+        """Removes an instance; returns False if it is unknown."""
+        if self._current.pop(instance, None) is None:
+            return False
+        self._schedule()
+        return True
+
+    def read(self) -> list[dict[str, Any]]:
+        """Returns the visible instances."""
+        now = self._elapsed()
+        while self._pending and self._pending[0][0] <= now:
+            self._visible = self._pending.popleft()[1]
+        return self._visible
+
+    def _schedule(self) -> None:
+        due_s = self._elapsed() + self._lag_s
+        self._pending.append((due_s, list(self._current.values())))
+
+
+def make_application(instances: InstanceList) -> Starlette:
+    """Returns the HTTP interface of the stand-in."""
+
+    async def read(_: Request) -> Response:
+        return JSONResponse({"instances": instances.read()})
+
+    async def put(request: Request) -> Response:
+        body = await read_json(request)
+        if body is None or not body.get("instance"):
+            return answer_error(400, "invalid", "no instance")
+        instances.put(body)
+        return JSONResponse({})
+
+    async def leave(request: Request) -> Response:
+        body = await read_json(request)
+        if not instances.mark_leaving(str((body or {}).get("instance"))):
+            return answer_error(404, "unknown_instance", "unknown instance")
+        return JSONResponse({})
+
+    async def remove(request: Request) -> Response:
+        if not instances.remove(request.path_params["instance"]):
+            return answer_error(404, "unknown_instance", "unknown instance")
+        return JSONResponse({})
+
+    return Starlette(
+        routes=[
+            Route("/instances", read, methods=["GET"]),
+            Route("/instances", put, methods=["POST"]),
+            Route("/leave", leave, methods=["POST"]),
+            Route("/instances/{instance}", remove, methods=["DELETE"]),
+        ]
+    )
+
+
+@click.command()
+@click.option("--listen", required=True, help="Host and port.")
+@click.option("--lag-ms", default=0.0, help="Time until a change is visible.")
+def main(listen: str, lag_ms: float) -> None:
+    """Runs the stand-in."""
+    serve(lambda: make_application(InstanceList(lag_ms / 1_000)), listen)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_service.py
@@ -0,0 +1,100 @@
+"""Tests of the plain service and the instance list."""
+
+import asyncio
+import hashlib
+
+import testtools
+
+from chicoryplank_standins.instances import InstanceList
+from chicoryplank_standins.instances import (
+    make_application as make_instance_application,
+)
+from chicoryplank_standins.service import Service, make_application
+from chicoryplank_standins.tests.asgi import request
+
+
+class TestService(testtools.TestCase):
+    """Answers, records and faults."""
+
+    def test_call_is_echoed_and_counted(self):
+        """Guards against a doubled call that the records hide."""
+
+        async def run():
+            service = make_application(Service())
+            headers = {"x-request-id": "r", "idempotency-key": "k"}
+            for _ in range(2):
+                call = await request(
+                    service, "POST", "/quotes", {"n": 1}, headers=headers
+                )
+            records = await request(service, "GET", "/records")
+            return call.json(), records.json()["records"]
+
+        answer, records = asyncio.run(run())
+        digest = hashlib.sha256(b'{"n": 1}').hexdigest()
+        self.assertEqual(digest, answer["body_sha256"])
+        self.assertEqual(1, len(records))
+        self.assertEqual(
+            (2, "k", digest),
+            (
+                records[0]["count"],
+                records[0]["idempotency_key"],
+                records[0]["body_sha256"],
+            ),
+        )
+
+    def test_failure_does_not_run_and_a_cut_call_does(self):
+        """Guards against faults whose records contradict them."""
+
+        async def run():
+            service = make_application(Service())
+            faults = {"fail_next": 1, "cut_after_tokens": 0}
+            await request(service, "POST", "/faults", faults)
+            failed = await request(service, "POST", "/a", {})
+            cut = await request(service, "POST", "/b", {})
+            records = await request(service, "GET", "/records")
+            paths = [item["path"] for item in records.json()["records"]]
+            return failed.status, cut.aborted, paths
+
+        self.assertEqual((500, True, ["/b"]), asyncio.run(run()))
+
+
+class TestInstanceList(testtools.TestCase):
+    """Lag of the list."""
+
+    def test_changes_are_visible_after_the_lag(self):
+        """Guards against a list that is never late."""
+        now = 0.0
+        instances = InstanceList(1.0, lambda: now)
+        application = make_instance_application(instances)
+
+        async def read():
+            answer = await request(application, "GET", "/instances")
+            return [
+                (item["instance"], item["leaving"])
+                for item in answer.json()["instances"]
+            ]
+
+        async def run():
+            nonlocal now
+            seen = []
+            await request(application, "POST", "/instances", {"instance": "a"})
+            seen.append(await read())
+            now = 1.0
+            seen.append(await read())
+            await request(application, "POST", "/leave", {"instance": "a"})
+            seen.append(await read())
+            now = 2.0
+            seen.append(await read())
+            await request(application, "DELETE", "/instances/a")
+            now = 3.0
+            seen.append(await read())
+            return seen
+
+        expected = [
+            [],
+            [("a", False)],
+            [("a", False)],
+            [("a", True)],
+            [],
+        ]
+        self.assertEqual(expected, asyncio.run(run()))
