--- /dev/null
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -0,0 +1,213 @@
+"""HTTP client of the backend server beside the agent."""
+
+import dataclasses
+import re
+from collections.abc import AsyncIterator
+
+import aiosonic
+from aiosonic.exceptions import ConnectTimeout
+from aiosonic.pools import PoolConfig
+from aiosonic.timeout import Timeouts
+
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.verdict import Verdict
+from chicoryplank_wire.http import HTTP_FAILURES
+
+EVENT_STREAM = "text/event-stream"
+_CONNECT_TIMEOUT_S = 1.0
+_HTTP_OK = 200
+_EVENT_ID = re.compile(rb"^id: ?(\S+)", re.MULTILINE)
+_END_MARKER = b"data: [DONE]"
+_MAX_RESUMES = 3
+_RESPONSE_HEADERS = frozenset({"content-type", "retry-after"})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendRequest:
+    """Request to the backend server.
+
+    Attributes:
+        request_id: Names the run, so that it can be resumed or cancelled.
+        method: HTTP method.
+        path: Path with query.
+        headers: Headers as (name, value).
+        body: Request body.
+        repeatable: Whether the request is idempotent.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    repeatable: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendResponse:
+    """Head of a response; the body follows as whole events or bytes."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: AsyncIterator[bytes]
+
+
+class BackendClient:
+    """Sends requests to one backend server.
+
+    Args:
+        address: Host and port.
+        max_connections: Requests in progress at once.
+    """
+
+    def __init__(self, address: str, max_connections: int) -> None:
+        self._url = f"http://{address}"
+        pools = {":default": PoolConfig(size=max_connections)}
+        self._client = aiosonic.HTTPClient(
+            aiosonic.TCPConnector(pool_configs=pools)
+        )
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._client.aclose()
+
+    async def send(self, request: BackendRequest) -> BackendResponse:
+        """Sends a request and returns the head of the response.
+
+        Raises:
+            ChicoryplankError: With verdict NOT_RUN if no connection was made,
+                otherwise MAY_HAVE_RUN.
+        """
+        headers = dict(request.headers)
+        headers["X-Request-Id"] = request.request_id
+        if not request.repeatable:
+            # A pooled connection may break while the request is written, and
+            # an HTTP client may then send it a second time.
+            headers["Connection"] = "close"
+        response = await self._open(
+            request.method, request.path, headers, request.body
+        )
+        kept = tuple(
+            (name.lower(), value)
+            for name, value in response.headers.items()
+            if name.lower() in _RESPONSE_HEADERS
+        )
+        content_type = dict(kept).get("content-type", "")
+        if content_type.startswith(EVENT_STREAM):
+            body = self._read_events(request.request_id, response)
+        else:
+            body = _read_body(response)
+        return BackendResponse(response.status_code, kept, body)
+
+    async def cancel(self, request_id: str) -> None:
+        """Asks the engine to stop a run; failures do not matter."""
+        try:
+            response = await self._client.delete(
+                f"{self._url}/v1/streams/{request_id}"
+            )
+            await response.content()
+        except HTTP_FAILURES:
+            return
+
+    async def fetch_json(self, path: str) -> dict | None:
+        """Returns a JSON document, or None if there is no answer."""
+        try:
+            response = await self._client.get(self._url + path)
+            if response.status_code != _HTTP_OK:
+                return None
+            return await response.json()
+        except HTTP_FAILURES:
+            return None
+
+    async def _open(
+        self, method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> aiosonic.HttpResponse:
+        timeouts = Timeouts(
+            sock_connect=_CONNECT_TIMEOUT_S,
+            sock_read=None,
+            request_timeout=None,
+        )
+        try:
+            return await self._client.request(
+                self._url + path,
+                method,
+                headers=headers,
+                data=body or None,
+                stream=True,
+                timeouts=timeouts,
+            )
+        except (ConnectionRefusedError, ConnectTimeout) as error:
+            raise ChicoryplankError(
+                ErrorCode.BACKEND_FAILED,
+                "the backend server accepts no connection",
+                Verdict.NOT_RUN,
+            ) from error
+        except HTTP_FAILURES as error:
+            raise _make_failure(error) from error
+
+    async def _read_events(
+        self, request_id: str, response: aiosonic.HttpResponse
+    ) -> AsyncIterator[bytes]:
+        """Yields whole events; resumes after the last one on a break."""
+        last_id = b""
+        for _ in range(_MAX_RESUMES + 1):
+            failure = None
+            rest = b""
+            ended = False
+            try:
+                async for data in response.read_chunks():
+                    rest += data
+                    cut = rest.rfind(b"\n\n") + 2
+                    if cut < 2:
+                        continue
+                    events, rest = rest[:cut], rest[cut:]
+                    ended = _END_MARKER in events[-len(_END_MARKER) - 64 :]
+                    last_id = _find_last_id(events, last_id)
+                    yield events
+            except HTTP_FAILURES as error:
+                failure = error
+            finally:
+                await response.aclose()
+            if ended:
+                return
+            if not last_id:
+                raise _make_failure(failure)
+            response = await self._open(
+                "GET",
+                f"/v1/streams/{request_id}",
+                {"Last-Event-ID": last_id.decode()},
+                b"",
+            )
+            if response.status_code != _HTTP_OK:
+                await response.aclose()
+                raise _make_failure(failure)
+        raise _make_failure(failure)
+
+
+def _find_last_id(events: bytes, default: bytes) -> bytes:
+    start = events.rfind(b"id:")
+    if start < 0:
+        return default
+    found = _EVENT_ID.findall(events[max(0, start - 1) :])
+    return found[-1] if found else default
+
+
+def _make_failure(error: BaseException | None) -> ChicoryplankError:
+    reason = "no end marker" if error is None else repr(error)
+    return ChicoryplankError(
+        ErrorCode.BACKEND_FAILED,
+        f"the response broke off: {reason}",
+        Verdict.MAY_HAVE_RUN,
+    )
+
+
+async def _read_body(
+    response: aiosonic.HttpResponse,
+) -> AsyncIterator[bytes]:
+    try:
+        async for data in response.read_chunks():
+            yield data
+    except HTTP_FAILURES as error:
+        raise _make_failure(error) from error
+    finally:
+        await response.aclose()
--- /dev/null
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
@@ -0,0 +1,111 @@
+"""The agent daemon: relay service in a backend server instance's slot."""
+
+import asyncio
+import contextlib
+import signal
+import time
+import uuid
+from datetime import timedelta
+
+from grpclib.server import Server
+
+from chicoryplank.attempts import AttemptTable
+from chicoryplank.clock import Clock, SystemClock
+from chicoryplank.configuration import AgentSettings
+from chicoryplank.ids import Incarnation
+from chicoryplank.lifecycle import Application
+from chicoryplank_agent.backend import BackendClient
+from chicoryplank_agent.relay import RelayService
+from chicoryplank_wire import relay_pb2
+
+# An entry with 64 agents receives 32 idle reports a second, which fits the
+# 35 control messages a second that 1.4 % of a core allow.
+_REPORT_INTERVAL = timedelta(seconds=2)
+_LOAD_INTERVAL = timedelta(milliseconds=250)
+
+
+class Agent:
+    """Parts of the agent daemon and their life cycle.
+
+    Args:
+        settings: Checked settings.
+        clock: Source of time.
+    """
+
+    def __init__(self, settings: AgentSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        incarnation = Incarnation(f"{settings.instance}-{uuid.uuid4().hex}")
+        self.backend = BackendClient(
+            settings.backend_address, settings.limits.max_requests
+        )
+        table = AttemptTable(clock, settings.limits, settings.max_clock_skew)
+        self.relay = RelayService(
+            settings, incarnation, clock, table, self.backend
+        )
+        self._server = Server([self.relay])
+        self._tasks: list[asyncio.Task] = []
+        self.application = Application(f"agent {settings.instance}")
+        self.application.add_hooks("backend", stop=self.backend.close)
+        self.application.add_hooks(
+            "server", start=self._start_server, stop=self._stop_server
+        )
+        self.application.add_hooks(
+            "reports", start=self._start_reports, stop=self._stop_reports
+        )
+        self.application.add_hooks("drain", stop=self._drain)
+
+    async def _start_server(self) -> None:
+        host, port = self._settings.listen_address.rsplit(":", 1)
+        await self._server.start(host, int(port))
+
+    async def _stop_server(self) -> None:
+        self._server.close()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._server.wait_closed(), 1)
+
+    async def _start_reports(self) -> None:
+        self._tasks = [
+            asyncio.create_task(self._poll_load()),
+            asyncio.create_task(self._send_reports()),
+        ]
+
+    async def _stop_reports(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+    async def _drain(self) -> None:
+        await self.relay.shut_down(self._settings.drain_timeout)
+
+    async def _poll_load(self) -> None:
+        while True:
+            document = await self.backend.fetch_json("/load")
+            if document is not None:
+                self.relay.load = relay_pb2.Load(
+                    running=int(document.get("running", 0)),
+                    queued=int(document.get("queued", 0)),
+                    measured_unix_ms=time.time_ns() // 1_000_000,
+                )
+            await self._clock.sleep(_LOAD_INTERVAL)
+
+    async def _send_reports(self) -> None:
+        while True:
+            await self._clock.sleep(_REPORT_INTERVAL)
+            self.relay.wake_all()
+
+
+async def serve(settings: AgentSettings, clock: Clock) -> None:
+    """Runs the agent until SIGTERM or SIGINT, then shuts down gracefully."""
+    agent = Agent(settings, clock)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await agent.application.start()
+    await stopped.wait()
+    await agent.application.stop()
+
+
+def run(settings: AgentSettings) -> None:
+    """Runs the agent daemon in this process."""
+    asyncio.run(serve(settings, SystemClock()))
--- /dev/null
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
@@ -0,0 +1,361 @@
+"""Relay service of the agent: runs attempts for the connected entries."""
+
+import asyncio
+import dataclasses
+from datetime import UTC, datetime, timedelta
+
+from grpclib.exceptions import StreamTerminatedError
+
+from chicoryplank.attempts import (
+    AttemptKey,
+    AttemptRecord,
+    AttemptTable,
+    RunState,
+)
+from chicoryplank.clock import Clock
+from chicoryplank.configuration import AgentSettings
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.events import Event, emit
+from chicoryplank.ids import Incarnation
+from chicoryplank.verdict import Verdict
+from chicoryplank_agent.backend import BackendClient, BackendRequest
+from chicoryplank_agent.outbox import Outbox
+from chicoryplank_wire import relay_pb2
+from chicoryplank_wire.relay_grpc import RelayBase
+
+_BROKEN = (OSError, StreamTerminatedError)
+
+
+@dataclasses.dataclass(slots=True)
+class Drain:
+    """Why the agent rejects new work.
+
+    Attributes:
+        config_version: Newest configuration version heard of.
+        leaving: Whether the instance is leaving at that version.
+        stopping: Whether the platform is about to stop the instance.
+        shutting_down: Whether the agent itself is shutting down.
+    """
+
+    config_version: int = 0
+    leaving: bool = False
+    stopping: bool = False
+    shutting_down: bool = False
+
+    @property
+    def is_active(self) -> bool:
+        """Whether new work is rejected."""
+        return self.leaving or self.stopping or self.shutting_down
+
+    def observe(self, batch: relay_pb2.EntryBatch) -> None:
+        """Takes over what an entry knows; older versions are ignored."""
+        if batch.config_version >= self.config_version:
+            self.config_version = batch.config_version
+            self.leaving = batch.leaving
+        self.stopping = self.stopping or batch.stopping
+
+
+class RelayService(RelayBase):
+    """Accepts batches of frames from entries and answers them.
+
+    Args:
+        settings: Settings of the agent.
+        incarnation: Changes with each start of the agent.
+        clock: Measures deadlines.
+        table: Record of attempts.
+        backend: Client of the backend server.
+        claims: Runs an attempt under an idempotency key; None if the agent
+            has no store.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        incarnation: Incarnation,
+        clock: Clock,
+        table: AttemptTable,
+        backend: BackendClient,
+        *,
+        claims=None,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._clock = clock
+        self._table = table
+        self._backend = backend
+        self._claims = claims
+        self._outboxes: dict[Incarnation, Outbox] = {}
+        self._tasks: dict[AttemptKey, asyncio.Task] = {}
+        self._abandon_timers: dict[Incarnation, asyncio.TimerHandle] = {}
+        self.drain = Drain()
+        self.load = relay_pb2.Load()
+
+    async def Exchange(self, stream) -> None:  # noqa: N802
+        """Serves one entry until its connection breaks."""
+        first = await stream.recv_message()
+        if first is None or not first.incarnation:
+            return
+        incarnation = Incarnation(first.incarnation)
+        outbox = Outbox(self._settings.flush_interval)
+        self._outboxes[incarnation] = outbox
+        timer = self._abandon_timers.pop(incarnation, None)
+        if timer is not None:
+            timer.cancel()
+        outbox.wake()
+        writer = asyncio.create_task(self._write_batches(stream, outbox))
+        try:
+            self._handle_batch(incarnation, outbox, first)
+            while (batch := await stream.recv_message()) is not None:
+                self._handle_batch(incarnation, outbox, batch)
+        except _BROKEN as error:
+            emit(Event.ENTRY_DISCONNECTED, entry=first.entry, error=error)
+        finally:
+            writer.cancel()
+            self._disconnect(incarnation, outbox)
+
+    async def shut_down(self, timeout: timedelta) -> None:
+        """Rejects new work and waits for the attempts in progress."""
+        self.drain.shutting_down = True
+        self._table.draining = True
+        self.wake_all()
+        end = self._clock.elapsed() + timeout
+        while self._tasks and self._clock.elapsed() < end:
+            await self._clock.sleep(timedelta(milliseconds=50))
+        # Entries still have to read and acknowledge the last frames.
+        linger = self._clock.elapsed() + timedelta(seconds=2)
+        while len(self._table) and self._clock.elapsed() < linger:
+            await self._clock.sleep(timedelta(milliseconds=50))
+
+    def wake_all(self) -> None:
+        """Sends load and drain state to all entries."""
+        for outbox in self._outboxes.values():
+            outbox.wake()
+
+    def _disconnect(self, incarnation: Incarnation, outbox: Outbox) -> None:
+        if self._outboxes.get(incarnation) is not outbox:
+            return
+        del self._outboxes[incarnation]
+        loop = asyncio.get_running_loop()
+        self._abandon_timers[incarnation] = loop.call_later(
+            self._settings.grace_period.total_seconds(),
+            self._abandon,
+            incarnation,
+        )
+
+    def _abandon(self, incarnation: Incarnation) -> None:
+        """Cancels repeatable attempts of an entry that did not come back."""
+        self._abandon_timers.pop(incarnation, None)
+        for record in self._table.list_records():
+            if record.key.incarnation != incarnation:
+                continue
+            if record.repeatable or record.state is RunState.ENDED:
+                self._cancel(record.key)
+
+    async def _write_batches(self, stream, outbox: Outbox) -> None:
+        try:
+            while True:
+                batch = await outbox.take()
+                batch.agent = self._settings.instance
+                batch.incarnation = self._incarnation
+                batch.config_version = self.drain.config_version
+                batch.leaving = self.drain.is_active
+                batch.load.CopyFrom(self.load)
+                await stream.send_message(batch)
+        except _BROKEN:
+            return
+
+    def _handle_batch(
+        self,
+        incarnation: Incarnation,
+        outbox: Outbox,
+        batch: relay_pb2.EntryBatch,
+    ) -> None:
+        self.drain.observe(batch)
+        self._table.draining = self.drain.is_active
+        for start in batch.starts:
+            self._handle_start(incarnation, outbox, start)
+        for position in batch.resumes:
+            key = AttemptKey(incarnation, position.attempt)
+            self._resume(key, outbox, position.offset)
+        for sequence in batch.settles:
+            self._settle(AttemptKey(incarnation, sequence), outbox)
+        for position in batch.acknowledges:
+            key = AttemptKey(incarnation, position.attempt)
+            self._table.acknowledge(key, position.offset)
+        for sequence in batch.cancels:
+            self._cancel(AttemptKey(incarnation, sequence))
+
+    def _handle_start(
+        self,
+        incarnation: Incarnation,
+        outbox: Outbox,
+        start: relay_pb2.Start,
+    ) -> None:
+        key = AttemptKey(incarnation, start.attempt)
+        try:
+            record = self._table.admit(
+                key,
+                start.repeatable,
+                timedelta(milliseconds=start.budget_ms),
+                datetime.fromtimestamp(start.deadline_unix_ms / 1000, UTC),
+            )
+        except ChicoryplankError as error:
+            outbox.add_refused(start.attempt, error)
+            return
+        if record is None:
+            return
+        task = asyncio.create_task(self._run_attempt(record, start))
+        self._tasks[key] = task
+        task.add_done_callback(lambda _: self._tasks.pop(key, None))
+
+    def _resume(self, key: AttemptKey, outbox: Outbox, offset: int) -> None:
+        record = self._table.get(key)
+        if record is None:
+            error = ChicoryplankError(
+                ErrorCode.OUTCOME_UNKNOWN,
+                "the attempt is no longer kept",
+                Verdict.MAY_HAVE_RUN,
+            )
+            outbox.add_refused(key.sequence, error)
+            return
+        if record.status:
+            outbox.add_accepted(record)
+            try:
+                data = self._table.read_from(record, offset)
+            except ChicoryplankError as error:
+                outbox.add_refused(key.sequence, error)
+                return
+            if data:
+                outbox.add_chunk(record, offset, data)
+        self._add_outcome(record, outbox)
+
+    def _add_outcome(self, record: AttemptRecord, outbox: Outbox) -> None:
+        if record.error is not None:
+            outbox.add_refused(record.key.sequence, record.error)
+        elif record.state is RunState.ENDED:
+            outbox.add_end(record)
+
+    def _settle(self, key: AttemptKey, outbox: Outbox) -> None:
+        try:
+            started = self._table.settle(key)
+        except ChicoryplankError as error:
+            outbox.add_refused(key.sequence, error)
+            return
+        outbox.add_settled(key.sequence, started)
+        if not started and key in self._tasks:
+            self._tasks[key].cancel()
+
+    def _cancel(self, key: AttemptKey) -> None:
+        record = self._table.discard(key)
+        task = self._tasks.get(key)
+        if record is None or task is None:
+            return
+        # A non-idempotent request that runs is left to end, so that its
+        # response can be replayed when the caller asks again.
+        if record.repeatable or record.state is RunState.QUEUED:
+            task.cancel()
+
+    async def _run_attempt(
+        self, record: AttemptRecord, start: relay_pb2.Start
+    ) -> None:
+        left = record.deadline - self._clock.elapsed()
+        try:
+            async with asyncio.timeout(left.total_seconds()):
+                if start.idempotency_key and self._claims is not None:
+                    await self._claims.run(
+                        record,
+                        start,
+                        lambda: self._forward(record, start),
+                        lambda status, headers, body: self._replay(
+                            record, status, headers, body
+                        ),
+                    )
+                else:
+                    await self._forward(record, start)
+        except TimeoutError:
+            self._fail(record, self._make_timeout(record))
+        except ChicoryplankError as error:
+            self._fail(record, error)
+        except asyncio.CancelledError:
+            if record.state is RunState.RUNNING and record.repeatable:
+                asyncio.create_task(self._backend.cancel(_name_run(record)))
+            raise
+
+    async def _forward(
+        self, record: AttemptRecord, start: relay_pb2.Start
+    ) -> None:
+        request = BackendRequest(
+            _name_run(record),
+            start.method,
+            start.path,
+            tuple((item.name, item.value) for item in start.headers),
+            start.body,
+            start.repeatable,
+        )
+        self._table.start(record)
+        response = await self._backend.send(request)
+        self._accept(record, response.status, response.headers)
+        async for data in response.body:
+            self._append(record, data)
+        self._finish(record)
+
+    def _replay(
+        self,
+        record: AttemptRecord,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> None:
+        """Answers with the stored response of an earlier attempt."""
+        self._accept(record, status, headers)
+        if body:
+            self._append(record, body)
+        self._finish(record)
+
+    def _accept(
+        self,
+        record: AttemptRecord,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+    ) -> None:
+        record.status = status
+        record.headers = headers
+        outbox = self._outboxes.get(record.key.incarnation)
+        if outbox is not None:
+            outbox.add_accepted(record)
+
+    def _append(self, record: AttemptRecord, data: bytes) -> None:
+        offset = self._table.append(record, data)
+        outbox = self._outboxes.get(record.key.incarnation)
+        if outbox is not None:
+            outbox.add_chunk(record, offset, data)
+
+    def _finish(self, record: AttemptRecord) -> None:
+        self._table.finish(record)
+        outbox = self._outboxes.get(record.key.incarnation)
+        if outbox is not None:
+            outbox.add_end(record)
+
+    def _fail(self, record: AttemptRecord, error: ChicoryplankError) -> None:
+        if error.code is ErrorCode.BACKEND_FAILED:
+            emit(Event.ENGINE_FAILED, error=error.message)
+        if record.status and error.verdict is Verdict.NOT_RUN:
+            error.verdict = Verdict.MAY_HAVE_RUN
+        self._table.fail(record, error)
+        outbox = self._outboxes.get(record.key.incarnation)
+        if outbox is not None:
+            outbox.add_refused(record.key.sequence, error)
+
+    def _make_timeout(self, record: AttemptRecord) -> ChicoryplankError:
+        started = record.state is not RunState.QUEUED
+        if started and record.repeatable:
+            asyncio.create_task(self._backend.cancel(_name_run(record)))
+        return ChicoryplankError(
+            ErrorCode.DEADLINE_EXCEEDED,
+            "the deadline passed at the agent",
+            Verdict.MAY_HAVE_RUN if started else Verdict.NOT_RUN,
+        )
+
+
+def _name_run(record: AttemptRecord) -> str:
+    return f"{record.key.incarnation}-{record.key.sequence}"
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -0,0 +1,203 @@
+"""The entry daemon: takes requests from callers and relays them to agents."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import uuid
+from collections.abc import Iterator
+
+import aiosonic
+import uvicorn
+
+from chicoryplank.attempts import AttemptLedger
+from chicoryplank.blackboard import Blackboard, Instance
+from chicoryplank.clock import Clock, SystemClock
+from chicoryplank.configuration import EntrySettings
+from chicoryplank.ids import Incarnation
+from chicoryplank.lifecycle import Application
+from chicoryplank_entry.controllers import (
+    follow_configuration,
+    follow_instances,
+    watch_silence,
+)
+from chicoryplank_entry.http import CallerInterface
+from chicoryplank_entry.relays import Relay, RelayPool
+from chicoryplank_entry.requests import Dispatcher, choose_least_in_flight
+from chicoryplank_wire.store import EtcdStore
+
+
+class CallerServer(uvicorn.Server):
+    """HTTP server that leaves signals to the application object."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Installs no signal handlers."""
+        yield
+
+
+class Entry:
+    """Parts of the entry daemon and their life cycle.
+
+    Args:
+        settings: Checked settings.
+        clock: Source of time.
+        random_source: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        random_source: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._random = random_source
+        self._identity = (
+            settings.instance,
+            Incarnation(f"{settings.instance}-{uuid.uuid4().hex}"),
+        )
+        self.blackboard = Blackboard()
+        self.ledger = AttemptLedger(settings.limits.max_buffer_bytes)
+        self.pool = RelayPool(self._make_relay)
+        self.dispatcher = Dispatcher(
+            settings,
+            clock,
+            self.blackboard,
+            ledger=self.ledger,
+            pool=self.pool,
+            choose=choose_least_in_flight,
+        )
+        self._store = EtcdStore(settings.store.address, settings.store.timeout)
+        self._client = aiosonic.HTTPClient()
+        self._tasks: list[asyncio.Task] = []
+        self._server = self._make_server()
+        self.application = Application(f"entry {settings.instance}")
+        self._add_hooks()
+
+    def _add_hooks(self) -> None:
+        add_hooks = self.application.add_hooks
+        add_hooks("store", stop=self._store.close)
+        add_hooks("client", stop=self._client.aclose)
+        add_hooks("relays", stop=self.pool.close)
+        add_hooks(
+            "controllers",
+            start=self._start_controllers,
+            stop=self._stop_controllers,
+        )
+        add_hooks("server", start=self._start_server, stop=self._stop_server)
+        add_hooks("drain", stop=self._drain)
+
+    def _make_relay(self, instance: Instance) -> Relay:
+        return Relay(
+            self._identity,
+            instance,
+            self.ledger,
+            blackboard=self.blackboard,
+            clock=self._clock,
+            random_source=self._random,
+        )
+
+    def _make_server(self) -> CallerServer:
+        interface = CallerInterface(
+            self._settings,
+            self.blackboard,
+            self.dispatcher,
+            self._choose_addresses,
+        )
+        host, port = self._settings.caller_address.rsplit(":", 1)
+        return CallerServer(
+            uvicorn.Config(
+                interface.make_application(),
+                host=host,
+                port=int(port),
+                loop="asyncio",
+                http="httptools",
+                ws="none",
+                lifespan="off",
+                log_config=None,
+                access_log=False,
+                server_header=False,
+                timeout_keep_alive=30,
+                timeout_graceful_shutdown=5,
+            )
+        )
+
+    def _choose_addresses(self, caller: str) -> list[str]:
+        del caller
+        own = self._settings.caller_address
+        others = [
+            item.caller_address
+            for item in self.blackboard.instances.value
+            if item.role == "entry" and not item.leaving
+        ]
+        if self.blackboard.leaving.value:
+            return [address for address in others if address != own]
+        return others or [own]
+
+    async def _start_controllers(self) -> None:
+        self._tasks = [
+            asyncio.create_task(work)
+            for work in (
+                follow_instances(
+                    self._settings.instance_list,
+                    self._client,
+                    self.blackboard,
+                    self.pool,
+                    self._clock,
+                ),
+                follow_configuration(
+                    self._store, self.blackboard, self.pool, self._clock
+                ),
+                watch_silence(self.pool, self._clock),
+            )
+        ]
+
+    async def _stop_controllers(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _start_server(self) -> None:
+        self._tasks.append(asyncio.create_task(self._server.serve()))
+        while not self._server.started:
+            if self._tasks[-1].done():
+                await self._tasks[-1]
+                raise OSError("the HTTP server did not start")
+            await asyncio.sleep(0.01)
+
+    async def _stop_server(self) -> None:
+        self._server.should_exit = True
+        with contextlib.suppress(asyncio.CancelledError, SystemExit):
+            await self._tasks[-1]
+
+    async def _drain(self) -> None:
+        """Drops out of address responses, then waits for open requests.
+
+        New requests are still served while callers may hold the address,
+        because they learnt it from a response that was valid.
+        """
+        self.blackboard.leaving.write(True)
+        await self._clock.sleep(2 * self._settings.address_ttl)
+        self.blackboard.draining.write(True)
+        end = self._clock.elapsed() + self._settings.drain_timeout
+        while self.dispatcher.in_progress and self._clock.elapsed() < end:
+            await asyncio.sleep(0.05)
+
+
+async def serve(settings: EntrySettings, clock: Clock) -> None:
+    """Runs the entry until SIGTERM or SIGINT, then shuts down gracefully."""
+    entry = Entry(settings, clock, random.Random())
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await entry.application.start()
+    await stopped.wait()
+    await entry.application.stop()
+
+
+def run(settings: EntrySettings) -> None:
+    """Runs the entry daemon in this process."""
+    asyncio.run(serve(settings, SystemClock()))
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -0,0 +1,411 @@
+"""HTTP interface for callers."""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import prometheus_client
+from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from chicoryplank.blackboard import Blackboard
+from chicoryplank.configuration import EntrySettings, Priority
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank_entry.requests import (
+    CallerRequest,
+    CallerResponse,
+    Dispatcher,
+    Kind,
+    ResponseStream,
+    find_account,
+    format_error,
+)
+
+_STATUS_OF_CODE = {
+    ErrorCode.MALFORMED_REQUEST: 400,
+    ErrorCode.KEY_REQUIRED: 400,
+    ErrorCode.UNKNOWN_ACCOUNT: 401,
+    ErrorCode.UNKNOWN_MODEL: 404,
+    ErrorCode.REQUEST_TOO_LARGE: 413,
+    ErrorCode.KEY_REUSED: 422,
+    ErrorCode.RATE_LIMITED: 429,
+    ErrorCode.TOO_MANY_REQUESTS: 429,
+    ErrorCode.RETRY_BUDGET_EXHAUSTED: 429,
+    ErrorCode.DEADLINE_EXCEEDED: 504,
+    ErrorCode.BACKEND_FAILED: 502,
+    ErrorCode.OUTCOME_UNKNOWN: 502,
+    ErrorCode.ANSWER_TRUNCATED: 502,
+    ErrorCode.INVARIANT_VIOLATED: 500,
+}
+_DEFAULT_STATUS = 503
+_PASSED_HEADERS = frozenset({"content-type", "accept", "idempotency-key"})
+_MAX_KEY_LENGTH = 255
+_PRIORITIES = {
+    "urgent": Priority.URGENT,
+    "normal": Priority.NORMAL,
+    "bulk": Priority.BULK,
+}
+
+
+def make_error_response(error: ChicoryplankError) -> Response:
+    """Returns the HTTP response of an error."""
+    headers = {"X-Verdict": error.verdict.value}
+    if error.retry_after is not None:
+        seconds = max(1, round(error.retry_after.total_seconds()))
+        headers["Retry-After"] = str(seconds)
+    return Response(
+        format_error(error),
+        _STATUS_OF_CODE.get(error.code, _DEFAULT_STATUS),
+        headers,
+        "application/json",
+    )
+
+
+class EventResponse(Response):
+    """Sends the events of a response as they arrive.
+
+    A response that breaks off ends with an error event and without the end
+    marker, so that it never looks whole.
+    """
+
+    def __init__(self, response: CallerResponse) -> None:
+        super().__init__(b"", response.status, dict(response.headers))
+        del self.headers["content-length"]
+        self._stream: ResponseStream = response.body
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Sends the response; the stream is closed in any case."""
+        del scope
+        sender = asyncio.current_task()
+        watcher = asyncio.create_task(_cancel_on_disconnect(receive, sender))
+        try:
+            await send(
+                {
+                    "type": "http.response.start",
+                    "status": self.status_code,
+                    "headers": self.raw_headers,
+                }
+            )
+            await self._send_events(send)
+        except asyncio.CancelledError:
+            # The caller went away; nothing is left to send.
+            if not watcher.done():
+                raise
+        finally:
+            self._stream.close()
+            watcher.cancel()
+
+    async def _send_events(self, send) -> None:
+        try:
+            while data := await self._stream.read():
+                await send(
+                    {
+                        "type": "http.response.body",
+                        "body": data,
+                        "more_body": True,
+                    }
+                )
+            last = b""
+        except ChicoryplankError as error:
+            last = b"data: " + format_error(error) + b"\n\n"
+        await send({"type": "http.response.body", "body": last})
+
+
+async def _cancel_on_disconnect(receive, sender: asyncio.Task) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            sender.cancel()
+            return
+
+
+def _read_token(request: Request) -> str:
+    scheme, _, token = request.headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not token:
+        raise ChicoryplankError(
+            ErrorCode.UNKNOWN_ACCOUNT,
+            "the header Authorization: Bearer <token> is missing",
+        )
+    return token
+
+
+def _read_timeout(request: Request, settings: EntrySettings) -> timedelta:
+    text = request.headers.get("x-request-timeout-ms")
+    if text is None:
+        return settings.limits.default_timeout
+    max_ms = int(settings.limits.max_timeout.total_seconds() * 1000)
+    if not text.isascii() or not text.isdigit() or len(text) > 12:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST,
+            f"X-Request-Timeout-Ms must be 1 to {max_ms}, not {text[:40]!r}",
+        )
+    timeout_ms = int(text)
+    if timeout_ms == 0:
+        raise ChicoryplankError(
+            ErrorCode.DEADLINE_EXCEEDED, "X-Request-Timeout-Ms is 0"
+        )
+    return timedelta(milliseconds=min(timeout_ms, max_ms))
+
+
+def _read_priority(request: Request) -> Priority | None:
+    text = request.headers.get("x-priority")
+    if text is None:
+        return None
+    if text not in _PRIORITIES:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST,
+            f"X-Priority must be one of {', '.join(_PRIORITIES)}, "
+            f"not {text[:40]!r}",
+        )
+    return _PRIORITIES[text]
+
+
+def _read_key(request: Request) -> str:
+    key = request.headers.get("idempotency-key", "")
+    if len(key) > _MAX_KEY_LENGTH:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST,
+            f"Idempotency-Key is longer than {_MAX_KEY_LENGTH} characters",
+        )
+    return key
+
+
+async def _read_body(request: Request, settings: EntrySettings) -> bytes:
+    limit = settings.limits.max_body_bytes
+    pieces = []
+    size = 0
+    try:
+        async with asyncio.timeout(
+            settings.limits.body_timeout.total_seconds()
+        ):
+            async for data in request.stream():
+                size += len(data)
+                if size > limit:
+                    raise ChicoryplankError(
+                        ErrorCode.REQUEST_TOO_LARGE,
+                        f"the body is larger than {limit} bytes",
+                    )
+                pieces.append(data)
+    except TimeoutError as error:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST, "the body did not arrive in time"
+        ) from error
+    return b"".join(pieces)
+
+
+def _parse_model_body(body: bytes) -> tuple[str, bool]:
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST, "the body is not JSON"
+        ) from error
+    if not isinstance(document, dict):
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST, "the body is not a JSON object"
+        )
+    model = document.get("model")
+    stream = document.get("stream", False)
+    if not isinstance(model, str) or not model:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST, "model must be a non-empty string"
+        )
+    if stream is None:
+        stream = False
+    if not isinstance(stream, bool):
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST, "stream must be true or false"
+        )
+    return model, stream
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class CallerInterface:
+    """Handlers of the HTTP interface for callers.
+
+    Args:
+        settings: Settings of the entry.
+        blackboard: Configuration in force.
+        dispatcher: Sends requests to agents.
+        choose_addresses: Returns the addresses that a caller should use.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        blackboard: Blackboard,
+        dispatcher: Dispatcher,
+        choose_addresses: Callable[[str], list[str]],
+    ) -> None:
+        self._settings = settings
+        self._blackboard = blackboard
+        self._dispatcher = dispatcher
+        self._choose_addresses = choose_addresses
+
+    def make_application(self) -> Starlette:
+        """Returns the ASGI application."""
+        post = ["POST"]
+        methods = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+        return Starlette(
+            routes=[
+                self._route("/v1/chat/completions", self._complete, post),
+                self._route("/v1/completions", self._complete, post),
+                self._route("/v1/models", self._list_models),
+                self._route(
+                    "/v1/services/{service}/{path:path}",
+                    self._call_service,
+                    methods,
+                ),
+                self._route("/v1/addresses", self._list_addresses),
+                self._route("/healthz", self._check_health),
+                self._route("/readyz", self._check_ready),
+                self._route("/metrics", self._show_metrics),
+            ]
+        )
+
+    def _route(
+        self, path: str, handler: Handler, methods: list[str] | None = None
+    ) -> Route:
+        async def handle(request: Request) -> Response:
+            try:
+                return await handler(request)
+            except ChicoryplankError as error:
+                return make_error_response(error)
+            except ClientDisconnect:
+                return Response(status_code=400)
+
+        return Route(path, handle, methods=methods or ["GET"])
+
+    async def _dispatch(
+        self, request: Request, caller_request: CallerRequest
+    ) -> Response:
+        work = asyncio.create_task(self._dispatcher.dispatch(caller_request))
+        gone = asyncio.create_task(_wait_disconnect(request))
+        try:
+            await asyncio.wait(
+                (work, gone), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done():
+                work.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await work
+                return Response(status_code=499)
+            response = await work
+        except asyncio.CancelledError:
+            work.cancel()
+            raise
+        finally:
+            gone.cancel()
+        if isinstance(response.body, ResponseStream):
+            return EventResponse(response)
+        return Response(response.body, response.status, dict(response.headers))
+
+    async def _complete(self, request: Request) -> Response:
+        token = _read_token(request)
+        self._dispatcher.check_ready()
+        find_account(self._blackboard.snapshot.value, token)
+        timeout = _read_timeout(request, self._settings)
+        priority = _read_priority(request)
+        body = await _read_body(request, self._settings)
+        model, stream = _parse_model_body(body)
+        return await self._dispatch(
+            request,
+            CallerRequest(
+                Kind.MODEL,
+                model,
+                token,
+                "POST",
+                request.url.path,
+                (("Content-Type", "application/json"),),
+                body,
+                stream,
+                priority,
+                timeout,
+            ),
+        )
+
+    async def _call_service(self, request: Request) -> Response:
+        token = _read_token(request)
+        self._dispatcher.check_ready()
+        find_account(self._blackboard.snapshot.value, token)
+        timeout = _read_timeout(request, self._settings)
+        priority = _read_priority(request)
+        key = _read_key(request)
+        body = await _read_body(request, self._settings)
+        path = "/" + request.path_params["path"]
+        if request.url.query:
+            path = f"{path}?{request.url.query}"
+        headers = tuple(
+            (name, value)
+            for name, value in request.headers.items()
+            if name in _PASSED_HEADERS
+        )
+        return await self._dispatch(
+            request,
+            CallerRequest(
+                Kind.SERVICE,
+                request.path_params["service"],
+                token,
+                request.method,
+                path,
+                headers,
+                body,
+                False,
+                priority,
+                timeout,
+                key,
+            ),
+        )
+
+    async def _list_models(self, request: Request) -> Response:
+        snapshot = self._blackboard.snapshot.value
+        _, account = find_account(snapshot, _read_token(request))
+        models = sorted(
+            model
+            for group_id in account.groups
+            if group_id in snapshot.groups
+            for model in snapshot.groups[group_id].models
+        )
+        data = [
+            {"id": model, "object": "model", "owned_by": "chicoryplank"}
+            for model in models
+        ]
+        return JSONResponse({"object": "list", "data": data})
+
+    async def _list_addresses(self, request: Request) -> Response:
+        host = request.client.host if request.client else ""
+        caller = request.headers.get("authorization", host)
+        return JSONResponse(
+            {
+                "addresses": self._choose_addresses(caller),
+                "ttl_s": self._settings.address_ttl.total_seconds(),
+            }
+        )
+
+    async def _check_health(self, request: Request) -> Response:
+        del request
+        return JSONResponse({"instance": self._settings.instance})
+
+    async def _check_ready(self, request: Request) -> Response:
+        del request
+        self._dispatcher.check_ready()
+        version = self._blackboard.snapshot.value.version
+        return JSONResponse({"config_version": version})
+
+    async def _show_metrics(self, request: Request) -> Response:
+        del request
+        return Response(
+            prometheus_client.generate_latest(),
+            media_type=prometheus_client.CONTENT_TYPE_LATEST,
+        )
+
+
+async def _wait_disconnect(request: Request) -> None:
+    while (await request.receive())["type"] != "http.disconnect":
+        continue
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/requests.py
@@ -0,0 +1,491 @@
+"""Dispatch of a caller's request: authentication, choice, attempts."""
+
+import asyncio
+import dataclasses
+import enum
+import hashlib
+import json
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+from chicoryplank.attempts import Attempt, AttemptLedger
+from chicoryplank.blackboard import Blackboard
+from chicoryplank.clock import Clock
+from chicoryplank.configuration import (
+    AccountConfiguration,
+    EntrySettings,
+    Priority,
+    Snapshot,
+)
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.ids import AccountId, InstanceId, ModelGroupId, ServiceId
+from chicoryplank.verdict import Verdict
+from chicoryplank_entry.relays import Relay, RelayPool
+from chicoryplank_wire import relay_pb2
+
+_RETRY_SOON = timedelta(seconds=1)
+_MAX_ATTEMPTS = 3
+# The agent's own verdict should arrive before the entry gives up.
+_AGENT_MARGIN = timedelta(milliseconds=50)
+_SERVER_ERRORS = frozenset({502, 503, 504})
+
+
+class Kind(enum.Enum):
+    """What a request is for."""
+
+    MODEL = "model"
+    SERVICE = "service"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request as the HTTP interface read it.
+
+    Attributes:
+        kind: Model group or plain service.
+        target: Model name or service id.
+        token: Bearer token.
+        method: HTTP method.
+        path: Path at the backend server.
+        headers: Headers to pass on.
+        body: Request body.
+        stream: Whether the caller wants server-sent events.
+        priority: Priority class that the caller asked for, if any.
+        timeout: Time until the deadline.
+        idempotency_key: Key of a non-idempotent request, or "".
+    """
+
+    kind: Kind
+    target: str
+    token: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    stream: bool
+    priority: Priority | None
+    timeout: timedelta
+    idempotency_key: str = ""
+
+
+class ResponseStream:
+    """Events of a response as they arrive; must be closed.
+
+    Args:
+        attempt: Attempt that produces the events.
+        first: Output that was already read.
+        get_left_s: Returns the seconds until the deadline.
+        on_read: Called after each piece of output was taken.
+        on_close: Called once when the stream is closed.
+    """
+
+    def __init__(
+        self,
+        attempt: Attempt,
+        first: bytes,
+        get_left_s: Callable[[], float],
+        on_read: Callable[[], None],
+        on_close: Callable[[], None],
+    ) -> None:
+        self._attempt = attempt
+        self._first = first
+        self._get_left_s = get_left_s
+        self._on_read = on_read
+        self._on_close: Callable[[], None] | None = on_close
+
+    async def read(self) -> bytes:
+        """Returns the next output, or empty bytes at the end.
+
+        Raises:
+            ChicoryplankError: If the response is not whole.
+        """
+        if self._first:
+            data, self._first = self._first, b""
+            return data
+        self._on_read()
+        if self._attempt.has_output:
+            return await self._attempt.read()
+        try:
+            async with asyncio.timeout(self._get_left_s()):
+                return await self._attempt.read()
+        except TimeoutError as error:
+            raise make_timeout(self._attempt) from error
+
+    def close(self) -> None:
+        """Releases the attempt; cancels it if it is still open."""
+        on_close, self._on_close = self._on_close, None
+        if on_close is not None:
+            on_close()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerResponse:
+    """Response to a caller: a whole body, or a stream of events."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | ResponseStream
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Where a request may go.
+
+    Attributes:
+        account: The caller's account.
+        priority: Effective priority class.
+        deployment: Deployment name in the instance list.
+        repeatable: Whether the request is idempotent.
+    """
+
+    account: AccountId
+    priority: Priority
+    deployment: str
+    repeatable: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A request in progress."""
+
+    request: CallerRequest
+    route: Route
+    deadline: timedelta
+    deadline_wall: datetime
+    attempts: int = 0
+    tried: set[InstanceId] = dataclasses.field(default_factory=set)
+
+
+ChooseRelay = Callable[[Call, list[Relay]], Relay | None]
+
+
+def choose_least_in_flight(call: Call, relays: list[Relay]) -> Relay | None:
+    """Returns the relay with the fewest attempts of this entry."""
+    del call
+    return min(relays, key=lambda relay: relay.in_flight, default=None)
+
+
+def find_account(
+    snapshot: Snapshot, token: str
+) -> tuple[AccountId, AccountConfiguration]:
+    """Returns the client account of a bearer token.
+
+    Raises:
+        ChicoryplankError: With UNKNOWN_ACCOUNT if there is none.
+    """
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    for account_id, account in snapshot.accounts.items():
+        if account.token_sha256 == digest:
+            return account_id, account
+    raise ChicoryplankError(
+        ErrorCode.UNKNOWN_ACCOUNT, "the bearer token belongs to no account"
+    )
+
+
+def find_route(snapshot: Snapshot, request: CallerRequest) -> Route:
+    """Decides where a request may go under a configuration.
+
+    Raises:
+        ChicoryplankError: If account, model or service is unknown, or a
+            non-idempotent call comes without a key.
+    """
+    account_id, account = find_account(snapshot, request.token)
+    asked = request.priority
+    priority = (
+        account.priority if asked is None else max(account.priority, asked)
+    )
+    if request.kind is Kind.MODEL:
+        for group_id in account.groups:
+            group = snapshot.groups.get(ModelGroupId(group_id))
+            if group is not None and request.target in group.models:
+                return Route(account_id, priority, group_id, True)
+        raise ChicoryplankError(
+            ErrorCode.UNKNOWN_MODEL,
+            f"model {request.target!r} is not granted to {account_id}",
+        )
+    service = snapshot.services.get(ServiceId(request.target))
+    if service is None or request.target not in account.services:
+        raise ChicoryplankError(
+            ErrorCode.UNKNOWN_MODEL,
+            f"service {request.target!r} is not granted to {account_id}",
+        )
+    repeatable = request.method in ("GET", "HEAD") or not any(
+        request.path.startswith(prefix)
+        for prefix in service.non_repeatable_paths
+    )
+    if not repeatable and not request.idempotency_key:
+        raise ChicoryplankError(
+            ErrorCode.KEY_REQUIRED,
+            f"{request.path} needs the header Idempotency-Key",
+        )
+    return Route(account_id, priority, service.deployment, repeatable)
+
+
+class Dispatcher:
+    """Sends requests to agents and returns their responses.
+
+    Args:
+        settings: Settings of the entry.
+        clock: Measures deadlines.
+        blackboard: Configuration in force.
+        ledger: Record of attempts.
+        pool: Relays to agents.
+        choose: Choice of a relay.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        blackboard: Blackboard,
+        *,
+        ledger: AttemptLedger,
+        pool: RelayPool,
+        choose: ChooseRelay,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._blackboard = blackboard
+        self._ledger = ledger
+        self._pool = pool
+        self._choose = choose
+        self.in_progress = 0
+
+    def check_ready(self) -> None:
+        """Rejects if this entry must not take new requests.
+
+        Raises:
+            ChicoryplankError: With SHUTTING_DOWN, NOT_READY or
+                TOO_MANY_REQUESTS.
+        """
+        if self._blackboard.draining.value:
+            raise ChicoryplankError(
+                ErrorCode.SHUTTING_DOWN,
+                "this entry is shutting down; use another address",
+                retry_after=_RETRY_SOON,
+            )
+        if self._blackboard.snapshot.value.version == 0:
+            raise ChicoryplankError(
+                ErrorCode.NOT_READY,
+                "this entry has no configuration yet",
+                retry_after=_RETRY_SOON,
+            )
+        if self.in_progress >= self._settings.limits.max_requests:
+            raise ChicoryplankError(
+                ErrorCode.TOO_MANY_REQUESTS,
+                f"{self.in_progress} requests are in progress",
+                retry_after=_RETRY_SOON,
+            )
+
+    async def dispatch(self, request: CallerRequest) -> CallerResponse:
+        """Returns the response to a request.
+
+        Raises:
+            ChicoryplankError: If no response can be given; the verdict says
+                whether the request may have run.
+        """
+        self.check_ready()
+        route = find_route(self._blackboard.snapshot.value, request)
+        call = Call(
+            request,
+            route,
+            self._clock.elapsed() + request.timeout,
+            self._clock.now() + request.timeout,
+        )
+        self.in_progress += 1
+        streaming = False
+        try:
+            while True:
+                try:
+                    response = await self._try_once(call)
+                    streaming = not isinstance(response.body, bytes)
+                    return response
+                except ChicoryplankError as error:
+                    if not self._may_retry(call, error):
+                        raise
+        finally:
+            if not streaming:
+                self.in_progress -= 1
+
+    def _may_retry(self, call: Call, error: ChicoryplankError) -> bool:
+        if call.attempts == 0 or call.attempts >= _MAX_ATTEMPTS:
+            return False
+        if self._clock.elapsed() >= call.deadline:
+            return False
+        if error.verdict is Verdict.NOT_RUN:
+            return True
+        return (
+            error.verdict is Verdict.MAY_HAVE_RUN
+            and call.route.repeatable
+            and error.code is not ErrorCode.CALLER_TOO_SLOW
+        )
+
+    async def _try_once(self, call: Call) -> CallerResponse:
+        relay = self._choose_relay(call)
+        attempt = self._ledger.open(relay.instance.instance)
+        call.attempts += 1
+        call.tried.add(relay.instance.instance)
+        relay.in_flight += 1
+        handed_over = False
+        try:
+            relay.send(attempt, self._make_start(call))
+            async with asyncio.timeout(self._get_left_s(call)):
+                await attempt.wait_accepted()
+                if call.request.stream:
+                    first = await attempt.read()
+                    body = ResponseStream(
+                        attempt,
+                        first,
+                        lambda: self._get_left_s(call),
+                        lambda: relay.acknowledge(attempt),
+                        lambda: self._end_stream(relay, attempt),
+                    )
+                    handed_over = True
+                    return CallerResponse(attempt.status, attempt.headers, body)
+                whole = await self._read_whole(relay, attempt)
+            self._check_status(call, attempt)
+            return CallerResponse(attempt.status, attempt.headers, whole)
+        except TimeoutError as error:
+            raise make_timeout(attempt) from error
+        finally:
+            if not handed_over:
+                self._release(relay, attempt)
+
+    def _choose_relay(self, call: Call) -> Relay:
+        relays = [
+            relay
+            for relay in self._pool.list_deployment(call.route.deployment)
+            if relay.is_usable
+        ]
+        fresh = [
+            relay
+            for relay in relays
+            if relay.instance.instance not in call.tried
+        ]
+        if not call.route.repeatable:
+            relay = _choose_by_key(call, relays)
+        else:
+            relay = self._choose(call, fresh or relays)
+        if relay is None:
+            raise ChicoryplankError(
+                ErrorCode.NO_REPLICA,
+                f"no replica of {call.route.deployment} can take the request",
+                retry_after=_RETRY_SOON,
+            )
+        return relay
+
+    def _make_start(self, call: Call) -> relay_pb2.Start:
+        request = call.request
+        left = call.deadline - self._clock.elapsed()
+        if left <= timedelta():
+            raise ChicoryplankError(
+                ErrorCode.DEADLINE_EXCEEDED, "the deadline passed"
+            )
+        budget = max(left - _AGENT_MARGIN, left / 2)
+        return relay_pb2.Start(
+            account=call.route.account,
+            group=call.route.deployment,
+            priority=int(call.route.priority),
+            budget_ms=max(1, int(budget.total_seconds() * 1000)),
+            deadline_unix_ms=int(call.deadline_wall.timestamp() * 1000),
+            method=request.method,
+            path=request.path,
+            headers=[
+                relay_pb2.Header(name=name, value=value)
+                for name, value in (
+                    *request.headers,
+                    ("X-Priority", str(int(call.route.priority))),
+                    ("X-Client-Account", call.route.account),
+                )
+            ],
+            body=request.body,
+            idempotency_key=(
+                "" if call.route.repeatable else request.idempotency_key
+            ),
+            repeatable=call.route.repeatable,
+        )
+
+    def _get_left_s(self, call: Call) -> float:
+        left = call.deadline - self._clock.elapsed()
+        return max(0.0, left.total_seconds())
+
+    async def _read_whole(self, relay: Relay, attempt: Attempt) -> bytes:
+        pieces = []
+        size = 0
+        while data := await attempt.read():
+            pieces.append(data)
+            size += len(data)
+            if size > self._settings.limits.max_buffer_bytes:
+                raise ChicoryplankError(
+                    ErrorCode.REQUEST_TOO_LARGE,
+                    "the response is larger than "
+                    f"{self._settings.limits.max_buffer_bytes} bytes",
+                    Verdict.MAY_HAVE_RUN,
+                )
+            relay.acknowledge(attempt)
+        return b"".join(pieces)
+
+    def _check_status(self, call: Call, attempt: Attempt) -> None:
+        if call.route.repeatable and attempt.status in _SERVER_ERRORS:
+            raise ChicoryplankError(
+                ErrorCode.BACKEND_FAILED,
+                f"the backend server answered with status {attempt.status}",
+                Verdict.MAY_HAVE_RUN,
+                retry_after=_RETRY_SOON,
+            )
+
+    def _release(self, relay: Relay, attempt: Attempt) -> None:
+        relay.in_flight -= 1
+        if attempt.incarnation is not None:
+            if attempt.is_open:
+                relay.cancel(attempt)
+            else:
+                relay.acknowledge(attempt, final=True)
+        self._ledger.close(attempt)
+
+    def _end_stream(self, relay: Relay, attempt: Attempt) -> None:
+        self.in_progress -= 1
+        self._release(relay, attempt)
+
+
+def make_timeout(attempt: Attempt) -> ChicoryplankError:
+    """Returns the error of an attempt whose deadline passed."""
+    sent = attempt.incarnation is not None
+    return ChicoryplankError(
+        ErrorCode.DEADLINE_EXCEEDED,
+        "the deadline passed",
+        Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN,
+    )
+
+
+def _choose_by_key(call: Call, relays: list[Relay]) -> Relay | None:
+    """Sends equal idempotency keys to the same agent by rendezvous hashing."""
+
+    def rank(relay: Relay) -> bytes:
+        text = "\0".join(
+            (
+                call.route.account,
+                call.request.idempotency_key,
+                relay.instance.instance,
+            )
+        )
+        return hashlib.sha256(text.encode()).digest()
+
+    return max(relays, key=rank, default=None)
+
+
+def format_error(error: ChicoryplankError) -> bytes:
+    """Returns the JSON body of an error."""
+    retry_after = error.retry_after
+    document = {
+        "error": {
+            "code": error.code.value,
+            "message": error.message,
+            "type": error.code.name.lower(),
+            "verdict": error.verdict.value,
+            "retry_after_s": (
+                None if retry_after is None else retry_after.total_seconds()
+            ),
+        }
+    }
+    return json.dumps(document).encode()
--- /dev/null
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/instance_list.py
@@ -0,0 +1,70 @@
+"""Client of the platform's instance list."""
+
+import asyncio
+from datetime import timedelta
+
+import aiosonic
+
+from chicoryplank.blackboard import Instance
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.ids import InstanceId, ZoneId
+from chicoryplank_wire.http import HTTP_FAILURES
+
+_HTTP_OK = 200
+
+
+def parse_instances(document: object) -> tuple[Instance, ...]:
+    """Reads the JSON document of the instance list.
+
+    Raises:
+        ValueError: If the document does not have the expected form.
+    """
+    try:
+        return tuple(
+            Instance(
+                InstanceId(item["instance"]),
+                item["role"],
+                ZoneId(item["zone"]),
+                item["address"],
+                item.get("caller_address", ""),
+                item.get("deployment", ""),
+                bool(item.get("leaving", False)),
+            )
+            for item in document["instances"]
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"malformed instance list: {error!r}") from error
+
+
+async def fetch_instances(
+    address: str,
+    timeout: timedelta,
+    client: aiosonic.HTTPClient | None = None,
+) -> tuple[Instance, ...]:
+    """Returns the instances that the platform lists.
+
+    Args:
+        address: Host and port.
+        timeout: Longest wait for the answer.
+        client: Client to use; by default one for this call.
+
+    Raises:
+        ChicoryplankError: With MEMBER_UNREACHABLE if there is no answer.
+    """
+    own_client = client is None
+    client = client or aiosonic.HTTPClient()
+    try:
+        async with asyncio.timeout(timeout.total_seconds()):
+            response = await client.get(f"http://{address}/instances")
+            if response.status_code != _HTTP_OK:
+                raise ValueError(f"status {response.status_code}")
+            return parse_instances(await response.json())
+    except HTTP_FAILURES as error:
+        raise ChicoryplankError(
+            ErrorCode.MEMBER_UNREACHABLE,
+            f"the instance list at {address} does not answer: {error!r}",
+            retry_after=timedelta(seconds=1),
+        ) from error
+    finally:
+        if own_client:
+            await client.aclose()
--- a/packages/chicoryplank/src/chicoryplank/attempts/_ledger.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/_ledger.py
@@ -68,6 +68,11 @@
         """Whether more frames may arrive."""
         return self.state not in (AttemptState.ENDED, AttemptState.FAILED)
 
+    @property
+    def has_output(self) -> bool:
+        """Whether output waits to be read."""
+        return bool(self._chunks)
+
     async def wait_accepted(self) -> None:
         """Waits for the response head.
 
--- a/packages/chicoryplank/src/chicoryplank/blackboard.py
+++ b/packages/chicoryplank/src/chicoryplank/blackboard.py
@@ -68,6 +68,8 @@
     Attributes:
         snapshot: Configuration in force; only its version 0 is empty.
         instances: Instance list, possibly lagging.
+        leaving: Whether this process is about to stop; callers are sent
+            elsewhere.
         draining: Whether this process accepts no new requests.
     """
 
@@ -75,4 +77,5 @@
         empty = Snapshot(ConfigVersion(0), {}, {}, {})
         self.snapshot: Section[Snapshot] = Section(empty)
         self.instances: Section[tuple[Instance, ...]] = Section(())
+        self.leaving: Section[bool] = Section(False)
         self.draining: Section[bool] = Section(False)
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -24,6 +24,37 @@
         "connection to agent {agent} broke: {error}",
     )
     ENGINE_FAILED = (1203, logbook.WARNING, "backend server failed: {error}")
+    ENTRY_DISCONNECTED = (
+        1204,
+        logbook.INFO,
+        "connection of entry {entry} broke: {error}",
+    )
+    AGENT_STALLED = (1205, logbook.WARNING, "agent {agent} is silent")
+    FRAME_REJECTED = (
+        1206,
+        logbook.ERROR,
+        "a frame of agent {agent} was rejected: {error}",
+    )
+    CLAIM_HELD_ELSEWHERE = (
+        1601,
+        logbook.WARNING,
+        "a key of {service} is claimed by another attempt",
+    )
+    CLAIM_NOT_RELEASED = (
+        1602,
+        logbook.WARNING,
+        "a claim could not be released: {error}",
+    )
+    INSTANCE_LIST_UNAVAILABLE = (
+        1701,
+        logbook.WARNING,
+        "instance list: {error}",
+    )
+    CONFIGURATION_UNAVAILABLE = (
+        1302,
+        logbook.WARNING,
+        "configuration: {error}",
+    )
     CONFIGURATION_APPLIED = (1301, logbook.INFO, "version {version} in force")
 
     @property
--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
@@ -0,0 +1,196 @@
+"""Tests of claims under races, lost answers and outages."""
+
+import asyncio
+from datetime import timedelta
+
+import testtools
+
+from chicoryplank.clock import ManualClock
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.fakes import MemoryStore
+from chicoryplank.idempotency import ClaimRegistry, ClaimSettings
+from chicoryplank.verdict import Verdict
+
+_KEY = "00000000" + "a" * 24
+_BODY = "b" * 32
+
+
+class TestClaimRegistry(testtools.TestCase):
+    """One claim for each key, whatever happens to the store."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.settings = ClaimSettings(
+            write_interval=timedelta(), max_claims_per_segment=3
+        )
+
+    def _make_registry(self):
+        return ClaimRegistry("bids", self.store, self.clock, self.settings)
+
+    async def _try_admit(self, registry, attempt, key=_KEY, body=_BODY):
+        try:
+            await registry.admit(key, body, attempt)
+        except ChicoryplankError as error:
+            return error.code, error.verdict
+        return "admitted"
+
+    def test_second_agent_is_rejected(self):
+        """Guards against two runs through two agents."""
+
+        async def run():
+            first, second = self._make_registry(), self._make_registry()
+            return (
+                await self._try_admit(first, "a"),
+                await self._try_admit(second, "b"),
+            )
+
+        expected = (
+            "admitted",
+            (ErrorCode.CLAIMED_ELSEWHERE, Verdict.MAY_HAVE_RUN),
+        )
+        self.assertEqual(expected, asyncio.run(run()))
+
+    def test_racing_agents_admit_one(self):
+        """Guards against two writers that both read an empty shard."""
+
+        async def run():
+            registries = [self._make_registry() for _ in range(8)]
+            return await asyncio.gather(
+                *(
+                    self._try_admit(registry, f"attempt-{number}")
+                    for number, registry in enumerate(registries)
+                )
+            )
+
+        results = asyncio.run(run())
+        self.assertEqual(1, results.count("admitted"))
+
+    def test_many_keys_share_writes(self):
+        """Guards against one store write for each request."""
+
+        async def run():
+            registry = self._make_registry()
+            keys = [f"00000000{number:024x}" for number in range(100)]
+            results = await asyncio.gather(
+                *(self._try_admit(registry, key, key) for key in keys)
+            )
+            return results.count("admitted"), self.store.calls
+
+        admitted, calls = asyncio.run(run())
+        self.assertEqual(100, admitted)
+        self.assertLess(calls, 6)
+
+    def test_sealed_segments_still_count(self):
+        """Guards against a key that is forgotten when segments change."""
+
+        async def run():
+            first = self._make_registry()
+            for number in range(10):
+                key = f"00000000{number:024x}"
+                await first.admit(key, _BODY, f"a{number}")
+            second = self._make_registry()
+            return [
+                await self._try_admit(second, "b", f"00000000{number:024x}")
+                for number in range(10)
+            ]
+
+        self.assertNotIn("admitted", asyncio.run(run()))
+
+    def test_lost_answer_is_read_back(self):
+        """Guards against rejecting a claim that took effect."""
+
+        async def run():
+            self.store.lose_answers = 1
+            return await self._try_admit(self._make_registry(), "a")
+
+        self.assertEqual("admitted", asyncio.run(run()))
+
+    def test_outage_rejects_as_not_run(self):
+        """Guards against a run without a claim while the store is down."""
+
+        async def run():
+            self.store.available = False
+            return await self._try_admit(self._make_registry(), "a")
+
+        expected = (ErrorCode.STORE_UNAVAILABLE, Verdict.NOT_RUN)
+        self.assertEqual(expected, asyncio.run(run()))
+
+    def test_unreadable_outcome_can_be_taken_over(self):
+        """Guards against a key that is blocked by a claim that never ran."""
+
+        async def run():
+            registry = self._make_registry()
+            await registry.admit("00000000" + "0" * 24, _BODY, "warm")
+            inner = self.store.swap
+
+            async def swap_then_go_down(*arguments):
+                self.store.available = True
+                self.store.lose_answers = 1
+                try:
+                    return await inner(*arguments)
+                finally:
+                    self.store.available = False
+
+            self.store.swap = swap_then_go_down
+            first = await self._try_admit(registry, "a")
+            self.store.swap = inner
+            self.store.available = True
+            return first, await self._try_admit(registry, "b")
+
+        expected = (
+            (ErrorCode.STORE_UNAVAILABLE, Verdict.NOT_RUN),
+            "admitted",
+        )
+        self.assertEqual(expected, asyncio.run(run()))
+
+    def test_other_body_is_rejected(self):
+        """Guards against answering another request with the same key."""
+
+        async def run():
+            registry = self._make_registry()
+            await registry.admit(_KEY, _BODY, "a")
+            return await self._try_admit(registry, "b", body="c" * 32)
+
+        expected = (ErrorCode.KEY_REUSED, Verdict.NOT_RUN)
+        self.assertEqual(expected, asyncio.run(run()))
+
+    def test_released_key_can_be_claimed_elsewhere(self):
+        """Guards against a key that stays blocked after "not run"."""
+
+        async def run():
+            first, second = self._make_registry(), self._make_registry()
+            await first.admit(_KEY, _BODY, "a")
+            blocked = await self._try_admit(second, "b")
+            await first.release(_KEY, "a")
+            return blocked, await self._try_admit(second, "c")
+
+        blocked, admitted = asyncio.run(run())
+        self.assertNotEqual("admitted", blocked)
+        self.assertEqual("admitted", admitted)
+
+    def test_expired_segments_are_deleted(self):
+        """Guards against claims that fill the store for ever."""
+
+        async def run():
+            registry = self._make_registry()
+            for number in range(7):
+                key = f"00000000{number:024x}"
+                await registry.admit(key, _BODY, f"a{number}")
+            self.clock.advance(self.settings.retention * 2)
+            deleted = await registry.delete_expired()
+            again = await self._try_admit(registry, "b", "0" * 32)
+            return deleted, again
+
+        self.assertEqual((2, "admitted"), asyncio.run(run()))
+
+    def test_malformed_document_blocks_the_shard(self):
+        """Guards against a run when earlier claims cannot be read."""
+
+        async def run():
+            await self.store.swap("claims/bids/0000/0000000000", b"{", 0)
+            return await self._try_admit(self._make_registry(), "a")
+
+        expected = (ErrorCode.MALFORMED_CLAIMS, Verdict.NOT_RUN)
+        self.assertEqual(expected, asyncio.run(run()))
