--- a/packages/chicoryplank/src/chicoryplank/configuration/_settings.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_settings.py
@@ -1,11 +1,19 @@
 """Settings of the two daemons."""
 
 import dataclasses
+import enum
 from datetime import timedelta
 
 from chicoryplank.ids import InstanceId, ZoneId
 
 
+class SettingsKind(enum.Enum):
+    """Which daemon a settings file is for."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreSettings:
     """How to reach the platform's key-value service."""
--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/configuration/tests/test_plan.py
@@ -0,0 +1,211 @@
+"""Tests of intents and plans."""
+
+import json
+
+import testtools
+
+from chicoryplank.configuration import (
+    Capacity,
+    InsufficientCapacityError,
+    InvalidInputError,
+    SnapshotReader,
+    decode_plan,
+    encode_plan,
+    format_plan,
+    parse_intent,
+    plan,
+)
+from chicoryplank.configuration._plan import apply_intent
+from chicoryplank.configuration.tests.samples import (
+    CAPACITY,
+    make_account,
+    make_first_intent,
+    make_limit_intent,
+)
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+
+_EMPTY = SnapshotReader().snapshot
+
+
+def make_base():
+    """Returns version 1."""
+    return apply_intent(_EMPTY, make_first_intent())
+
+
+def parse(**sections):
+    """Parses an intent from its sections."""
+    return parse_intent(json.dumps(sections))
+
+
+class TestIntent(testtools.TestCase):
+    """Checks of intents alone and against a version."""
+
+    def find_paths(self, function, *arguments):
+        """Returns the paths of the errors that a call reports."""
+        error = self.assertRaises(InvalidInputError, function, *arguments)
+        return {problem.path for problem in error.problems}
+
+    def test_all_errors_at_once(self):
+        """Guards against an intent that is checked only up to an error."""
+        account = make_account("a", tokens_per_s=-1, priority="high", x=1)
+        del account["requests_per_s"]
+        text = json.dumps(
+            {
+                "accounts": {
+                    "add": {"a": account, "bad name": make_account("b")}
+                },
+                "groups": {"change": {"llm": {"replicas": 2.5}, "other": {}}},
+                "leaving": {"add": ["x", "x"]},
+                "zones": {},
+            }
+        )
+        expected = {
+            "accounts.add (name)",
+            "accounts.add.a.tokens_per_s",
+            "accounts.add.a.priority",
+            "accounts.add.a.x",
+            "accounts.add.a.requests_per_s",
+            "groups.change.llm.replicas",
+            "groups.change.other",
+            "leaving.add",
+            "zones",
+        }
+        self.assertEqual(expected, self.find_paths(parse_intent, text))
+
+    def test_conflicting_edits(self):
+        """Guards against an intent whose result depends on its order."""
+        text = json.dumps(
+            {
+                "accounts": {"add": {"a": make_account("a")}, "remove": ["a"]},
+                "leaving": {"add": ["i"], "remove": ["i"]},
+            }
+        )
+        expected = {"accounts.a", "leaving.i"}
+        self.assertEqual(expected, self.find_paths(parse_intent, text))
+        self.assertEqual({"(whole)"}, self.find_paths(parse_intent, "{}"))
+
+    def test_edits_that_do_not_fit_the_version(self):
+        """Guards against a silent overwrite and a silent no-operation."""
+        intent = parse(
+            accounts={
+                "add": {"account-0": make_account("new")},
+                "change": {"absent": {"tokens_per_s": 5}},
+            },
+            groups={"remove": ["absent"]},
+            leaving={"remove": ["llm-0"]},
+        )
+        expected = {
+            "accounts.add.account-0",
+            "accounts.change.absent",
+            "groups.remove.absent",
+            "leaving.remove.llm-0",
+        }
+        found = self.find_paths(plan, make_base(), intent, CAPACITY)
+        self.assertEqual(expected, found)
+
+    def test_broken_references(self):
+        """Guards against accounts that point to nothing or share a token."""
+        other = {
+            "models": ["m"],
+            "version": "v1",
+            "replicas": 1,
+            "tokens_per_s": 10,
+        }
+        intent = parse(
+            accounts={
+                "add": {
+                    "twin": make_account("0"),
+                    "lost": make_account("lost", groups=["absent"]),
+                    "both": make_account("both", groups=["llm", "tablets"]),
+                }
+            },
+            groups={"add": {"tablets": other}},
+            services={"change": {"quotes": {"deployment": "llm"}}},
+        )
+        expected = {
+            "accounts.twin.token_sha256",
+            "accounts.lost.groups",
+            "accounts.both.groups",
+            "services.quotes.deployment",
+        }
+        found = self.find_paths(plan, make_base(), intent, CAPACITY)
+        self.assertEqual(expected, found)
+
+    def test_no_difference(self):
+        """Guards against versions that change nothing."""
+        intent = make_limit_intent("account-0", 100)
+        found = self.find_paths(plan, make_base(), intent, CAPACITY)
+        self.assertEqual({"(whole)"}, found)
+
+
+class TestPlan(testtools.TestCase):
+    """Differences, capacity and plan files."""
+
+    def test_shows_old_and_new_values(self):
+        """Guards against a plan that hides what it touches."""
+        intent = parse(
+            accounts={"change": {"account-0": {"tokens_per_s": 250}}},
+            leaving={"add": ["llm-0"]},
+        )
+        made = plan(make_base(), intent, CAPACITY)
+        shown = [(item.path, item.old, item.new) for item in made.changes]
+        expected = [
+            ("accounts.account-0.tokens_per_s", 100.0, 250.0),
+            ("leaving.llm-0", False, True),
+        ]
+        self.assertEqual(expected, shown)
+        self.assertEqual(1, made.base_version)
+        text = format_plan(made)
+        self.assertIn("~ accounts.account-0.tokens_per_s: 100.0 -> 250.0", text)
+        self.assertIn("+ leaving.llm-0", text)
+
+    def test_refuses_tokens_that_do_not_exist(self):
+        """Guards against limits above what live replicas generate."""
+        intent = make_limit_intent("account-0", 3801)
+        error = self.assertRaises(
+            InsufficientCapacityError, plan, make_base(), intent, CAPACITY
+        )
+        self.assertIn("needs 3 replicas and 4001 tokens/s", error.message)
+        self.assertIn("are 4 replicas and 4000 tokens/s", error.message)
+        plan(make_base(), make_limit_intent("account-0", 3800), CAPACITY)
+
+    def test_leaving_instances_count(self):
+        """Guards against draining below the replicas that a group needs."""
+        one = parse(leaving={"add": ["llm-0"]})
+        two = parse(leaving={"add": ["llm-0", "llm-1"]})
+        plan(make_base(), one, CAPACITY)
+        error = self.assertRaises(
+            InsufficientCapacityError, plan, make_base(), two, CAPACITY
+        )
+        self.assertEqual(2, error.shortfalls[0].available_replicas)
+
+    def test_existing_shortfall_does_not_block(self):
+        """Guards against a lost zone that blocks all other changes."""
+        lost = Capacity({"llm": frozenset({"llm-0"})})
+        made = plan(make_base(), make_limit_intent("account-0", 50), lost)
+        self.assertIn("it was short before this change", made.warnings[0])
+        worse = parse(groups={"change": {"llm": {"replicas": 4}}})
+        self.assertRaises(
+            InsufficientCapacityError, plan, make_base(), worse, lost
+        )
+
+    def test_plan_file_round_trip(self):
+        """Guards against a plan file that differs from what was reviewed."""
+        made = plan(make_base(), make_limit_intent("account-0", 5), CAPACITY)
+        document = encode_plan(made)
+        self.assertEqual(made, decode_plan(json.dumps(document)))
+        document["intent"]["accounts"]["change"]["account-0"] = {
+            "tokens_per_s": 900
+        }
+        error = self.assertRaises(
+            ChicoryplankError, decode_plan, json.dumps(document)
+        )
+        self.assertEqual(ErrorCode.INVALID_PLAN, error.code)
+        for text in ("", "[]", "{}", "[" * 100_000):
+            self.assertRaises(ChicoryplankError, decode_plan, text)
+
+    def test_same_intent_same_digest(self):
+        """Guards against digests that depend on the order of sets."""
+        first = plan(_EMPTY, make_first_intent(), CAPACITY)
+        second = plan(_EMPTY, make_first_intent(), CAPACITY)
+        self.assertEqual(first.digest, second.digest)
