Add rate shares and admission control

Each entry holds a share of an account's rate that follows demand sums of its peers and falls back to 1/N without them. A shared counter in the store was ruled out by its rate, even shares by the caller at one entry that would get 1/N.

--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/limits/tests/test_shares.py
@@ -0,0 +1,196 @@
+"""Tests of the rate shares of client accounts over entries."""
+
+from datetime import UTC, datetime, timedelta
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from chicoryplank.configuration import AccountConfiguration, Priority
+from chicoryplank.errors import ErrorCode
+from chicoryplank.ids import AccountId, AttemptId
+from chicoryplank.limits import (
+    Demand,
+    Limiter,
+    Outcome,
+    PeerDemand,
+    Request,
+    ShareParameters,
+)
+from chicoryplank.verdict import Verdict
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+ACCOUNT = AccountId("estimators")
+STEP = timedelta(milliseconds=250)
+PARAMETERS = ShareParameters(
+    max_lag=timedelta(seconds=2),
+    silence=timedelta(seconds=2),
+    smoothing=timedelta(seconds=1),
+)
+
+
+class Fleet:
+    """Entries that exchange demand sums with a lag, or not at all."""
+
+    def __init__(self, entries: int, rate: float) -> None:
+        self.now = START
+        self.rate = rate
+        account = AccountConfiguration(
+            "", rate, 1e9, Priority.NORMAL, frozenset()
+        )
+        self.limiters = [Limiter(START, PARAMETERS) for _ in range(entries)]
+        for limiter in self.limiters:
+            limiter.configure({ACCOUNT: account}, entries, START)
+        self.history = []
+        self.grants = []
+        self._attempts = 0
+
+    def send(self, entry, count):
+        """Sends requests to one entry and counts those admitted."""
+        admitted = 0
+        for _ in range(count):
+            self._attempts += 1
+            admission = self.limiters[entry].admit(
+                Request(
+                    AttemptId(str(self._attempts)),
+                    ACCOUNT,
+                    str(self._attempts),
+                    Priority.NORMAL,
+                    self.now + timedelta(seconds=60),
+                ),
+                self.now,
+            )
+            admitted += admission.outcome is Outcome.ADMITTED
+        self.grants.append((self.now, admitted))
+        return admitted
+
+    def step(self, lags, cut_off=frozenset()):
+        """Moves time and delivers sums that are as old as each lag says."""
+        self.now += STEP
+        zero = Demand(0.0, 0.0)
+        self.history.append(
+            [
+                limiter.demand(self.now).get(ACCOUNT, zero)
+                for limiter in self.limiters
+            ]
+        )
+        connected = [
+            entry for entry in range(len(self.limiters)) if entry not in cut_off
+        ]
+        for entry in connected:
+            lag = min(lags[entry], len(self.history) - 1)
+            known = self.history[-1 - lag]
+            total = sum(known[peer].requests_per_s for peer in connected)
+            sums = {ACCOUNT: Demand(total, 0.0)}
+            peers = PeerDemand(sums, len(connected))
+            self.limiters[entry].observe(peers, self.now)
+
+    def worst_excess(self, extra_s=0.0):
+        """Returns the greatest excess over the stated bound in any window."""
+        advance = max(
+            PARAMETERS.min_advance_requests,
+            self.rate * PARAMETERS.advance.total_seconds() / len(self.limiters),
+        )
+        burst_s = PARAMETERS.burst.total_seconds()
+        allowed = self.rate * (burst_s + extra_s)
+        allowed += advance * len(self.limiters)
+        # Kadane's scheme: the greatest sum of grants minus rate over windows.
+        worst = level = 0.0
+        previous = START
+        for time, count in self.grants:
+            elapsed_s = (time - previous).total_seconds()
+            level = max(0.0, level - self.rate * elapsed_s) + count
+            worst = max(worst, level)
+            previous = time
+        return worst - allowed
+
+
+class TestRateShares(testtools.TestCase):
+    """Shares, bound and fall-back."""
+
+    @hypothesis.settings(derandomize=True, max_examples=20, deadline=None)
+    @hypothesis.given(strategies.data())
+    def test_connected_fleet_keeps_bound(self, data):
+        """Guards against entries that together grant more than stated."""
+        entries = data.draw(strategies.integers(1, 6))
+        fleet = Fleet(entries, data.draw(strategies.sampled_from([2, 8, 30])))
+        entry = strategies.integers(0, entries - 1)
+        lag = strategies.integers(0, 7)
+        for _ in range(15):
+            targets = data.draw(strategies.lists(entry, max_size=3))
+            lags = [data.draw(lag) for _ in range(entries)]
+            for _ in range(data.draw(strategies.integers(1, 12))):
+                for target in targets:
+                    fleet.send(target, 12)
+                fleet.step(lags)
+        self.assertLessEqual(fleet.worst_excess(), 1e-6)
+
+    @hypothesis.settings(derandomize=True, max_examples=20, deadline=None)
+    @hypothesis.given(strategies.data())
+    def test_cut_off_entries_keep_bound(self, data):
+        """Guards against lost entries that keep an old share for long."""
+        entries = data.draw(strategies.integers(2, 6))
+        fleet = Fleet(entries, data.draw(strategies.sampled_from([2, 8, 30])))
+        entry = strategies.integers(0, entries - 1)
+        cut_off = data.draw(strategies.frozensets(entry, min_size=1))
+        lags = [data.draw(strategies.integers(0, 7)) for _ in range(entries)]
+        warm = data.draw(strategies.lists(entry, min_size=1, max_size=3))
+        for _ in range(30):
+            for target in warm:
+                fleet.send(target, 12)
+            fleet.step(lags)
+        for _ in range(8):
+            targets = data.draw(strategies.lists(entry, max_size=6))
+            for _ in range(5):
+                for target in targets:
+                    fleet.send(target, 12)
+                fleet.step(lags, cut_off)
+        # Sums lose the cut-off entries at once, so that G is the lag of 7
+        # steps, rounded up to the tick.
+        silence_s = PARAMETERS.silence.total_seconds() + STEP.total_seconds()
+        extra_s = silence_s + 2.0 * len(cut_off) / entries
+        self.assertLessEqual(fleet.worst_excess(extra_s), 1e-6)
+
+    def test_share_follows_demand(self):
+        """Guards against a caller at one entry that only gets R / N."""
+        fleet = Fleet(8, 40)
+        for _ in range(80):
+            fleet.send(3, 20)
+            fleet.step([4] * 8)
+        granted = sum(fleet.send(3, 20) for _ in range(1))
+        for _ in range(40):
+            fleet.step([4] * 8)
+            granted += fleet.send(3, 20)
+        self.assertGreater(granted, 0.9 * 40 * 10)
+
+    def test_silence_falls_back_to_even_share(self):
+        """Guards against a share that stays high without any news."""
+        fleet = Fleet(8, 40)
+        for _ in range(80):
+            fleet.send(3, 20)
+            fleet.step([4] * 8)
+        everyone = frozenset(range(8))
+        for _ in range(20):
+            fleet.send(3, 20)
+            fleet.step([4] * 8, everyone)
+        granted = 0
+        for _ in range(40):
+            granted += fleet.send(3, 20)
+            fleet.step([4] * 8, everyone)
+        self.assertAlmostEqual(40 / 8 * 10, granted, delta=2)
+
+    def test_refusal_names_time_and_verdict(self):
+        """Guards against a refusal that a caller cannot act on."""
+        fleet = Fleet(1, 2)
+        while fleet.send(0, 1):
+            pass
+        admission = fleet.limiters[0].admit(
+            Request(
+                AttemptId("late"), ACCOUNT, "g", Priority.URGENT, fleet.now
+            ),
+            fleet.now,
+        )
+        error = admission.error
+        self.assertIs(ErrorCode.RATE_LIMITED, error.code)
+        self.assertIs(Verdict.NOT_RUN, error.verdict)
+        self.assertEqual(timedelta(seconds=0.5), error.retry_after)
