Run non-idempotent requests under a claim at the agent

Cause: a run must outlive the attempt that caused it, so that a caller's retry gets the same response, and an attempt that was settled as not run must not run for it.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
@@ -12,16 +12,21 @@
 from chicoryplank.attempts import AttemptTable
 from chicoryplank.clock import Clock, SystemClock
 from chicoryplank.configuration import AgentSettings
+from chicoryplank.events import Event, emit
+from chicoryplank.idempotency import ClaimRegistry
 from chicoryplank.ids import Incarnation
 from chicoryplank.lifecycle import Application
+from chicoryplank.store import StoreError
 from chicoryplank_agent.backend import BackendClient
 from chicoryplank_agent.relay import RelayService
 from chicoryplank_wire import relay_pb2
+from chicoryplank_wire.store import EtcdStore
 
 # An entry with 64 agents receives 32 idle reports a second, which fits the
 # 35 control messages a second that 1.4 % of a core allow.
 _REPORT_INTERVAL = timedelta(seconds=2)
 _LOAD_INTERVAL = timedelta(milliseconds=250)
+_EXPIRY_INTERVAL = timedelta(minutes=10)
 
 
 class Agent:
@@ -40,12 +45,20 @@
             settings.backend_address, settings.limits.max_requests
         )
         table = AttemptTable(clock, settings.limits, settings.max_clock_skew)
+        self._store = EtcdStore(settings.store.address, settings.store.timeout)
+        self.registry = ClaimRegistry(settings.deployment, self._store, clock)
         self.relay = RelayService(
-            settings, incarnation, clock, table, self.backend
+            settings,
+            incarnation,
+            clock,
+            table,
+            self.backend,
+            registry=self.registry,
         )
         self._server = Server([self.relay])
         self._tasks: list[asyncio.Task] = []
         self.application = Application(f"agent {settings.instance}")
+        self.application.add_hooks("store", stop=self._store.close)
         self.application.add_hooks("backend", stop=self.backend.close)
         self.application.add_hooks(
             "server", start=self._start_server, stop=self._stop_server
@@ -68,6 +81,7 @@
         self._tasks = [
             asyncio.create_task(self._poll_load()),
             asyncio.create_task(self._send_reports()),
+            asyncio.create_task(self._delete_expired_claims()),
         ]
 
     async def _stop_reports(self) -> None:
@@ -93,6 +107,14 @@
             await self._clock.sleep(_REPORT_INTERVAL)
             self.relay.wake_all()
 
+    async def _delete_expired_claims(self) -> None:
+        while True:
+            await self._clock.sleep(_EXPIRY_INTERVAL)
+            try:
+                await self.registry.delete_expired()
+            except StoreError as error:
+                emit(Event.CLAIM_NOT_RELEASED, error=error.message)
+
 
 async def serve(settings: AgentSettings, clock: Clock) -> None:
     """Runs the agent until SIGTERM or SIGINT, then shuts down gracefully."""
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 from datetime import UTC, datetime, timedelta
 
 from grpclib.exceptions import StreamTerminatedError
@@ -16,9 +17,11 @@
 from chicoryplank.configuration import AgentSettings
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.events import Event, emit
+from chicoryplank.idempotency import ClaimRegistry
 from chicoryplank.ids import Incarnation
 from chicoryplank.verdict import Verdict
 from chicoryplank_agent.backend import BackendClient, BackendRequest
+from chicoryplank_agent.claims import ClaimedRuns
 from chicoryplank_agent.outbox import Outbox
 from chicoryplank_wire import relay_pb2
 from chicoryplank_wire.relay_grpc import RelayBase
@@ -64,8 +67,7 @@
         clock: Measures deadlines.
         table: Record of attempts.
         backend: Client of the backend server.
-        claims: Runs an attempt under an idempotency key; None if the agent
-            has no store.
+        registry: Claims of non-idempotent requests; None rejects them.
     """
 
     def __init__(
@@ -76,17 +78,26 @@
         table: AttemptTable,
         backend: BackendClient,
         *,
-        claims=None,
+        registry: ClaimRegistry | None = None,
     ) -> None:
         self._settings = settings
         self._incarnation = incarnation
         self._clock = clock
         self._table = table
         self._backend = backend
-        self._claims = claims
+        self._claims: ClaimedRuns | None = None
+        if registry is not None:
+            self._claims = ClaimedRuns(
+                incarnation,
+                registry,
+                table,
+                limits=settings.limits,
+                collect=self._collect,
+            )
         self._outboxes: dict[Incarnation, Outbox] = {}
         self._tasks: dict[AttemptKey, asyncio.Task] = {}
         self._abandon_timers: dict[Incarnation, asyncio.TimerHandle] = {}
+        self._run_numbers = itertools.count(1)
         self.drain = Drain()
         self.load = relay_pb2.Load()
 
@@ -119,13 +130,17 @@
         self._table.draining = True
         self.wake_all()
         end = self._clock.elapsed() + timeout
-        while self._tasks and self._clock.elapsed() < end:
+        while self._count_work() and self._clock.elapsed() < end:
             await self._clock.sleep(timedelta(milliseconds=50))
         # Entries still have to read and acknowledge the last frames.
         linger = self._clock.elapsed() + timedelta(seconds=2)
         while len(self._table) and self._clock.elapsed() < linger:
             await self._clock.sleep(timedelta(milliseconds=50))
 
+    def _count_work(self) -> int:
+        runs = 0 if self._claims is None else self._claims.in_progress
+        return len(self._tasks) + runs
+
     def wake_all(self) -> None:
         """Sends load and drain state to all entries."""
         for outbox in self._outboxes.values():
@@ -261,17 +276,10 @@
         left = record.deadline - self._clock.elapsed()
         try:
             async with asyncio.timeout(left.total_seconds()):
-                if start.idempotency_key and self._claims is not None:
-                    await self._claims.run(
-                        record,
-                        start,
-                        lambda: self._forward(record, start),
-                        lambda status, headers, body: self._replay(
-                            record, status, headers, body
-                        ),
-                    )
-                else:
+                if start.repeatable:
                     await self._forward(record, start)
+                else:
+                    await self._forward_once(record, start)
         except TimeoutError:
             self._fail(record, self._make_timeout(record))
         except ChicoryplankError as error:
@@ -284,34 +292,51 @@
     async def _forward(
         self, record: AttemptRecord, start: relay_pb2.Start
     ) -> None:
-        request = BackendRequest(
-            _name_run(record),
-            start.method,
-            start.path,
-            tuple((item.name, item.value) for item in start.headers),
-            start.body,
-            start.repeatable,
-        )
+        """Passes the response of the backend server on as it arrives."""
         self._table.start(record)
-        response = await self._backend.send(request)
+        response = await self._backend.send(
+            _make_request(_name_run(record), start)
+        )
         self._accept(record, response.status, response.headers)
         async for data in response.body:
             self._append(record, data)
         self._finish(record)
 
-    def _replay(
-        self,
-        record: AttemptRecord,
-        status: int,
-        headers: tuple[tuple[str, str], ...],
-        body: bytes,
+    async def _forward_once(
+        self, record: AttemptRecord, start: relay_pb2.Start
     ) -> None:
-        """Answers with the stored response of an earlier attempt."""
-        self._accept(record, status, headers)
-        if body:
-            self._append(record, body)
+        """Answers a non-idempotent request, from an earlier run if any."""
+        if self._claims is None or not start.idempotency_key:
+            raise ChicoryplankError(
+                ErrorCode.KEY_REQUIRED,
+                "a non-idempotent request came without a key",
+            )
+        execution = await self._claims.run(record, start)
+        self._accept(record, execution.status, execution.headers)
+        if execution.content:
+            self._append(record, execution.content)
         self._finish(record)
 
+    async def _collect(
+        self, start: relay_pb2.Start
+    ) -> tuple[int, tuple[tuple[str, str], ...], bytes]:
+        """Sends a request once and returns its whole response."""
+        request_id = f"{self._incarnation}-{next(self._run_numbers)}"
+        response = await self._backend.send(_make_request(request_id, start))
+        pieces = []
+        size = 0
+        async for data in response.body:
+            size += len(data)
+            if size > self._settings.limits.max_buffer_bytes:
+                raise ChicoryplankError(
+                    ErrorCode.REQUEST_TOO_LARGE,
+                    "the response is larger than "
+                    f"{self._settings.limits.max_buffer_bytes} bytes",
+                    Verdict.MAY_HAVE_RUN,
+                )
+            pieces.append(data)
+        return response.status, response.headers, b"".join(pieces)
+
     def _accept(
         self,
         record: AttemptRecord,
@@ -359,3 +384,14 @@
 
 def _name_run(record: AttemptRecord) -> str:
     return f"{record.key.incarnation}-{record.key.sequence}"
+
+
+def _make_request(request_id: str, start: relay_pb2.Start) -> BackendRequest:
+    return BackendRequest(
+        request_id,
+        start.method,
+        start.path,
+        tuple((item.name, item.value) for item in start.headers),
+        start.body,
+        start.repeatable,
+    )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/requests.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/requests.py
@@ -18,6 +18,11 @@
     Snapshot,
 )
 from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.idempotency import (
+    ClaimSettings,
+    choose_shard,
+    digest_key,
+)
 from chicoryplank.ids import AccountId, InstanceId, ModelGroupId, ServiceId
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry.relays import Relay, RelayPool
@@ -459,16 +464,16 @@
 
 
 def _choose_by_key(call: Call, relays: list[Relay]) -> Relay | None:
-    """Sends equal idempotency keys to the same agent by rendezvous hashing."""
+    """Sends all keys of one claim shard to the same agent.
+
+    One writer for a shard avoids conflicting writes and lets the agent answer
+    a repeated request from its own memory.
+    """
+    key = digest_key(call.route.account, call.request.idempotency_key)
+    shard = choose_shard(key, ClaimSettings().shards)
 
     def rank(relay: Relay) -> bytes:
-        text = "\0".join(
-            (
-                call.route.account,
-                call.request.idempotency_key,
-                relay.instance.instance,
-            )
-        )
+        text = f"{call.route.deployment}/{shard}/{relay.instance.instance}"
         return hashlib.sha256(text.encode()).digest()
 
     return max(relays, key=rank, default=None)
