Route and admit requests by the library's policies and count them

Cause: the entry chose the agent with the fewest attempts of its own and had no admission, rate limits or metrics. Ruled out: histograms by client account and model together, since 900 accounts by 16 models by 12 buckets are 172,800 series.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
@@ -26,6 +26,7 @@
 # 35 control messages a second that 1.4 % of a core allow.
 _REPORT_INTERVAL = timedelta(seconds=2)
 _LOAD_INTERVAL = timedelta(milliseconds=250)
+_NO_LOAD_INTERVAL = timedelta(seconds=5)
 _EXPIRY_INTERVAL = timedelta(minutes=10)
 
 
@@ -94,12 +95,15 @@
     async def _poll_load(self) -> None:
         while True:
             document = await self.backend.fetch_json("/load")
-            if document is not None:
-                self.relay.load = relay_pb2.Load(
-                    running=int(document.get("running", 0)),
-                    queued=int(document.get("queued", 0)),
-                    measured_unix_ms=time.time_ns() // 1_000_000,
-                )
+            if document is None or "running" not in document:
+                # Plain services report no load.
+                await self._clock.sleep(_NO_LOAD_INTERVAL)
+                continue
+            self.relay.load = relay_pb2.Load(
+                running=int(document["running"]),
+                queued=int(document.get("queued", 0)),
+                measured_unix_ms=time.time_ns() // 1_000_000,
+            )
             await self._clock.sleep(_LOAD_INTERVAL)
 
     async def _send_reports(self) -> None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -16,6 +16,8 @@
 from chicoryplank.configuration import EntrySettings
 from chicoryplank.ids import Incarnation
 from chicoryplank.lifecycle import Application
+from chicoryplank.limits import Limiter
+from chicoryplank_entry.admission import AdmissionGate
 from chicoryplank_entry.controllers import (
     follow_configuration,
     follow_instances,
@@ -23,7 +25,8 @@
 )
 from chicoryplank_entry.http import CallerInterface
 from chicoryplank_entry.relays import Relay, RelayPool
-from chicoryplank_entry.requests import Dispatcher, choose_least_in_flight
+from chicoryplank_entry.requests import Dispatcher
+from chicoryplank_entry.selection import Selector
 from chicoryplank_wire.store import EtcdStore
 
 
@@ -61,13 +64,18 @@
         self.blackboard = Blackboard()
         self.ledger = AttemptLedger(settings.limits.max_buffer_bytes)
         self.pool = RelayPool(self._make_relay)
+        self.gate = AdmissionGate(Limiter(clock.now()), clock)
+        self._selector = Selector(
+            settings.zone, clock, random_source, self.count_entries
+        )
         self.dispatcher = Dispatcher(
             settings,
             clock,
             self.blackboard,
             ledger=self.ledger,
             pool=self.pool,
-            choose=choose_least_in_flight,
+            selector=self._selector,
+            gate=self.gate,
         )
         self._store = EtcdStore(settings.store.address, settings.store.timeout)
         self._client = aiosonic.HTTPClient()
@@ -90,7 +98,7 @@
         add_hooks("drain", stop=self._drain)
 
     def _make_relay(self, instance: Instance) -> Relay:
-        return Relay(
+        relay = Relay(
             self._identity,
             instance,
             self.ledger,
@@ -98,6 +106,34 @@
             clock=self._clock,
             random_source=self._random,
         )
+        relay.on_report = self._selector.observe_report
+        relay.on_progress = self._selector.observe_progress
+        return relay
+
+    def count_entries(self) -> int:
+        """Returns the number of entries that the instance list shows."""
+        return sum(
+            item.role == "entry" for item in self.blackboard.instances.value
+        )
+
+    async def _configure_limits(self) -> None:
+        """Tells the limiter of each change of accounts and entries."""
+        while True:
+            self.gate.limiter.configure(
+                self.blackboard.snapshot.value.accounts,
+                max(1, self.count_entries()),
+                self._clock.now(),
+            )
+            changes = [
+                asyncio.create_task(section.wait_change())
+                for section in (
+                    self.blackboard.snapshot,
+                    self.blackboard.instances,
+                )
+            ]
+            await asyncio.wait(changes, return_when=asyncio.FIRST_COMPLETED)
+            for change in changes:
+                change.cancel()
 
     def _make_server(self) -> CallerServer:
         interface = CallerInterface(
@@ -151,6 +187,8 @@
                     self._store, self.blackboard, self.pool, self._clock
                 ),
                 watch_silence(self.pool, self._clock),
+                self.gate.run_ticks(),
+                self._configure_limits(),
             )
         ]
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import hashlib
 import json
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -15,6 +17,7 @@
 from chicoryplank.blackboard import Blackboard
 from chicoryplank.configuration import EntrySettings, Priority
 from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank_entry import metrics
 from chicoryplank_entry.requests import (
     CallerRequest,
     CallerResponse,
@@ -44,6 +47,10 @@
 _DEFAULT_STATUS = 503
 _PASSED_HEADERS = frozenset({"content-type", "accept", "idempotency-key"})
 _MAX_KEY_LENGTH = 255
+_MAX_TOKENS = 1_000_000
+# Assumed where the request states no bound.
+_DEFAULT_TOKENS = 256
+_PREFIX_CHARACTERS = 512
 _PRIORITIES = {
     "urgent": Priority.URGENT,
     "normal": Priority.NORMAL,
@@ -111,6 +118,7 @@
                 )
             last = b""
         except ChicoryplankError as error:
+            metrics.count_refusal(error.code, error.verdict.value)
             last = b"data: " + format_error(error) + b"\n\n"
         await send({"type": "http.response.body", "body": last})
 
@@ -197,7 +205,43 @@
     return b"".join(pieces)
 
 
-def _parse_model_body(body: bytes) -> tuple[str, bool]:
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ModelBody:
+    """What the entry needs to know of a request to a model."""
+
+    model: str
+    stream: bool
+    max_tokens: int
+    prefix: bytes
+
+
+def _read_max_tokens(document: dict) -> int:
+    for name in ("max_completion_tokens", "max_tokens"):
+        value = document.get(name)
+        if value is None:
+            continue
+        if not isinstance(value, int) or isinstance(value, bool) or value < 1:
+            raise ChicoryplankError(
+                ErrorCode.MALFORMED_REQUEST,
+                f"{name} must be a positive integer",
+            )
+        return min(value, _MAX_TOKENS)
+    return _DEFAULT_TOKENS
+
+
+def _digest_prefix(document: dict) -> bytes:
+    """Returns a digest of the start of the prompt, which caches share."""
+    messages = document.get("messages")
+    if isinstance(messages, list) and messages:
+        start = json.dumps(messages[0])[:_PREFIX_CHARACTERS]
+    else:
+        start = str(document.get("prompt", ""))[:_PREFIX_CHARACTERS]
+    return hashlib.blake2b(
+        start.encode(errors="replace"), digest_size=8
+    ).digest()
+
+
+def _parse_model_body(body: bytes) -> _ModelBody:
     try:
         document = json.loads(body)
     except (ValueError, RecursionError) as error:
@@ -220,7 +264,9 @@
         raise ChicoryplankError(
             ErrorCode.MALFORMED_REQUEST, "stream must be true or false"
         )
-    return model, stream
+    return _ModelBody(
+        model, stream, _read_max_tokens(document), _digest_prefix(document)
+    )
 
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -276,6 +322,7 @@
             try:
                 return await handler(request)
             except ChicoryplankError as error:
+                metrics.count_refusal(error.code, error.verdict.value)
                 return make_error_response(error)
             except ClientDisconnect:
                 return Response(status_code=400)
@@ -313,20 +360,22 @@
         timeout = _read_timeout(request, self._settings)
         priority = _read_priority(request)
         body = await _read_body(request, self._settings)
-        model, stream = _parse_model_body(body)
+        parsed = _parse_model_body(body)
         return await self._dispatch(
             request,
             CallerRequest(
                 Kind.MODEL,
-                model,
+                parsed.model,
                 token,
                 "POST",
                 request.url.path,
                 (("Content-Type", "application/json"),),
                 body,
-                stream,
+                parsed.stream,
                 priority,
                 timeout,
+                prefix=parsed.prefix,
+                max_tokens=parsed.max_tokens,
             ),
         )
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
@@ -105,6 +105,7 @@
         self._acknowledged: dict[int, int] = {}
         self._task: asyncio.Task | None = None
         self.on_report: Callable[[Relay], None] = lambda _: None
+        self.on_progress: Callable[[Relay], None] = lambda _: None
 
     @property
     def is_usable(self) -> bool:
@@ -268,6 +269,8 @@
                 batch.load.measured_unix_ms,
             )
             self.on_report(self)
+        if batch.chunks:
+            self.on_progress(self)
         for frame in batch.accepted:
             headers = tuple((item.name, item.value) for item in frame.headers)
             self._ledger.observe_accepted(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/requests.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/requests.py
@@ -4,11 +4,13 @@
 import dataclasses
 import enum
 import hashlib
+import itertools
 import json
+import re
 from collections.abc import Callable
 from datetime import datetime, timedelta
 
-from chicoryplank.attempts import Attempt, AttemptLedger
+from chicoryplank.attempts import Attempt, AttemptLedger, AttemptState
 from chicoryplank.blackboard import Blackboard
 from chicoryplank.clock import Clock
 from chicoryplank.configuration import (
@@ -23,15 +25,29 @@
     choose_shard,
     digest_key,
 )
-from chicoryplank.ids import AccountId, InstanceId, ModelGroupId, ServiceId
+from chicoryplank.ids import (
+    AccountId,
+    AttemptId,
+    InstanceId,
+    ModelGroupId,
+    ServiceId,
+)
+from chicoryplank.limits import Request as AdmissionRequest
 from chicoryplank.verdict import Verdict
+from chicoryplank_entry import metrics
+from chicoryplank_entry.admission import AdmissionGate
 from chicoryplank_entry.relays import Relay, RelayPool
+from chicoryplank_entry.selection import Selector
 from chicoryplank_wire import relay_pb2
 
 _RETRY_SOON = timedelta(seconds=1)
 _MAX_ATTEMPTS = 3
 # The agent's own verdict should arrive before the entry gives up.
 _AGENT_MARGIN = timedelta(milliseconds=50)
+_REPLICA_FAILURES = frozenset(
+    {ErrorCode.BACKEND_FAILED, ErrorCode.OUTCOME_UNKNOWN}
+)
+_COMPLETION_TOKENS = re.compile(rb'"completion_tokens":\s*(\d{1,9})')
 _SERVER_ERRORS = frozenset({502, 503, 504})
 
 
@@ -58,6 +74,8 @@
         priority: Priority class that the caller asked for, if any.
         timeout: Time until the deadline.
         idempotency_key: Key of a non-idempotent request, or "".
+        prefix: Digest of the start of the prompt, for cache affinity.
+        max_tokens: Bound on the generated tokens; 0 for services.
     """
 
     kind: Kind
@@ -71,6 +89,8 @@
     priority: Priority | None
     timeout: timedelta
     idempotency_key: str = ""
+    prefix: bytes = b""
+    max_tokens: int = 0
 
 
 class ResponseStream:
@@ -80,7 +100,7 @@
         attempt: Attempt that produces the events.
         first: Output that was already read.
         get_left_s: Returns the seconds until the deadline.
-        on_read: Called after each piece of output was taken.
+        end_read: Called with each further piece of output.
         on_close: Called once when the stream is closed.
     """
 
@@ -89,13 +109,13 @@
         attempt: Attempt,
         first: bytes,
         get_left_s: Callable[[], float],
-        on_read: Callable[[], None],
+        end_read: Callable[[bytes], None],
         on_close: Callable[[], None],
     ) -> None:
         self._attempt = attempt
         self._first = first
         self._get_left_s = get_left_s
-        self._on_read = on_read
+        self._end_read = end_read
         self._on_close: Callable[[], None] | None = on_close
 
     async def read(self) -> bytes:
@@ -107,14 +127,16 @@
         if self._first:
             data, self._first = self._first, b""
             return data
-        self._on_read()
         if self._attempt.has_output:
-            return await self._attempt.read()
-        try:
-            async with asyncio.timeout(self._get_left_s()):
-                return await self._attempt.read()
-        except TimeoutError as error:
-            raise make_timeout(self._attempt) from error
+            data = await self._attempt.read()
+        else:
+            try:
+                async with asyncio.timeout(self._get_left_s()):
+                    data = await self._attempt.read()
+            except TimeoutError as error:
+                raise make_timeout(self._attempt) from error
+        self._end_read(data)
+        return data
 
     def close(self) -> None:
         """Releases the attempt; cancels it if it is still open."""
@@ -151,23 +173,29 @@
 
 @dataclasses.dataclass(slots=True)
 class Call:
-    """A request in progress."""
+    """A request in progress.
+
+    Attributes:
+        number: Number within this entry.
+        request: The request.
+        route: Where it may go.
+        started: Boot time of its arrival.
+        deadline: Boot time of its deadline.
+        deadline_wall: The deadline as wall-clock time.
+        attempts: Attempts made so far.
+        tried: Instances of these attempts.
+        tokens: Tokens that were generated, as far as known.
+    """
 
+    number: int
     request: CallerRequest
     route: Route
+    started: timedelta
     deadline: timedelta
     deadline_wall: datetime
     attempts: int = 0
     tried: set[InstanceId] = dataclasses.field(default_factory=set)
-
-
-ChooseRelay = Callable[[Call, list[Relay]], Relay | None]
-
-
-def choose_least_in_flight(call: Call, relays: list[Relay]) -> Relay | None:
-    """Returns the relay with the fewest attempts of this entry."""
-    del call
-    return min(relays, key=lambda relay: relay.in_flight, default=None)
+    tokens: int = 0
 
 
 def find_account(
@@ -235,7 +263,8 @@
         blackboard: Configuration in force.
         ledger: Record of attempts.
         pool: Relays to agents.
-        choose: Choice of a relay.
+        selector: Choice of a relay.
+        gate: Admission.
     """
 
     def __init__(
@@ -246,14 +275,17 @@
         *,
         ledger: AttemptLedger,
         pool: RelayPool,
-        choose: ChooseRelay,
+        selector: Selector,
+        gate: AdmissionGate,
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._blackboard = blackboard
         self._ledger = ledger
         self._pool = pool
-        self._choose = choose
+        self._selector = selector
+        self._gate = gate
+        self._numbers = itertools.count(1)
         self.in_progress = 0
 
     def check_ready(self) -> None:
@@ -291,26 +323,77 @@
         """
         self.check_ready()
         route = find_route(self._blackboard.snapshot.value, request)
+        started = self._clock.elapsed()
         call = Call(
+            next(self._numbers),
             request,
             route,
-            self._clock.elapsed() + request.timeout,
+            started,
+            started + request.timeout,
             self._clock.now() + request.timeout,
         )
         self.in_progress += 1
+        metrics.IN_PROGRESS.inc()
+        try:
+            await self._enter(call)
+        except BaseException:
+            self._end_call(call)
+            raise
         streaming = False
         try:
-            while True:
-                try:
-                    response = await self._try_once(call)
-                    streaming = not isinstance(response.body, bytes)
-                    return response
-                except ChicoryplankError as error:
-                    if not self._may_retry(call, error):
-                        raise
+            response = await self._try_all(call)
+            streaming = not isinstance(response.body, bytes)
+            return response
         finally:
             if not streaming:
-                self.in_progress -= 1
+                self._leave(call)
+
+    async def _enter(self, call: Call) -> None:
+        """Waits for admission; the limiter refuses what would be late."""
+        queued_at = self._clock.elapsed()
+        try:
+            async with asyncio.timeout(self._get_left_s(call)):
+                await self._gate.enter(
+                    AdmissionRequest(
+                        _name_call(call),
+                        call.route.account,
+                        call.route.deployment,
+                        call.route.priority,
+                        call.deadline_wall,
+                        call.request.max_tokens,
+                    )
+                )
+        except TimeoutError as error:
+            raise ChicoryplankError(
+                ErrorCode.DEADLINE_EXCEEDED,
+                "the deadline passed in the admission queue",
+                retry_after=_RETRY_SOON,
+            ) from error
+        waited = self._clock.elapsed() - queued_at
+        metrics.QUEUEING.labels(
+            metrics.label_priority(call.route.priority), call.route.deployment
+        ).observe(waited.total_seconds())
+
+    def _leave(self, call: Call, succeeded: bool = True) -> None:
+        self._gate.leave(_name_call(call), call.tokens, succeeded)
+        self._end_call(call)
+
+    def _end_call(self, call: Call) -> None:
+        self.in_progress -= 1
+        metrics.IN_PROGRESS.dec()
+        total = self._clock.elapsed() - call.started
+        metrics.TOTAL.labels(metrics.label_account(call.route.account)).observe(
+            total.total_seconds()
+        )
+
+    async def _try_all(self, call: Call) -> CallerResponse:
+        """Makes attempts until one succeeds or no more are allowed."""
+        while True:
+            try:
+                return await self._try_once(call)
+            except ChicoryplankError as error:
+                if not self._may_retry(call, error):
+                    raise
 
     def _may_retry(self, call: Call, error: ChicoryplankError) -> bool:
         if call.attempts == 0 or call.attempts >= _MAX_ATTEMPTS:
@@ -330,25 +413,21 @@
         attempt = self._ledger.open(relay.instance.instance)
         call.attempts += 1
         call.tried.add(relay.instance.instance)
-        relay.in_flight += 1
+        self._begin(relay)
         handed_over = False
         try:
             relay.send(attempt, self._make_start(call))
             async with asyncio.timeout(self._get_left_s(call)):
                 await attempt.wait_accepted()
+                first = await attempt.read()
+                self._observe_first(call)
                 if call.request.stream:
-                    first = await attempt.read()
-                    body = ResponseStream(
-                        attempt,
-                        first,
-                        lambda: self._get_left_s(call),
-                        lambda: relay.acknowledge(attempt),
-                        lambda: self._end_stream(relay, attempt),
-                    )
+                    body = self._make_stream(call, relay, attempt, first)
                     handed_over = True
                     return CallerResponse(attempt.status, attempt.headers, body)
-                whole = await self._read_whole(relay, attempt)
+                whole = await self._read_whole(relay, attempt, first)
             self._check_status(call, attempt)
+            call.tokens = _count_tokens(whole)
             return CallerResponse(attempt.status, attempt.headers, whole)
         except TimeoutError as error:
             raise make_timeout(attempt) from error
@@ -356,21 +435,61 @@
             if not handed_over:
                 self._release(relay, attempt)
 
+    def _begin(self, relay: Relay) -> None:
+        relay.in_flight += 1
+        self._selector.begin(relay)
+        metrics.ATTEMPTS.labels(relay.instance.deployment).inc()
+
+    def _observe_first(self, call: Call) -> None:
+        waited = self._clock.elapsed() - call.started
+        metrics.FIRST_TOKEN.labels(
+            metrics.label_account(call.route.account)
+        ).observe(waited.total_seconds())
+
+    def _make_stream(
+        self, call: Call, relay: Relay, attempt: Attempt, first: bytes
+    ) -> ResponseStream:
+        call.tokens = _count_events(first)
+        gaps = metrics.BETWEEN_TOKENS.labels(
+            metrics.label_priority(call.route.priority), call.route.deployment
+        )
+        read_at = self._clock.elapsed()
+
+        def end_read(data: bytes) -> None:
+            nonlocal read_at
+            now = self._clock.elapsed()
+            gaps.observe((now - read_at).total_seconds())
+            read_at = now
+            call.tokens += _count_events(data)
+            relay.acknowledge(attempt)
+
+        def close() -> None:
+            self._release(relay, attempt)
+            self._leave(call, attempt.state is AttemptState.ENDED)
+
+        return ResponseStream(
+            attempt, first, lambda: self._get_left_s(call), end_read, close
+        )
+
     def _choose_relay(self, call: Call) -> Relay:
-        relays = [
-            relay
-            for relay in self._pool.list_deployment(call.route.deployment)
-            if relay.is_usable
-        ]
-        fresh = [
-            relay
-            for relay in relays
-            if relay.instance.instance not in call.tried
-        ]
-        if not call.route.repeatable:
-            relay = _choose_by_key(call, relays)
+        if call.route.repeatable:
+            relay = self._selector.choose(
+                self._pool,
+                call.route.deployment,
+                call.request.prefix,
+                frozenset(call.tried),
+            )
         else:
-            relay = self._choose(call, fresh or relays)
+            relay = _choose_by_key(
+                call,
+                [
+                    item
+                    for item in self._pool.list_deployment(
+                        call.route.deployment
+                    )
+                    if item.is_usable
+                ],
+            )
         if relay is None:
             raise ChicoryplankError(
                 ErrorCode.NO_REPLICA,
@@ -414,10 +533,13 @@
         left = call.deadline - self._clock.elapsed()
         return max(0.0, left.total_seconds())
 
-    async def _read_whole(self, relay: Relay, attempt: Attempt) -> bytes:
+    async def _read_whole(
+        self, relay: Relay, attempt: Attempt, first: bytes
+    ) -> bytes:
         pieces = []
         size = 0
-        while data := await attempt.read():
+        data = first
+        while data:
             pieces.append(data)
             size += len(data)
             if size > self._settings.limits.max_buffer_bytes:
@@ -428,6 +550,7 @@
                     Verdict.MAY_HAVE_RUN,
                 )
             relay.acknowledge(attempt)
+            data = await attempt.read()
         return b"".join(pieces)
 
     def _check_status(self, call: Call, attempt: Attempt) -> None:
@@ -441,6 +564,7 @@
 
     def _release(self, relay: Relay, attempt: Attempt) -> None:
         relay.in_flight -= 1
+        self._selector.end(relay, _judge(attempt))
         if attempt.incarnation is not None:
             if attempt.is_open:
                 relay.cancel(attempt)
@@ -448,9 +572,28 @@
                 relay.acknowledge(attempt, final=True)
         self._ledger.close(attempt)
 
-    def _end_stream(self, relay: Relay, attempt: Attempt) -> None:
-        self.in_progress -= 1
-        self._release(relay, attempt)
+
+def _judge(attempt: Attempt) -> bool | None:
+    """Returns whether the replica did its work; None if it is unknown."""
+    if attempt.state is AttemptState.ENDED:
+        return attempt.status not in _SERVER_ERRORS
+    error = attempt.error
+    if error is not None and error.code in _REPLICA_FAILURES:
+        return False
+    return None
+
+
+def _name_call(call: Call) -> AttemptId:
+    return AttemptId(str(call.number))
+
+
+def _count_events(data: bytes) -> int:
+    return data.count(b"data: ")
+
+
+def _count_tokens(body: bytes) -> int:
+    found = _COMPLETION_TOKENS.search(body)
+    return int(found[1]) if found else 0
 
 
 def make_timeout(attempt: Attempt) -> ChicoryplankError:
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
@@ -0,0 +1,133 @@
+"""Choice of an agent for each attempt, by a routing policy a deployment."""
+
+import random
+from datetime import datetime, timedelta
+
+from chicoryplank.clock import Clock
+from chicoryplank.ids import InstanceId, ZoneId
+from chicoryplank.routing import (
+    Candidate,
+    LoadReport,
+    Policy,
+    Progress,
+    RoutingParameters,
+    RoutingRequest,
+    make_balanced,
+)
+from chicoryplank_entry.relays import Relay, RelayPool
+
+# Replicas that were found while the entry started are not new.
+_STARTUP = timedelta(seconds=10)
+
+
+class Selector:
+    """Holds the routing policy and the candidates of each deployment.
+
+    Args:
+        zone: Availability zone of the entry.
+        clock: Source of time.
+        source: Random numbers for the policies.
+        count_entries: Returns the number of live entries.
+    """
+
+    def __init__(
+        self, zone: ZoneId, clock: Clock, source: random.Random, count_entries
+    ) -> None:
+        self._zone = zone
+        self._clock = clock
+        self._source = source
+        self._count_entries = count_entries
+        self._started_at = clock.now()
+        self._policies: dict[str, Policy] = {}
+        self._candidates: dict[str, tuple[Candidate, ...]] = {}
+        self._names: dict[str, list[InstanceId]] = {}
+        self._joined_at: dict[InstanceId, datetime] = {}
+
+    def choose(
+        self,
+        pool: RelayPool,
+        deployment: str,
+        prefix: bytes,
+        excluded: frozenset[InstanceId],
+    ) -> Relay | None:
+        """Returns the relay for an attempt, or None if there is none.
+
+        Excluded replicas are chosen again only if no other one is usable.
+        """
+        relays = {
+            relay.instance.instance: relay
+            for relay in pool.list_deployment(deployment)
+            if relay.is_usable
+        }
+        if not relays.keys() - excluded:
+            excluded = frozenset()
+        candidates = self._update_candidates(deployment, relays)
+        request = RoutingRequest(prefix=prefix, excluded=excluded)
+        policy = self._get_policy(deployment)
+        chosen = policy.choose(request, candidates, self._clock.now())
+        return None if chosen is None else relays[chosen]
+
+    def begin(self, relay: Relay) -> None:
+        """Counts an attempt at a replica."""
+        policy = self._get_policy(relay.instance.deployment)
+        policy.begin(relay.instance.instance, 1.0, self._clock.now())
+
+    def end(self, relay: Relay, succeeded: bool | None) -> None:
+        """Ends an attempt; succeeded is None if the replica is not to blame."""
+        policy = self._get_policy(relay.instance.deployment)
+        policy.end(relay.instance.instance, 1.0, self._clock.now(), succeeded)
+
+    def observe_report(self, relay: Relay) -> None:
+        """Takes a load report that arrived."""
+        now = self._clock.now()
+        measured_s = relay.report.measured_unix_ms / 1000
+        age = timedelta(seconds=max(0.0, now.timestamp() - measured_s))
+        policy = self._get_policy(relay.instance.deployment)
+        policy.observe(
+            LoadReport(
+                relay.instance.instance,
+                relay.report.running,
+                relay.report.queued,
+                now,
+                age,
+            )
+        )
+
+    def observe_progress(self, relay: Relay) -> None:
+        """Takes note of output that arrived."""
+        policy = self._get_policy(relay.instance.deployment)
+        policy.observe(Progress(relay.instance.instance, self._clock.now()))
+
+    def _get_policy(self, deployment: str) -> Policy:
+        policy = self._policies.get(deployment)
+        if policy is None:
+            parameters = RoutingParameters(
+                deciding_entries=max(1, self._count_entries())
+            )
+            policy = make_balanced(self._zone, parameters, self._source)
+            self._policies[deployment] = policy
+        return policy
+
+    def _update_candidates(
+        self, deployment: str, relays: dict[InstanceId, Relay]
+    ) -> tuple[Candidate, ...]:
+        names = list(relays)
+        if self._names.get(deployment) != names:
+            self._names[deployment] = names
+            self._candidates[deployment] = tuple(
+                self._make_candidate(relay) for relay in relays.values()
+            )
+        return self._candidates[deployment]
+
+    def _make_candidate(self, relay: Relay) -> Candidate:
+        instance = relay.instance.instance
+        now = self._clock.now()
+        if instance not in self._joined_at:
+            self._joined_at[instance] = now
+        joined_at = self._joined_at[instance]
+        is_new = joined_at - self._started_at > _STARTUP
+        return Candidate(
+            instance,
+            relay.instance.zone,
+            joined_at=joined_at if is_new else None,
+        )
