--- a/packages/chicoryplank/src/chicoryplank/configuration/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/__init__.py
@@ -63,6 +63,7 @@
 from chicoryplank.configuration._settings_checks import (
     SettingDescription,
     describe_settings,
+    guess_kind,
     parse_settings,
 )
 from chicoryplank.configuration._snapshot import (
@@ -122,6 +123,7 @@
     "encode_root",
     "format_changes",
     "format_plan",
+    "guess_kind",
     "is_address",
     "parse_intent",
     "parse_settings",
--- a/packages/chicoryplank/src/chicoryplank/configuration/_settings_checks.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_settings_checks.py
@@ -17,6 +17,7 @@
     describe_value,
     parse_json,
 )
+from chicoryplank.configuration._intent import INTENT_CHECK
 from chicoryplank.configuration._settings import (
     AgentSettings,
     EntrySettings,
@@ -194,6 +195,21 @@
         )
 
 
+def guess_kind(text: str) -> str:
+    """Tells `entry`, `agent` or `intent` from the fields of a file.
+
+    Raises:
+        InvalidInputError: If the text is not JSON with comments.
+    """
+    value = parse_json(text, ErrorCode.INVALID_SETTINGS, "file")
+    names = value.keys() if isinstance(value, dict) else frozenset()
+    if names & {field.name for field in INTENT_CHECK.fields}:
+        return "intent"
+    if names & {"deployment", "listen_address", "backend_address"}:
+        return SettingsKind.AGENT.value
+    return SettingsKind.ENTRY.value
+
+
 def describe_settings(kind: SettingsKind) -> tuple[SettingDescription, ...]:
     """Returns all fields of a settings file, in order."""
     return tuple(_walk(_CHECKS[kind], _CLASSES[kind], ""))
