--- a/packages/chicoryplank/src/chicoryplank/configuration/_changes.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_changes.py
@@ -117,6 +117,8 @@
 
 
 def _format_value(value: object) -> str:
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
     return json.dumps(value, sort_keys=True)
 
 
--- a/packages/chicoryplank/src/chicoryplank/configuration/_checks.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_checks.py
@@ -126,6 +126,10 @@
     return Check(convert, allowed)
 
 
+def _show(bound: float) -> str:
+    return str(int(bound)) if float(bound).is_integer() else str(bound)
+
+
 def _is_number(value: object) -> bool:
     return isinstance(value, int | float) and not isinstance(value, bool)
 
@@ -146,7 +150,9 @@
     def test(value: object) -> bool:
         return _is_number(value) and minimum <= value <= maximum
 
-    checked = _make_check(test, f"a number from {minimum:g} to {maximum:g}")
+    checked = _make_check(
+        test, f"a number from {_show(minimum)} to {_show(maximum)}"
+    )
 
     def convert(value: object, path: str, problems: list[Problem]) -> object:
         checked.convert(value, path, problems)
@@ -157,7 +163,7 @@
 
 def check_duration(unit: str, minimum: float, maximum: float) -> Check:
     """Returns a check of a duration as a number of a unit, `ms` or `s`."""
-    allowed = f"a number from {minimum:g} to {maximum:g} ({unit})"
+    allowed = f"a number from {_show(minimum)} to {_show(maximum)} ({unit})"
 
     def convert(value: object, path: str, problems: list[Problem]) -> object:
         finite = _is_number(value) and math.isfinite(value)
@@ -328,7 +334,7 @@
                 Problem(
                     join_path(path, name),
                     describe_value(entry),
-                    "no such field; known are " + ", ".join(known),
+                    "only the fields " + ", ".join(known),
                 )
             )
             continue
