--- /dev/null
+++ b/benchmarks/configuration.py
@@ -0,0 +1,180 @@
+"""Measures parse, plan and snapshot reads at 900 accounts and 16 models."""
+
+import argparse
+import asyncio
+import hashlib
+import json
+import random
+import statistics
+import time
+from collections.abc import Callable
+
+from chicoryplank.clock import ManualClock
+from chicoryplank.configuration import (
+    PART_PREFIX,
+    ROOT_KEY,
+    Capacity,
+    Intent,
+    SnapshotReader,
+    confirm,
+    parse_intent,
+    parse_settings,
+    plan,
+)
+from chicoryplank.fakes import MemoryStore
+
+_SETTINGS = json.dumps(
+    {
+        "instance": "entry-0",
+        "zone": "hall-a",
+        "caller_address": "127.0.0.1:8000",
+        "control_address": "127.0.0.1:8001",
+        "store": {"address": "127.0.0.1:2379"},
+        "instance_list": {"address": "127.0.0.1:7000"},
+    }
+)
+
+
+def make_intent_text(source: random.Random, accounts: int, models: int) -> str:
+    """Returns the text of an intent that adds everything."""
+    groups = [f"group-{number}" for number in range(models)]
+    return json.dumps(
+        {
+            "groups": {
+                "add": {
+                    name: {
+                        "models": [f"model-{name}"],
+                        "version": "v1",
+                        "replicas": 700,
+                        "tokens_per_s": 1500,
+                    }
+                    for name in groups
+                }
+            },
+            "accounts": {
+                "add": {
+                    f"account-{number}": {
+                        "token_sha256": hashlib.sha256(
+                            str(number).encode()
+                        ).hexdigest(),
+                        "requests_per_s": source.randint(1, 100),
+                        "tokens_per_s": source.randint(100, 9000),
+                        "priority": "normal",
+                        "groups": source.sample(groups, min(2, models)),
+                    }
+                    for number in range(accounts)
+                }
+            },
+        }
+    )
+
+
+def make_change(number: int) -> Intent:
+    """Returns an intent that changes one account."""
+    change = {"account-7": {"tokens_per_s": 10 + number}}
+    return parse_intent(json.dumps({"accounts": {"change": change}}))
+
+
+def measure(repeat: int, function: Callable[[], object]) -> tuple[float, ...]:
+    """Returns median and maximum in milliseconds."""
+    times = []
+    for _ in range(repeat):
+        start = time.perf_counter()
+        function()
+        times.append((time.perf_counter() - start) * 1000)
+    return statistics.median(times), max(times)
+
+
+async def count_bytes(store: MemoryStore) -> int:
+    """Returns the size of all parts in the store."""
+    parts = await store.read_prefix(PART_PREFIX)
+    return sum(len(part.value) for part in parts)
+
+
+async def measure_store(
+    first: Intent, capacity: Capacity, repeat: int
+) -> dict[str, tuple[float, ...]]:
+    """Measures confirm and reads on a store in memory, in calls and ms."""
+    store = MemoryStore(ManualClock())
+    reader = SnapshotReader()
+    made = plan(reader.snapshot, first, capacity)
+    await confirm(store, made, "ann", "first", reader=reader)
+    cold, warm, confirmed, calls = [], [], [], []
+    follower = SnapshotReader()
+    await follower.refresh(store)
+    at_first = await count_bytes(store)
+    for number in range(repeat):
+        await reader.refresh(store)
+        made = plan(reader.snapshot, make_change(number), capacity)
+        before, start = store.calls, time.perf_counter()
+        await confirm(store, made, "ann", f"op-{number}", reader=reader)
+        confirmed.append((time.perf_counter() - start) * 1000)
+        calls.append(store.calls - before)
+        start = time.perf_counter()
+        await follower.refresh(store)
+        warm.append((time.perf_counter() - start) * 1000)
+        start = time.perf_counter()
+        await SnapshotReader().refresh(store)
+        cold.append((time.perf_counter() - start) * 1000)
+    root = await store.read(ROOT_KEY)
+    export = follower.export_parts(())
+    sizes = [len(part) for part in export.parts]
+    added = await count_bytes(store) - at_first
+    print(f"bytes that each version adds to the store: {added / repeat:.0f}")
+    print(f"store calls of one confirm: {statistics.median(calls):.0f}")
+    print(f"root: {len(root.value)} bytes")
+    print(f"parts: {len(sizes)}, {sum(sizes)} bytes, largest {max(sizes)}")
+    return {
+        "confirm one changed account": (
+            statistics.median(confirmed),
+            max(confirmed),
+        ),
+        "read one changed part": (statistics.median(warm), max(warm)),
+        "read everything": (statistics.median(cold), max(cold)),
+    }
+
+
+def main() -> None:
+    """Prints one table."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--accounts", type=int, default=900)
+    parser.add_argument("--models", type=int, default=16)
+    parser.add_argument("--repeat", type=int, default=20)
+    options = parser.parse_args()
+    source = random.Random(options.seed)
+    text = make_intent_text(source, options.accounts, options.models)
+    print(
+        f"seed {options.seed}, {options.accounts} accounts, "
+        f"{options.models} models, intent of {len(text)} bytes, "
+        f"{options.repeat} repeats"
+    )
+    capacity = Capacity(
+        {
+            f"group-{number}": frozenset(
+                f"replica-{number}-{rank}" for rank in range(750)
+            )
+            for number in range(options.models)
+        }
+    )
+    first = parse_intent(text)
+    empty = SnapshotReader().snapshot
+    results = {
+        "parse entry settings": measure(
+            options.repeat, lambda: parse_settings(_SETTINGS, "entry")
+        ),
+        "parse intent that adds everything": measure(
+            options.repeat, lambda: parse_intent(text)
+        ),
+        "plan that adds everything": measure(
+            options.repeat, lambda: plan(empty, first, capacity)
+        ),
+    }
+    results |= asyncio.run(measure_store(first, capacity, options.repeat))
+    print(f"{'step':36} {'median ms':>10} {'max ms':>10}")
+    for name, (median, maximum) in results.items():
+        print(f"{name:36} {median:10.2f} {maximum:10.2f}")
+
+
+if __name__ == "__main__":
+    main()
