--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
 
-.PHONY: setup test check format unit demo generate bench-routing
+.PHONY: setup test check format unit demo generate
 
 setup: $(VENV)/.installed
 
@@ -35,5 +35,6 @@
 generate:
 	$(PYTHON) tools/generate_messages.py
 
-bench-routing: setup
-	$(PYTHON) benchmarks/routing.py
+# Each measurement is benchmarks/<name>.py; make bench-<name> runs it.
+bench-%: setup
+	$(PYTHON) benchmarks/$(subst -,_,$*).py
