--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_engine.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_engine.py
@@ -154,7 +154,7 @@
 
 
 class Engine:
-    """Continuous batching without I/O; `run_step` advances it.
+    """Continuous batching without I/O; a step begins and ends apart.
 
     Args:
         options: Sizes and times.
@@ -248,11 +248,18 @@
             if now - run.detached_s >= RETENTION_S and run.is_over:
                 del self._runs[run.request_id]
 
-    def run_step(self) -> None:
-        """Runs one step unless a rank waits for a decision."""
+    def begin_step(self) -> None:
+        """Moves queued runs into the batch while there is room."""
+        while self._queue and len(self._batch) < self.options.max_batch:
+            run = heapq.heappop(self._queue)[2]
+            if run.state is RunState.QUEUED:
+                self._start(run)
+        self._report()
+
+    def end_step(self) -> None:
+        """Generates a token per run unless a rank waits for a decision."""
         if self.ranks.is_waiting():
             return
-        self._fill_batch()
         digest = self.ranks.run_step()
         for run in list(self._batch):
             if run.prefill_steps > 0:
@@ -331,29 +338,24 @@
             self.models.append(value)
         return {"version": self.version, "role": self.role}
 
-    def _fill_batch(self) -> None:
-        while self._queue and len(self._batch) < self.options.max_batch:
-            run = heapq.heappop(self._queue)[2]
-            if run.state is not RunState.QUEUED:
-                continue
-            self._queued -= 1
-            run.state = RunState.RUNNING
-            run.version = self.version
-            missing = self.cache.count_missing(run.prompt)
-            run.prefill_steps = -(
-                -missing // self.options.prefill_blocks_per_step
-            )
-            record = self.records.add(
-                run.request_id,
-                run.path,
-                run.body,
-                model=run.model,
-                version=run.version,
-                maps=[],
-                state=run.state.value,
-            )
-            run.details = record.details
-            self._batch.append(run)
+    def _start(self, run: Run) -> None:
+        self._queued -= 1
+        run.state = RunState.RUNNING
+        run.version = self.version
+        missing = self.cache.count_missing(run.prompt)
+        speed = self.options.prefill_blocks_per_step
+        run.prefill_steps = -(-missing // speed)
+        record = self.records.add(
+            run.request_id,
+            run.path,
+            run.body,
+            model=run.model,
+            version=run.version,
+            maps=[],
+            state=run.state.value,
+        )
+        run.details = record.details
+        self._batch.append(run)
 
     def _end(self, run: Run, state: RunState) -> None:
         run.state = state
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/engine.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/engine.py
@@ -309,8 +309,9 @@
         step_s = engine.options.step_ms * engine.faults.slow_factor / 1_000
         # A late step does not shorten the steps after it.
         due_s = max(due_s + step_s, time.monotonic()) + stall_s
+        engine.begin_step()
         await asyncio.sleep(due_s - time.monotonic())
-        engine.run_step()
+        engine.end_step()
 
 
 async def _expire_runs(engine: Engine) -> None:
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_engine.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_engine.py
@@ -52,7 +52,8 @@
     async def step(self, count=1):
         for _ in range(count):
             await settle()
-            self.engine.run_step()
+            self.engine.begin_step()
+            self.engine.end_step()
         await settle()
 
     async def order(self, kind, token, order_id=None, **arguments):
