Close a client's connection when its call breaks off

Cause: aiosonic 1.3.3 returns a reused keep-alive connection to its pool when a call on it is cancelled or times out, without closing it. The next call to the same address writes its request and reads the answer to the call before. Seen with the plain service (--delay-ms 300): after a cancelled POST /cancelled, POST /mine got the answer to /cancelled, both after asyncio.timeout and after sock_read. The clients of chicoryplank_wire.store and chicoryplank_agent.backend are used the same way and are affected.

Every eighth token now carries text that looks like the framing of server- sent events, so that a relay that searches for it is found out. The load tool names priorities as the entry does.

--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_traffic.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_traffic.py
@@ -40,6 +40,7 @@
 _PREFIXES = 8
 _PREFIX_CHARACTERS = 640
 _MIN_TOKENS = 8
+_PRIORITIES = ("urgent", "normal", "normal", "bulk")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,7 +157,7 @@
         path = "/v1/completions"
         prompt = fields["prompt"] = content
     headers = _make_headers(target)
-    headers["X-Priority"] = random_source.choice(("0", "1", "1", "2"))
+    headers["X-Priority"] = random_source.choice(_PRIORITIES)
     return Call(
         at_s,
         kind,
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/load.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/load.py
@@ -9,10 +9,7 @@
 
 import aiosonic
 import click
-from aiosonic.connectors import TCPConnector
 from aiosonic.exceptions import AiosonicError
-from aiosonic.pools import PoolConfig
-from aiosonic.timeout import Timeouts
 
 from chicoryplank_standins._checks import (
     Outcome,
@@ -21,6 +18,7 @@
     check_whole,
     read_refusal,
 )
+from chicoryplank_standins._client import make_client
 from chicoryplank_standins._traffic import (
     Call,
     CallKind,
@@ -52,11 +50,7 @@
         self._known = entries
         self._entries = list(entries)
         self._in_flight: set[asyncio.Task] = set()
-        timeouts = Timeouts(sock_connect=2, sock_read=None)
-        pools = {":default": PoolConfig(size=MAX_IN_FLIGHT)}
-        self._client = aiosonic.HTTPClient(
-            TCPConnector(pool_configs=pools, timeouts=timeouts)
-        )
+        self._client = make_client(MAX_IN_FLIGHT)
 
     async def run(self, rate: float, seconds: float, seed: int) -> None:
         """Sends the traffic and waits for the answers."""
--- /dev/null
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_client.py
@@ -0,0 +1,57 @@
+"""Test of the HTTP client against a server on the loopback interface."""
+
+import asyncio
+
+import testtools
+
+from chicoryplank_standins._client import make_client
+
+
+class TestClient(testtools.TestCase):
+    """Calls that break off."""
+
+    def test_cancelled_call_leaves_no_answer_behind(self):
+        """Guards against reading the answer to an earlier, cancelled call."""
+
+        async def run():
+            release, arrived = asyncio.Event(), asyncio.Event()
+            ended = asyncio.Semaphore(0)
+
+            async def answer(reader, writer):
+                while head := await reader.readline():
+                    path = head.split()[1]
+                    while (await reader.readline()).strip():
+                        continue
+                    if path == b"/slow":
+                        arrived.set()
+                        await release.wait()
+                    size = str(len(path)).encode()
+                    writer.write(
+                        b"HTTP/1.1 200 OK\r\nContent-Length: %s\r\n\r\n%s"
+                        % (size, path)
+                    )
+                writer.close()
+                ended.release()
+
+            server = await asyncio.start_server(answer, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            client = make_client(1)
+
+            async def get(path):
+                url = f"http://127.0.0.1:{port}{path}"
+                return await (await client.get(url)).content()
+
+            await get("/first")
+            slow = asyncio.create_task(get("/slow"))
+            await arrived.wait()
+            slow.cancel()
+            await asyncio.wait((slow,))
+            release.set()
+            body = await get("/last")
+            await client.aclose()
+            server.close()
+            for _ in range(2):
+                await ended.acquire()
+            return body
+
+        self.assertEqual(b"/last", asyncio.run(run()))
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/tokens.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/tokens.py
@@ -10,6 +10,18 @@
 BLOCK_CHARACTERS = 64
 DEFAULT_MAX_TOKENS = 16
 _TOKEN_DIGITS = 6
+# Texts that a relay may take for its own framing when it searches for them.
+_AWKWARD_TEXTS = (
+    "id: 1 ",
+    "data: [DONE] ",
+    "\n\n",
+    "\ndata: [DONE]\n\n",
+    '"}]} ',
+    "\u017elu\u0165 ",
+    "event: error ",
+    "\r\n0\r\n\r\n",
+)
+_AWKWARD_SHARE = 8
 
 
 def expected_tokens(
@@ -26,7 +38,7 @@
         One text per token; their concatenation is the content of the answer.
 
     Example:
-        >>> len("".join(expected_tokens("m", "hello", 3)).split())
+        >>> len(expected_tokens("m", "hello", 3))
         3
     """
     seed = hashlib.sha256(f"{model}\0{prompt}".encode())
@@ -34,10 +46,17 @@
     for position in range(max_tokens):
         digest = seed.copy()
         digest.update(position.to_bytes(4, "big"))
-        tokens.append(digest.hexdigest()[:_TOKEN_DIGITS] + " ")
+        tokens.append(_make_token(digest.digest()))
     return tuple(tokens)
 
 
+def _make_token(digest: bytes) -> str:
+    text = digest.hex()[:_TOKEN_DIGITS] + " "
+    if digest[-1] % _AWKWARD_SHARE == 0:
+        text += _AWKWARD_TEXTS[digest[-2] % len(_AWKWARD_TEXTS)]
+    return text
+
+
 def read_prompt(body: dict[str, Any]) -> str:
     """Returns the prompt of a completion or chat completion request.
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -497,7 +497,7 @@
         await self.register(
             {
                 "instance": name,
-                "role": "agent",
+                "role": "backend",
                 "zone": zone,
                 "address": await self._link(name, address),
                 "deployment": deployment,
