--- /dev/null
+++ b/benchmarks/path.py
@@ -0,0 +1,285 @@
+"""Cost of the path through entry and agent beside a direct connection.
+
+Prints tokens relayed per second of processor time of one entry and one agent,
+the added time to the first token, and what idle processes use. The engine is
+the same stand-in in both cases, and both are measured in one run.
+"""
+
+import argparse
+import asyncio
+import collections
+import json
+import multiprocessing
+import os
+import pathlib
+import statistics
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "tools"))
+
+import fleet as fleets  # noqa: E402
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_TOKEN = "bench"
+_MODEL = "model"
+_PLANNED_TOKENS_PER_S = 32_000
+
+
+def read_usage(pid: int) -> tuple[float, float]:
+    """Returns processor time in seconds and resident memory in MB."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().split(")")[1].split()
+    cpu_s = (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+    pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return cpu_s, pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+async def stream_once(address: str, prompt: str, max_tokens: int) -> tuple:
+    """Makes one streamed call; returns first-token time and events seen."""
+    host, port = address.split(":")
+    body = json.dumps(
+        {
+            "model": _MODEL,
+            "stream": True,
+            "max_tokens": max_tokens,
+            "prompt": prompt,
+        }
+    ).encode()
+    started_s = time.perf_counter()
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        b"POST /v1/completions HTTP/1.1\r\nHost: bench\r\n"
+        b"Authorization: Bearer " + _TOKEN.encode() + b"\r\n"
+        b"Content-Type: application/json\r\nConnection: close\r\n"
+        b"Content-Length: %d\r\n\r\n" % len(body) + body
+    )
+    first_s = None
+    events = 0
+    tail = b""
+    while data := await reader.read(65_536):
+        count = (tail + data).count(b"\ndata: ") - tail.count(b"\ndata: ")
+        tail = data[-16:]
+        if count and first_s is None:
+            first_s = time.perf_counter() - started_s
+        events += count
+    writer.close()
+    if b"[DONE]" not in tail:
+        raise RuntimeError(f"the stream broke off: {tail!r}")
+    return first_s, events
+
+
+async def run_streams(
+    addresses: list[str], streams: int, calls: int, max_tokens: int, name: str
+) -> tuple[list[float], int]:
+    """Runs calls on a number of connections at once."""
+    first = []
+    events = 0
+
+    async def run_one(number: int) -> None:
+        nonlocal events
+        for call in range(calls):
+            seconds, count = await stream_once(
+                addresses[number % len(addresses)],
+                f"{name} {number} {call} prompt",
+                max_tokens,
+            )
+            first.append(seconds)
+            events += count
+
+    await asyncio.gather(*(run_one(number) for number in range(streams)))
+    return first, events
+
+
+def run_client(queue, addresses, streams, calls, max_tokens, name) -> None:
+    """Body of a client process."""
+    queue.put(
+        asyncio.run(run_streams(addresses, streams, calls, max_tokens, name))
+    )
+
+
+def run_clients(
+    processes: int, addresses: list[str], streams: int, calls: int, tokens: int
+) -> tuple[list[float], int, float]:
+    """Runs client processes; returns first-token times, events, seconds."""
+    context = multiprocessing.get_context("spawn")
+    queue = context.Queue()
+    started_s = time.perf_counter()
+    workers = [
+        context.Process(
+            target=run_client,
+            args=(queue, addresses, streams, calls, tokens, f"c{number}"),
+        )
+        for number in range(processes)
+    ]
+    for worker in workers:
+        worker.start()
+    results = [queue.get() for _ in workers]
+    for worker in workers:
+        worker.join()
+    first = [value for times, _ in results for value in times]
+    events = sum(count for _, count in results)
+    return first, events, time.perf_counter() - started_s
+
+
+def choose_percentile(values: list[float], percent: int) -> float:
+    """Returns a percentile in milliseconds."""
+    cuts = statistics.quantiles(values, n=100)
+    return cuts[percent - 1] * 1000
+
+
+async def confirm_intent(site, folder: pathlib.Path, fleet) -> None:
+    """Gives the benchmark's account access to the engines."""
+    import datetime
+    import hashlib
+
+    from chicoryplank.configuration import (
+        SnapshotReader,
+        confirm,
+        parse_intent,
+        plan,
+    )
+    from chicoryplank.ids import OperationId
+    from chicoryplank_wire.store import EtcdStore
+
+    del folder, fleet
+    digest = hashlib.sha256(_TOKEN.encode()).hexdigest()
+    intent = {
+        "accounts": {
+            "add": {
+                "bench": {
+                    "token_sha256": digest,
+                    "requests_per_s": 100_000,
+                    "tokens_per_s": 10_000_000,
+                    "priority": "normal",
+                    "groups": [site.options.engine_deployment],
+                }
+            }
+        },
+        "groups": {
+            "add": {
+                site.options.engine_deployment: {
+                    "models": [_MODEL],
+                    "version": "v1",
+                    "replicas": site.options.engines,
+                    "tokens_per_s": 10_000_000,
+                }
+            }
+        },
+    }
+    store = EtcdStore(site.addresses["store"], datetime.timedelta(seconds=2))
+    reader = SnapshotReader()
+    await reader.refresh(store)
+    made = plan(reader.snapshot, parse_intent(json.dumps(intent)), None)
+    await confirm(store, made, "bench", OperationId("bench-1"))
+    await store.close()
+
+
+async def measure(options: argparse.Namespace) -> None:
+    """Runs all measurements and prints the table."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        with fleets.Fleet(folder) as fleet:
+            site = fleets.Site(
+                fleet,
+                folder,
+                fleets.SiteOptions(
+                    entries=1,
+                    engines=options.engines,
+                    services=1,
+                    model=_MODEL,
+                    engine_arguments=(
+                        "--step-ms",
+                        str(options.step_ms),
+                        "--max-batch",
+                        "512",
+                    ),
+                ),
+            )
+            await site.start()
+            await confirm_intent(site, folder, fleet)
+            await site.wait_until_ready()
+            await asyncio.sleep(2)
+            await report(options, fleet, site)
+
+
+async def report(options, fleet, site) -> None:
+    """Measures idle use, first tokens and throughput."""
+    pids = {name: member.process.pid for name, member in fleet.members.items()}
+    agents = [name for name in pids if name.startswith("agent-engine")]
+    idle_before = {name: read_usage(pid) for name, pid in pids.items()}
+    await asyncio.sleep(options.idle_s)
+    idle = {name: read_usage(pid) for name, pid in pids.items()}
+    for name in ("entry-1", agents[0]):
+        share = (idle[name][0] - idle_before[name][0]) / options.idle_s
+        print(
+            f"idle {name}: {idle[name][1]:.1f} MB resident, "
+            f"{100 * share:.2f} % of a core"
+        )
+    engines = site._select("engine-")
+    rows = collections.OrderedDict()
+    loop = asyncio.get_running_loop()
+    for label, addresses in (("direct", engines), ("path", site.entries)):
+        rows[label] = await loop.run_in_executor(
+            None, run_clients, 1, addresses, 4, options.light_calls, 8
+        )
+    for percent in (50, 99):
+        direct = choose_percentile(rows["direct"][0], percent)
+        path = choose_percentile(rows["path"][0], percent)
+        print(
+            f"first token p{percent}: direct {direct:.1f} ms, "
+            f"path {path:.1f} ms, added {path - direct:.1f} ms"
+        )
+    for label, addresses in (("direct", engines), ("path", site.entries)):
+        before = {name: read_usage(pid)[0] for name, pid in pids.items()}
+        first, events, seconds = await loop.run_in_executor(
+            None,
+            run_clients,
+            options.clients,
+            addresses,
+            options.streams // options.clients,
+            options.calls,
+            options.tokens,
+        )
+        after = {name: read_usage(pid)[0] for name, pid in pids.items()}
+        used = {name: after[name] - before[name] for name in pids}
+        print(
+            f"{label}: {events} tokens in {seconds:.1f} s, "
+            f"{events / seconds:.0f}/s, first token p95 "
+            f"{choose_percentile(first, 95):.0f} ms"
+        )
+        if label == "path":
+            entry_s = used["entry-1"]
+            agents_s = sum(used[name] for name in agents)
+            rate = events / entry_s
+            print(
+                f"entry: {rate:.0f} tokens per core second, "
+                f"{rate / _PLANNED_TOKENS_PER_S:.2f} of the planned "
+                f"{_PLANNED_TOKENS_PER_S}; {entry_s:.2f} s used"
+            )
+            print(f"agents: {events / agents_s:.0f} tokens per core second")
+        engines_s = sum(
+            value for name, value in used.items() if name.startswith("engine")
+        )
+        print(
+            f"{label} engines: {events / engines_s:.0f} tokens per core second"
+        )
+
+
+def main() -> None:
+    """Reads the options and runs the benchmark."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--engines", type=int, default=4)
+    parser.add_argument("--streams", type=int, default=128)
+    parser.add_argument("--clients", type=int, default=2)
+    parser.add_argument("--calls", type=int, default=2)
+    parser.add_argument("--tokens", type=int, default=315)
+    parser.add_argument("--step-ms", type=float, default=12)
+    parser.add_argument("--light-calls", type=int, default=50)
+    parser.add_argument("--idle-s", type=float, default=10)
+    asyncio.run(measure(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
@@ -16,6 +16,7 @@
 from chicoryplank.idempotency import ClaimRegistry
 from chicoryplank.ids import Incarnation
 from chicoryplank.lifecycle import Application
+from chicoryplank.logs import install_logs
 from chicoryplank.store import StoreError
 from chicoryplank_agent.backend import BackendClient
 from chicoryplank_agent.relay import RelayService
@@ -134,4 +135,5 @@
 
 def run(settings: AgentSettings) -> None:
     """Runs the agent daemon in this process."""
+    install_logs()
     asyncio.run(serve(settings, SystemClock()))
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -17,6 +17,7 @@
 from chicoryplank.ids import Incarnation
 from chicoryplank.lifecycle import Application
 from chicoryplank.limits import Limiter
+from chicoryplank.logs import install_logs
 from chicoryplank_entry.admission import AdmissionGate
 from chicoryplank_entry.controllers import (
     follow_configuration,
@@ -238,4 +239,5 @@
 
 def run(settings: EntrySettings) -> None:
     """Runs the entry daemon in this process."""
+    install_logs()
     asyncio.run(serve(settings, SystemClock()))
