Add the demo

make demo starts a site of stand-ins, four agents and three entries, configures it through the operator commands, sends seeded traffic and verifies every answer against the backends' records.

--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,6 @@
 
 bench-routing: setup
 	$(PYTHON) benchmarks/routing.py
+
+demo: setup
+	$(PYTHON) tools/demo.py
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import hashlib
 import json
 import os
 import pathlib
@@ -366,15 +367,43 @@
     engines: int = 3
     services: int = 1
     zones: tuple[str, ...] = ("toolroom", "press-hall", "front-office")
-    model: str = "model"
+    model: str = "toolroom"
     engine_deployment: str = "toolroom-llm"
     service_deployment: str = "press-tablets"
+    service: str = "tablets"
     has_links: bool = False
     engine_arguments: tuple[str, ...] = ()
     entry_settings: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     agent_settings: Mapping[str, Any] = dataclasses.field(default_factory=dict)
 
 
+def make_intent(options: SiteOptions, token: str) -> dict[str, Any]:
+    """Returns an intent by which one account may use the whole site."""
+    account = {
+        "token_sha256": hashlib.sha256(token.encode()).hexdigest(),
+        "requests_per_s": 500,
+        "tokens_per_s": 2_000 * options.engines,
+        "priority": "urgent",
+        "groups": [options.engine_deployment],
+        "services": [options.service],
+    }
+    group = {
+        "models": [options.model],
+        "version": "v1",
+        "replicas": options.engines,
+        "tokens_per_s": 2_500,
+    }
+    service = {
+        "deployment": options.service_deployment,
+        "non_repeatable_paths": ["/quotes"],
+    }
+    return {
+        "accounts": {"add": {"shop-floor": account}},
+        "groups": {"add": {options.engine_deployment: group}},
+        "services": {"add": {options.service: service}},
+    }
+
+
 class Site:
     """Stand-ins, agents and entries of one site.
 
