--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,6 @@
 # Each measurement is benchmarks/<name>.py; make bench-<name> runs it.
 bench-%: setup
 	$(PYTHON) benchmarks/$(subst -,_,$*).py
+
+demo: setup
+	$(PYTHON) tools/demo.py
