List parts in slices when collecting and tighten checks of a confirm

It now lists 256 slices by digest and walks the change records one by one. 500 change records are kept instead of 200, which is 19 minutes at the target rate. A plan on a version that the store no longer has is rejected as such, not as a lost race. Deeply nested or overflowing content of roots and parts is a coded error.

--- a/packages/chicoryplank/src/chicoryplank/configuration/_changes.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_changes.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator, Mapping
 from datetime import datetime
 
-from chicoryplank.configuration._parts import encode_json
+from chicoryplank.configuration._parts import MALFORMED, encode_json
 from chicoryplank.configuration._records import encode_record
 from chicoryplank.configuration._snapshot import Snapshot
 from chicoryplank.errors import ChicoryplankError, ErrorCode
@@ -147,7 +147,7 @@
             change_count=int(document["change_count"]),
             previous=str(document["previous"]),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except MALFORMED as error:
         raise ChicoryplankError(
             ErrorCode.INVALID_CONFIGURATION,
             f"a change record is malformed: {error}",
--- a/packages/chicoryplank/src/chicoryplank/configuration/_collect.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_collect.py
@@ -21,10 +21,15 @@
 from chicoryplank.configuration._parts import (
     PART_PREFIX,
     ROOT_KEY,
+    Root,
     decode_root,
     make_part_key,
 )
-from chicoryplank.store import Record, Store, SwapOutcome
+from chicoryplank.store import Store, SwapOutcome
+
+# Parts are listed in 256 slices, so that an answer stays below a few megabytes
+# also when a day of 37,000 changes was not collected (about 220 MB).
+_PREFIXES = tuple(f"{PART_PREFIX}{number:02x}" for number in range(256))
 
 
 async def collect_parts(
@@ -61,27 +66,28 @@
     ):
         return 0
     barrier = fresh.revision
-    parts = {item.key: item for item in await store.read_prefix(PART_PREFIX)}
-    root = decode_root(record.value)
-    kept = {make_part_key(digest) for digest in root.parts.values()}
-    kept |= _find_history(parts, root.change, history_versions)
+    kept = await _find_kept(store, decode_root(record.value), history_versions)
     deleted = 0
-    for key, part in parts.items():
-        if key in kept or part.revision >= barrier:
-            continue
-        outcome = await store.delete(key, part.revision)
-        deleted += outcome is SwapOutcome.SWAPPED
+    for prefix in _PREFIXES:
+        for part in await store.read_prefix(prefix):
+            if part.key in kept or part.revision >= barrier:
+                continue
+            outcome = await store.delete(part.key, part.revision)
+            deleted += outcome is SwapOutcome.SWAPPED
     return deleted
 
 
-def _find_history(
-    parts: dict[str, Record], digest: str, history_versions: int
-) -> set[str]:
-    kept: set[str] = set()
-    while digest and len(kept) < history_versions:
+async def _find_kept(
+    store: Store, root: Root, history_versions: int
+) -> frozenset[str]:
+    """Returns the keys of the parts and change records that stay."""
+    kept = {make_part_key(digest) for digest in root.parts.values()}
+    digest = root.change
+    for _ in range(history_versions):
         key = make_part_key(digest)
-        if key not in parts:
+        record = await store.read(key) if digest else None
+        if record is None:
             break
         kept.add(key)
-        digest = decode_change_record(parts[key].value).previous
-    return kept
+        digest = decode_change_record(record.value).previous
+    return frozenset(kept)
--- a/packages/chicoryplank/src/chicoryplank/configuration/_confirm.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_confirm.py
@@ -43,8 +43,9 @@
 _MAX_ATTEMPTS = 5
 _CONCURRENT_WRITES = 8
 _MAX_OPERATION_CHARACTERS = 200
-# History is kept at least this long by the collection of parts.
-HISTORY_VERSIONS = 200
+# Change records that the collection of parts keeps. At 0.43 changes a second
+# these cover 19 minutes, in which an unknown outcome can be settled.
+HISTORY_VERSIONS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -213,6 +214,12 @@
         return _Attempt.CHANGED
     if reader.snapshot.version != root.version:
         return _Attempt.CHANGED
+    if root.version < made.base_version:
+        raise ChicoryplankError(
+            ErrorCode.INVALID_PLAN,
+            f"the plan is on version {made.base_version}, but the store "
+            f"holds version {root.version}; make a new plan",
+        )
     if root.version != made.base_version:
         raise await _make_superseded(store, reader, made, request.capacity)
     target = _rebuild_target(reader.snapshot, made, request.capacity)
--- a/packages/chicoryplank/src/chicoryplank/configuration/_parts.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_parts.py
@@ -31,6 +31,15 @@
 # 160 bits resist collisions and keep the root, which every daemon receives
 # for each change, under 4 KB at 900 accounts and 16 groups.
 _DIGEST_BYTES = 20
+# What decoding of malformed content raises.
+MALFORMED = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 _CHECKS = {
     "accounts": ACCOUNT_CHECK,
     "groups": GROUP_CHECK,
@@ -150,7 +159,7 @@
         if section == "leaving":
             return PartContent(leaving=_decode_leaving(members))
         records = _decode_records(section, members)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except MALFORMED as error:
         raise _fail(f"part {name}", error) from error
     return PartContent(**{section: records})
 
@@ -205,7 +214,7 @@
                 for name, digest in document["parts"].items()
             },
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except MALFORMED as error:
         raise _fail("the configuration root", error) from error
 
 
--- a/packages/chicoryplank/src/chicoryplank/configuration/_plan.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_plan.py
@@ -26,6 +26,7 @@
     parse_intent,
 )
 from chicoryplank.configuration._parts import (
+    MALFORMED,
     digest_bytes,
     digest_content,
     digest_parts,
@@ -319,14 +320,7 @@
         expected = _compute_digest(
             made.base_version, made.base_digest, made.intent, made.changes
         )
-    except (
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-        RecursionError,
-        ChicoryplankError,
-    ) as error:
+    except (*MALFORMED, ChicoryplankError) as error:
         raise ChicoryplankError(
             ErrorCode.INVALID_PLAN, f"the plan file is malformed: {error}"
         ) from error
--- a/packages/chicoryplank/src/chicoryplank/configuration/tests/test_plan.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/tests/test_plan.py
@@ -4,6 +4,7 @@
 import pathlib
 
 import testtools
+from hypothesis import given, settings, strategies
 
 from chicoryplank.configuration import (
     Capacity,
@@ -11,6 +12,7 @@
     InvalidInputError,
     SnapshotReader,
     decode_plan,
+    encode_intent,
     encode_plan,
     format_plan,
     parse_intent,
@@ -144,6 +146,43 @@
         found = self.find_paths(plan, make_base(), intent, CAPACITY)
         self.assertEqual({"(whole)"}, found)
 
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(
+        strategies.recursive(
+            strategies.none()
+            | strategies.floats()
+            | strategies.text(max_size=5)
+            | strategies.sampled_from(["llm", "add", {}, []]),
+            lambda inner: (
+                strategies.lists(inner, max_size=3)
+                | strategies.dictionaries(
+                    strategies.sampled_from(
+                        [
+                            "accounts",
+                            "groups",
+                            "leaving",
+                            "add",
+                            "change",
+                            "remove",
+                        ]
+                    ),
+                    inner,
+                    max_size=3,
+                )
+            ),
+            max_leaves=10,
+        )
+    )
+    def test_any_json_is_accepted_or_listed(self, value):
+        """Guards against values that crash a check."""
+        try:
+            parsed = parse_intent(json.dumps(value))
+        except InvalidInputError as error:
+            self.assertNotEqual((), error.problems)
+        else:
+            encoded = json.dumps(encode_intent(parsed))
+            self.assertEqual(parsed, parse_intent(encoded))
+
     def test_documentation_lists_every_field(self):
         """Guards against fields or bounds that operators cannot look up."""
         text = (_DOCS / "operators.md").read_text()
