--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -60,7 +60,7 @@
     tail = b""
     while data := await reader.read(65_536):
         count = (tail + data).count(b"\ndata: ") - tail.count(b"\ndata: ")
-        tail = data[-16:]
+        tail = (tail + data)[-64:]
         if count and first_s is None:
             first_s = time.perf_counter() - started_s
         events += count
@@ -92,11 +92,9 @@
     return first, events
 
 
-def run_client(queue, addresses, streams, calls, max_tokens, name) -> None:
+def run_client(queue, arguments) -> None:
     """Body of a client process."""
-    queue.put(
-        asyncio.run(run_streams(addresses, streams, calls, max_tokens, name))
-    )
+    queue.put(asyncio.run(run_streams(*arguments)))
 
 
 def run_clients(
@@ -109,7 +107,7 @@
     workers = [
         context.Process(
             target=run_client,
-            args=(queue, addresses, streams, calls, tokens, f"c{number}"),
+            args=(queue, (addresses, streams, calls, tokens, f"c{number}")),
         )
         for number in range(processes)
     ]
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/cli.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/cli.py
@@ -38,3 +38,7 @@
     from chicoryplank_agent import daemon
 
     daemon.run(parsed)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/cli.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/cli.py
@@ -296,3 +296,7 @@
     from chicoryplank_entry import daemon
 
     daemon.run(parsed)
+
+
+if __name__ == "__main__":
+    main()
