Run the demo with the operator commands

The daemons and commands are started as the installed scripts, because python -m chicoryplank_entry.cli ends at once without doing anything: the module has no __main__ guard.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -14,11 +14,11 @@
 import time
 from typing import Any
 
-from fleet import Fleet, FleetError, Site, SiteOptions, make_intent
+from fleet import Fleet, FleetError
+from layout import Site, SiteOptions, make_intent
 
 TOKEN = "demo-token"
 INTERRUPTED = 130
-COMMANDS = "chicoryplank_entry.cli"
 # The load tool waits this long for its last answers.
 LOAD_GRACE_S = 60
 
@@ -44,7 +44,7 @@
         ("confirm", *platform, "--operator", "demo", str(planned)),
     )
     for command in commands:
-        code, output = await fleet.call(COMMANDS, *command)
+        code, output = await fleet.call("chicoryplank", *command)
         sys.stderr.write(output)
         if code != 0:
             raise FleetError(f"chicoryplank {command[0]} ended with {code}")
--- /dev/null
+++ b/tools/layout.py
@@ -0,0 +1,242 @@
+"""Layout of a site: stand-ins, agents and entries on the loopback interface."""
+
+import dataclasses
+import hashlib
+import json
+import pathlib
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from fleet import (
+    HOST,
+    Fleet,
+    FleetError,
+    Forwarder,
+    choose_ports,
+    request_json,
+    wait_for_http,
+    wait_for_port,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SiteOptions:
+    """Size of a site.
+
+    Attributes:
+        has_links: Whether forwarders stand between entries and agents, and
+            between daemons and the store.
+        engine_arguments: Further arguments of each engine.
+        entry_settings: Further settings of each entry.
+        agent_settings: Further settings of each agent.
+    """
+
+    entries: int = 3
+    engines: int = 3
+    services: int = 1
+    zones: tuple[str, ...] = ("toolroom", "press-hall", "front-office")
+    model: str = "toolroom"
+    engine_deployment: str = "toolroom-llm"
+    service_deployment: str = "press-tablets"
+    service: str = "tablets"
+    has_links: bool = False
+    engine_arguments: tuple[str, ...] = ()
+    entry_settings: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+    agent_settings: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+
+
+def make_intent(options: SiteOptions, token: str) -> dict[str, Any]:
+    """Returns an intent by which one account may use the whole site."""
+    account = {
+        "token_sha256": hashlib.sha256(token.encode()).hexdigest(),
+        "requests_per_s": 500,
+        "tokens_per_s": 2_000 * options.engines,
+        "priority": "urgent",
+        "groups": [options.engine_deployment],
+        "services": [options.service],
+    }
+    group = {
+        "models": [options.model],
+        "version": "v1",
+        "replicas": options.engines,
+        "tokens_per_s": 2_500,
+    }
+    service = {
+        "deployment": options.service_deployment,
+        "non_repeatable_paths": ["/quotes"],
+    }
+    return {
+        "accounts": {"add": {"shop-floor": account}},
+        "groups": {"add": {options.engine_deployment: group}},
+        "services": {"add": {options.service: service}},
+    }
+
+
+class Site:
+    """Stand-ins, agents and entries of one site.
+
+    Args:
+        fleet: Runs the processes.
+        folder: Folder for the settings.
+        options: Size of the site.
+
+    Attributes:
+        addresses: Address by process name; an entry's is its caller address.
+        links: Forwarders by name: the agent's for entries that connect to it,
+            `store-<daemon>` for a daemon's calls of the store.
+    """
+
+    def __init__(
+        self, fleet: Fleet, folder: pathlib.Path, options: SiteOptions
+    ) -> None:
+        self.options = options
+        self.addresses: dict[str, str] = {}
+        self.links: dict[str, Forwarder] = {}
+        self._fleet = fleet
+        self._folder = folder
+        backends = options.engines + options.services
+        self._ports = choose_ports(2 + 4 * backends + 3 * options.entries)
+
+    @property
+    def entries(self) -> list[str]:
+        """Returns the caller addresses of the entries."""
+        return self._select("entry-")
+
+    @property
+    def backends(self) -> list[str]:
+        """Returns the addresses of engines and services."""
+        return self._select("engine-") + self._select("service-")
+
+    async def start(self, limit_s: float = 20) -> None:
+        """Starts everything and waits until it accepts connections."""
+        for name in ("store", "instances"):
+            self._start_standin(name, name)
+        await wait_for_http(self.addresses["store"], "/calls", limit_s)
+        await wait_for_http(self.addresses["instances"], "/instances", limit_s)
+        for number in range(1, self.options.engines + 1):
+            arguments = ("--models", self.options.model)
+            arguments += self.options.engine_arguments
+            self._start_standin(f"engine-{number}", "engine", *arguments)
+        for number in range(1, self.options.services + 1):
+            self._start_standin(f"service-{number}", "service")
+        for name in [*self._find("engine-"), *self._find("service-")]:
+            await wait_for_http(self.addresses[name], "/records", limit_s)
+            await self._start_agent(name)
+        for number in range(1, self.options.entries + 1):
+            await self._start_entry(f"entry-{number}", number)
+        for name in self._find("agent-"):
+            await wait_for_port(self.addresses[name], limit_s)
+        for address in self.entries:
+            await wait_for_http(address, "/healthz", limit_s)
+
+    async def wait_until_ready(self, limit_s: float = 20) -> None:
+        """Waits until every entry serves."""
+        for address in self.entries:
+            await wait_for_http(address, "/readyz", limit_s)
+
+    async def register(self, instance: Mapping[str, Any]) -> None:
+        """Adds an instance to the instance list."""
+        status, _ = await request_json(
+            self.addresses["instances"], "/instances", "POST", dict(instance)
+        )
+        if status != 200:
+            raise FleetError(f"the instance list answered {status}")
+
+    async def close(self) -> None:
+        """Closes the links; the fleet ends the processes."""
+        for link in self.links.values():
+            await link.close()
+
+    def _find(self, prefix: str) -> list[str]:
+        return [name for name in self.addresses if name.startswith(prefix)]
+
+    def _select(self, prefix: str) -> list[str]:
+        return [self.addresses[name] for name in self._find(prefix)]
+
+    def _take_address(self) -> str:
+        return f"{HOST}:{self._ports.pop()}"
+
+    def _start_standin(self, name: str, kind: str, *arguments: str) -> None:
+        address = self.addresses[name] = self._take_address()
+        module = f"chicoryplank_standins.{kind}"
+        self._fleet.start(name, module, "--listen", address, *arguments)
+
+    async def _link(self, name: str, target: str) -> str:
+        if not self.options.has_links:
+            return target
+        link = Forwarder(self._ports.pop(), target)
+        await link.start()
+        self.links[name] = link
+        return link.address
+
+    async def _start_agent(self, backend: str) -> None:
+        name = f"agent-{backend}"
+        zones = self.options.zones
+        zone = zones[len(self._find("agent-")) % len(zones)]
+        is_engine = backend.startswith("engine-")
+        deployment = (
+            self.options.engine_deployment
+            if is_engine
+            else self.options.service_deployment
+        )
+        address = self.addresses[name] = self._take_address()
+        store = await self._link(f"store-{name}", self.addresses["store"])
+        settings = {
+            "instance": name,
+            "zone": zone,
+            "deployment": deployment,
+            "listen_address": address,
+            "backend_address": self.addresses[backend],
+            "store": {"address": store, "timeout_ms": 500},
+            **self.options.agent_settings,
+        }
+        self._start_daemon(name, "chicoryplank-agent", (), settings)
+        await self.register(
+            {
+                "instance": name,
+                "role": "backend",
+                "zone": zone,
+                "address": await self._link(name, address),
+                "deployment": deployment,
+            }
+        )
+
+    async def _start_entry(self, name: str, number: int) -> None:
+        zone = self.options.zones[number % len(self.options.zones)]
+        caller = self.addresses[name] = self._take_address()
+        control = self._take_address()
+        store = await self._link(f"store-{name}", self.addresses["store"])
+        settings = {
+            "instance": name,
+            "zone": zone,
+            "caller_address": caller,
+            "control_address": control,
+            "store": {"address": store, "timeout_ms": 500},
+            "instance_list": {
+                "address": self.addresses["instances"],
+                "poll_interval_ms": 1_000,
+            },
+            **self.options.entry_settings,
+        }
+        arguments = ("serve",)
+        self._start_daemon(name, "chicoryplank", arguments, settings)
+        await self.register(
+            {
+                "instance": name,
+                "role": "entry",
+                "zone": zone,
+                "address": control,
+                "caller_address": caller,
+            }
+        )
+
+    def _start_daemon(
+        self,
+        name: str,
+        program: str,
+        arguments: Iterable[str],
+        settings: Mapping[str, Any],
+    ) -> None:
+        path = self._folder / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        self._fleet.start(name, program, *arguments, "--settings", str(path))
