--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_checks.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_checks.py
@@ -189,6 +189,10 @@
         if outcome.refusal:
             refusals = self._repeat_refusals if is_repeat else self._refusals
             refusals[outcome.refusal] += 1
+            self._explain(
+                f"{call.kind.value} at {call.at_s:.2f} s: {outcome.refusal} "
+                f"{outcome.verdict}, repeat {is_repeat}"
+            )
         if outcome.fault:
             self._wrong += 1
             self._explain(f"{call.kind.value} {call.path}: {outcome.fault}")
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_service.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_service.py
@@ -10,7 +10,11 @@
     make_application as make_instance_application,
 )
 from chicoryplank_standins.service import Service, make_application
-from chicoryplank_standins.tests.asgi import request
+from chicoryplank_standins.tests.asgi import request, settle, start
+from chicoryplank_standins.weights import WeightStore
+from chicoryplank_standins.weights import (
+    make_application as make_weight_application,
+)
 
 
 class TestService(testtools.TestCase):
@@ -98,3 +102,35 @@
             [],
         ]
         self.assertEqual(expected, asyncio.run(run()))
+
+
+class TestWeightStore(testtools.TestCase):
+    """Size and bound of the weight store."""
+
+    def test_readers_above_the_bound_are_rejected(self):
+        """Guards against a store that takes any number of readers."""
+
+        async def run():
+            application = make_weight_application(WeightStore(1.0, 1))
+            first = start(application, "GET", "/weights/m?bytes=1000")
+            await settle()
+            second = await request(application, "GET", "/weights/m?bytes=1")
+            first.disconnect()
+            await first.task
+            third = start(application, "GET", "/weights/m?bytes=1000")
+            await settle()
+            third.disconnect()
+            await third.task
+            return first.status, second.status, third.status
+
+        self.assertEqual((200, 429, 200), asyncio.run(run()))
+
+    def test_weights_have_the_wanted_size(self):
+        """Guards against a truncated last piece."""
+
+        async def run():
+            application = make_weight_application(WeightStore(1e12, 1))
+            path = "/weights/m?bytes=100001"
+            return len((await request(application, "GET", path)).body)
+
+        self.assertEqual(100_001, asyncio.run(run()))
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import dataclasses
 import json
 import os
@@ -24,6 +25,18 @@
 HOST = "127.0.0.1"
 POLL_INTERVAL_S = 0.05
 FORWARD_BYTES = 65_536
+# Option of prctl(2): the signal that a process gets when its parent ends.
+_PR_SET_PDEATHSIG = 1
+_LIBRARY = ctypes.CDLL(None)
+
+
+def _end_with_parent() -> None:
+    """Lets the kernel end a child whose parent was killed.
+
+    It runs between fork and exec and calls nothing but prctl, so that other
+    threads of the parent do not matter.
+    """
+    _LIBRARY.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 class FleetError(Exception):
@@ -68,7 +81,8 @@
     """Starts processes and leaves none behind.
 
     Each process has a process group of its own, so that an interrupt at the
-    terminal reaches only the parent, which ends the others in order.
+    terminal reaches only the parent, which ends the others in order. Use it
+    from the main thread: the processes end with the thread that started them.
 
     Args:
         folder: Folder for logs.
@@ -105,6 +119,7 @@
                 env=self._environment,
                 cwd=ROOT,
                 process_group=0,
+                preexec_fn=_end_with_parent,  # noqa: PLW1509
             )
         self.members[name] = member
         return member
@@ -129,6 +144,7 @@
             env=self._environment,
             cwd=ROOT,
             process_group=0,
+            preexec_fn=_end_with_parent,  # noqa: PLW1509
         )
         try:
             async with asyncio.timeout(limit_s):
