--- /dev/null
+++ b/benchmarks/rebalance.py
@@ -0,0 +1,285 @@
+"""Compares rebalancing policies on seeded traces.
+
+One interval is 1,000 steps. A decision made from the loads of an interval is
+in force in the next one. Copies are counted as stalled steps at a fixed rate
+for every policy, plus one stalled step per switch. The first intervals are
+excluded from skew, bytes, switches and stalls for every policy.
+"""
+
+import argparse
+import concurrent.futures
+import dataclasses
+import datetime
+import math
+import random
+import time
+from collections.abc import Callable, Iterator
+
+from chicoryplank.configuration import Objective
+from chicoryplank.rebalance import (
+    Decision,
+    IncrementalPolicy,
+    Policy,
+    RepackPolicy,
+    StaticPolicy,
+    compute_rank_loads,
+    compute_skew,
+    compute_skew_bound,
+    make_map,
+    make_settings,
+)
+
+EXPERTS = 256
+INTERVALS = 240
+SETTLING = 30
+INTERVAL_S = 6.0
+# Weights of one expert of 7168 x 2048 in three matrices at one byte each.
+EXPERT_BYTES = 44_040_192
+# Weights that one rank receives per step of 6 ms at 25 GB/s.
+BYTES_PER_STEP = 150_000_000
+# Tokens of one sequence favour the same experts, so counts vary more than
+# independent draws: variance = DISPERSION * mean.
+MEAN_COUNT = 8_000
+DISPERSION = 8.0
+
+
+def _make_popularity(rng: random.Random) -> list[float]:
+    weights = [rng.lognormvariate(0, 0.8) for _ in range(EXPERTS)]
+    total = sum(weights)
+    return [weight * EXPERTS / total for weight in weights]
+
+
+def _walk_drift(rng: random.Random) -> Iterator[list[float]]:
+    weights = _make_popularity(rng)
+    while True:
+        yield weights
+        weights = [
+            weight * math.exp(rng.gauss(0, 0.02) - 0.01 * math.log(weight))
+            for weight in weights
+        ]
+
+
+def _walk_spike(rng: random.Random) -> Iterator[list[float]]:
+    base = _make_popularity(rng)
+    weights = list(base)
+    for interval in range(1_000_000):
+        if interval % 80 == 40:
+            weights = list(base)
+            for expert in rng.sample(range(EXPERTS), 6):
+                weights[expert] *= 6
+        elif interval % 80 == 0:
+            weights = list(base)
+        yield weights
+
+
+def _walk_periodic(rng: random.Random) -> Iterator[list[float]]:
+    base = _make_popularity(rng)
+    phases = [rng.uniform(0, 2 * math.pi) for _ in base]
+    for interval in range(1_000_000):
+        angle = 2 * math.pi * interval / 96
+        yield [
+            weight * (1 + 0.5 * math.sin(angle + phase))
+            for weight, phase in zip(base, phases, strict=True)
+        ]
+
+
+def _walk_noise(rng: random.Random) -> Iterator[list[float]]:
+    weights = _make_popularity(rng)
+    while True:
+        yield weights
+
+
+def _walk_adversarial(rng: random.Random) -> Iterator[list[float]]:
+    """Moves the load to other experts as soon as a policy has reacted."""
+    base = _make_popularity(rng)
+    weights = list(base)
+    for interval in range(1_000_000):
+        if interval % 2 == 0:
+            weights = list(base)
+            for expert in rng.sample(range(EXPERTS), 8):
+                weights[expert] *= 4
+        yield weights
+
+
+TRACES: dict[str, Callable[[random.Random], Iterator[list[float]]]] = {
+    "drift": _walk_drift,
+    "spike": _walk_spike,
+    "periodic": _walk_periodic,
+    "noise": _walk_noise,
+    "adversarial": _walk_adversarial,
+}
+
+
+def make_trace(name: str, seed: int) -> list[list[float]]:
+    """Returns the counts of each expert in each interval."""
+    rng = random.Random(f"{name}-{seed}")
+    walk = TRACES[name](rng)
+    trace = []
+    for _ in range(INTERVALS):
+        weights = next(walk)
+        scale = MEAN_COUNT * EXPERTS / sum(weights)
+        means = [weight * scale for weight in weights]
+        trace.append(
+            [
+                max(0.0, rng.gauss(mean, math.sqrt(DISPERSION * mean)))
+                for mean in means
+            ]
+        )
+    return trace
+
+
+POLICIES: dict[str, Callable[[], Policy]] = {
+    "static": StaticPolicy,
+    "re-pack": lambda: RepackPolicy(EXPERT_BYTES),
+    "inc. skew": lambda: IncrementalPolicy(
+        make_settings(Objective.SKEW, EXPERT_BYTES)
+    ),
+    "inc. cost": lambda: IncrementalPolicy(
+        make_settings(Objective.COST, EXPERT_BYTES)
+    ),
+}
+
+
+@dataclasses.dataclass
+class Row:
+    """Measurements of one policy on one trace."""
+
+    trace: str
+    ranks: int
+    spare: int
+    policy: str
+    p50: float = 0.0
+    p99: float = 0.0
+    bound_p50: float = 0.0
+    bound_p99: float = 0.0
+    moved_bytes: int = 0
+    switches: int = 0
+    stalled_steps: int = 0
+    worst_block_ms: float = 0.0
+    worst_total_ms: float = 0.0
+
+
+def _decide(
+    policy: Policy, expert_map, now: datetime.datetime, row: Row
+) -> Decision:
+    steps = policy.choose_in_steps(expert_map, now)
+    total = 0.0
+    while True:
+        start = time.thread_time()
+        try:
+            next(steps)
+            decision = None
+        except StopIteration as end:
+            decision = end.value
+        block = (time.thread_time() - start) * 1e3
+        total += block
+        row.worst_block_ms = max(row.worst_block_ms, block)
+        if decision is not None:
+            row.worst_total_ms = max(row.worst_total_ms, total)
+            return decision
+
+
+def _count_stalls(decision: Decision) -> int:
+    incoming: dict[int, int] = {}
+    for move in decision.moves:
+        incoming[move.target] = incoming.get(move.target, 0) + move.size_bytes
+    return 1 + math.ceil(max(incoming.values()) / BYTES_PER_STEP)
+
+
+def _get_percentile(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[math.ceil(share * len(ordered)) - 1]
+
+
+def measure(case: tuple[str, int, int, str, int]) -> Row:
+    trace_name, ranks, spare, policy_name, seed = case
+    row = Row(trace_name, ranks, spare, policy_name)
+    policy = POLICIES[policy_name]()
+    expert_map = make_map(EXPERTS, ranks, spare)
+    capacities = [len(slots) for slots in expert_map.slots]
+    now = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+    skews, bounds = [], []
+    for interval, loads in enumerate(make_trace(trace_name, seed)):
+        counted = interval >= SETTLING
+        if counted:
+            skews.append(compute_skew(compute_rank_loads(expert_map, loads)))
+            bounds.append(compute_skew_bound(loads, capacities))
+        now += datetime.timedelta(seconds=INTERVAL_S)
+        policy.observe(loads, now)
+        decision = _decide(policy, expert_map, now, row)
+        expert_map = decision.expert_map
+        if decision.moves and counted:
+            row.moved_bytes += decision.moved_bytes
+            row.switches += 1
+            row.stalled_steps += _count_stalls(decision)
+    row.p50, row.p99 = (_get_percentile(skews, s) for s in (0.5, 0.99))
+    row.bound_p50, row.bound_p99 = (
+        _get_percentile(bounds, share) for share in (0.5, 0.99)
+    )
+    return row
+
+
+def _judge(rows: dict[tuple, Row]) -> None:
+    print("\nTargets of the incremental policy for skew, against re-pack:\n")
+    met_both = 0
+    keys = sorted({key[:3] for key in rows})
+    for key in keys:
+        repack, own = rows[(*key, "re-pack")], rows[(*key, "inc. skew")]
+        skew_met = own.p99 <= repack.p99
+        bytes_met = own.moved_bytes * 10 <= repack.moved_bytes
+        met_both += skew_met and bytes_met
+        if not (skew_met and bytes_met):
+            print(
+                f"- not met: {key}: p99 {own.p99:.3f} against "
+                f"{repack.p99:.3f}, bytes {own.moved_bytes / 1e9:.1f} GB "
+                f"against {repack.moved_bytes / 1e9:.1f} GB"
+            )
+    print(f"- both met in {met_both} of {len(keys)} cases")
+    for name in ("inc. skew", "inc. cost"):
+        moved = [
+            key
+            for key, row in rows.items()
+            if key[0] == "noise" and key[3] == name and row.switches
+        ]
+        print(f"- {name}: noise cases with moves after settling: {moved}")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--workers", type=int, default=4)
+    parser.add_argument("--policies", default=",".join(POLICIES))
+    options = parser.parse_args()
+    cases = [
+        (trace, ranks, spare, policy, options.seed)
+        for trace in TRACES
+        for ranks in (16, 64, 256)
+        for spare in (0, 32, 64)
+        for policy in options.policies.split(",")
+    ]
+    print(
+        f"seed {options.seed}, {INTERVALS} intervals of {INTERVAL_S:.0f} s, "
+        f"first {SETTLING} excluded; times are CPU ms\n"
+    )
+    print(
+        "| trace | ranks | spare | policy | p50 | p99 | bound p50 | bound p99 "
+        "| GB moved | switches | stalled steps | worst block | worst total |"
+    )
+    print("|---" * 13 + "|")
+    rows = {}
+    with concurrent.futures.ProcessPoolExecutor(options.workers) as pool:
+        for row in pool.map(measure, cases):
+            rows[row.trace, row.ranks, row.spare, row.policy] = row
+            print(
+                f"| {row.trace} | {row.ranks} | {row.spare} | {row.policy} "
+                f"| {row.p50:.3f} | {row.p99:.3f} | {row.bound_p50:.3f} "
+                f"| {row.bound_p99:.3f} | {row.moved_bytes / 1e9:.1f} "
+                f"| {row.switches} | {row.stalled_steps} "
+                f"| {row.worst_block_ms:.1f} | {row.worst_total_ms:.1f} |",
+                flush=True,
+            )
+    _judge(rows)
+
+
+if __name__ == "__main__":
+    main()
