--- a/packages/chicoryplank/src/chicoryplank/rebalance/_search.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_search.py
@@ -122,25 +122,16 @@
 
 
 def _find_replication(
-    placement: Placement,
-    top: int,
-    aim: float,
-    gained: set[int],
-    lost: set[int],
+    placement: Placement, top: int, aim: float
 ) -> _Change | None:
-    """Finds a replication that does not undo an earlier one."""
     best: _Change | None = None
     victims = _list_victims(placement)
     for piece, expert in placement.ordered[top][-_REPLICATED_CANDIDATES:]:
-        if expert in lost:
-            continue
         count = len(placement.holders[expert])
         shrunk = piece * count / (count + 1)
         reduced = placement.totals[top] - piece + shrunk
         for harm, rest, rank, victim in victims:
-            if victim == expert or victim in gained:
-                continue
-            if expert in placement.slots[rank]:
+            if victim == expert or expert in placement.slots[rank]:
                 continue
             result = max(harm, rest + shrunk, reduced, aim)
             if best is None or result < best[0]:
@@ -181,8 +172,6 @@
     yield
     steps: list[Step] = []
     moves, detours = 0, 0
-    gained: set[int] = set()
-    lost: set[int] = set()
     while moves < max_moves:
         top = max(
             range(len(placement.totals)), key=placement.totals.__getitem__
@@ -192,7 +181,7 @@
             break
         swap = _find_swap(placement, top, aim)
         yield
-        replication = _find_replication(placement, top, aim, gained, lost)
+        replication = _find_replication(placement, top, aim)
         yield
         found = [item for item in (swap, replication) if item is not None]
         change = min(found, default=None)
@@ -204,9 +193,6 @@
         if moves + change[1] > max_moves:
             break
         _apply(placement, change)
-        if change[2] == _REPLACE:
-            lost.add(change[3][1])
-            gained.add(change[3][2])
         moves += change[1]
         assignment = tuple(tuple(slots) for slots in placement.slots)
         steps.append(Step(assignment, moves, max(placement.totals)))
