Require a least gain of each search step

Cause: the search accepted any improvement, so it gave spare slots to experts with almost no load (up to 9 replicas of one) and then stalled. A detour now replicates the largest replica of the slowest rank only.

--- a/packages/chicoryplank/src/chicoryplank/rebalance/_search.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_search.py
@@ -11,6 +11,9 @@
 _REPLICATED_CANDIDATES = 4
 # Replications in a row that may raise the maximum before a swap lowers it.
 _MAX_DETOURS = 3
+# Least improvement of the slowest rank, relative to the mean. Without it the
+# search spends slots on replicas of experts that have almost no load.
+_LEAST_GAIN = 0.002
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,11 +125,14 @@
 
 
 def _find_replication(
-    placement: Placement, top: int, aim: float
+    placement: Placement,
+    top: int,
+    aim: float,
+    candidates: int = _REPLICATED_CANDIDATES,
 ) -> _Change | None:
     best: _Change | None = None
     victims = _list_victims(placement)
-    for piece, expert in placement.ordered[top][-_REPLICATED_CANDIDATES:]:
+    for piece, expert in placement.ordered[top][-candidates:]:
         count = len(placement.holders[expert])
         shrunk = piece * count / (count + 1)
         reduced = placement.totals[top] - piece + shrunk
@@ -172,6 +178,7 @@
     yield
     steps: list[Step] = []
     moves, detours = 0, 0
+    least_gain = _LEAST_GAIN * sum(loads) / len(placement.totals)
     while moves < max_moves:
         top = max(
             range(len(placement.totals)), key=placement.totals.__getitem__
@@ -185,9 +192,10 @@
         yield
         found = [item for item in (swap, replication) if item is not None]
         change = min(found, default=None)
-        if change is None or change[0] >= largest:
+        if change is None or change[0] > largest - least_gain:
             detours += 1
-            change = replication
+            change = _find_replication(placement, top, aim, 1)
+            yield
             if change is None or detours > _MAX_DETOURS:
                 break
         if moves + change[1] > max_moves:
