Choose the smoothing of loads by its prediction error

Cause: averages that restart only at a significant deviation lag behind a slow drift. A bank of averages from fast to slow now runs side by side and the best predictor of the recent intervals is used.

--- a/packages/chicoryplank/src/chicoryplank/rebalance/_estimator.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_estimator.py
@@ -7,34 +7,45 @@
 # Median of a chi-squared variable with one degree of freedom; it turns a
 # median of squares into a variance that outliers do not inflate.
 _MEDIAN_CHI_SQUARED = 0.455
-_FAST_GAIN = 0.5
-# Variance of the fast average over the variance of one observation.
-_FAST_VARIANCE = _FAST_GAIN / (2 - _FAST_GAIN)
 _DISPERSION_GAIN = 0.1
+# Weight of past prediction errors after one more interval.
+_ERROR_DECAY = 0.9
+# Share by which a faster average must predict better than a slower one.
+_ERROR_MARGIN = 0.02
 
 
 class LoadEstimator:
     """Tracks each expert's share of the load, scaled to a mean of one.
 
-    The average of an expert covers up to `window` intervals while its load
-    only shows noise. It restarts when one observation, or the fast average
-    of the last few, deviates by more than `threshold` standard deviations.
-    The variance of a count is taken as proportional to its mean; the factor
-    is the median over all experts, so few changing experts do not affect it.
+    Several exponential averages run side by side, from fast to slow; the one
+    that predicted the recent intervals best over all experts is used. On
+    noise alone the slowest wins, under drift a faster one. The averages of an
+    expert restart when one observation deviates by more than `threshold`
+    standard deviations. The variance of a count is taken as proportional to
+    its mean; the factor is the median over all experts, so few changing
+    experts do not affect it.
 
     Args:
-        window: Longest average, in intervals.
+        window: Length of the slowest average, in intervals.
         threshold: Standard deviations that count as a change.
     """
 
     def __init__(self, window: int, threshold: float) -> None:
-        self._window = window
         self._threshold = threshold
-        self._fast: list[float] = []
+        self._gains = [1 / window]
+        while self._gains[-1] < 0.5:
+            self._gains.append(min(0.5, self._gains[-1] * 2))
+        self._bank: list[list[float]] = []
+        self._errors = [0.0] * len(self._gains)
+        self._chosen = 0
         self._last: list[float] = []
         self._ages: list[int] = []
         self._dispersion: float | None = None
-        self.means: list[float] = []
+
+    @property
+    def means(self) -> list[float]:
+        """Estimated load of each expert; empty if none was observed."""
+        return self._bank[self._chosen] if self._bank else []
 
     def observe(self, loads: Sequence[float]) -> None:
         """Adds the loads of one interval; an idle interval is ignored."""
@@ -43,14 +54,14 @@
             return
         scale = len(loads) / total
         values = [load * scale for load in loads]
-        if len(values) != len(self.means):
-            self._fast = list(values)
-            self.means = list(values)
+        if len(values) != len(self._last):
+            self._bank = [list(values) for _ in self._gains]
             self._ages = [1] * len(values)
         else:
             self._observe_dispersion(values)
-            for expert, value in enumerate(values):
-                self._observe_expert(expert, value)
+            changed = self._find_changes(values)
+            self._score(values, changed)
+            self._update(values, changed)
         self._last = values
 
     def _observe_dispersion(self, values: Sequence[float]) -> None:
@@ -65,25 +76,47 @@
         else:
             self._dispersion += _DISPERSION_GAIN * (sample - self._dispersion)
 
-    def _observe_expert(self, expert: int, value: float) -> None:
-        mean = self.means[expert]
-        self._fast[expert] += _FAST_GAIN * (value - self._fast[expert])
-        deviation = math.sqrt(self._dispersion * max(mean, value, 1e-9))
-        limit = self._threshold * deviation
-        if abs(value - mean) > limit:
-            self._fast[expert] = self.means[expert] = value
-            self._ages[expert] = 1
-            return
-        if abs(self._fast[expert] - mean) > limit * math.sqrt(_FAST_VARIANCE):
-            self.means[expert] = self._fast[expert]
-            self._ages[expert] = round(1 / _FAST_VARIANCE)
-            return
-        age = min(self._ages[expert] + 1, self._window)
-        self._ages[expert] = age
-        self.means[expert] += (value - mean) / age
+    def _find_changes(self, values: Sequence[float]) -> set[int]:
+        factor = self._threshold * math.sqrt(self._dispersion)
+        return {
+            expert
+            for expert, (value, mean) in enumerate(
+                zip(values, self.means, strict=True)
+            )
+            if abs(value - mean) > factor * math.sqrt(max(value, mean))
+        }
+
+    def _score(self, values: Sequence[float], changed: set[int]) -> None:
+        for index, averages in enumerate(self._bank):
+            error = sum(
+                (value - average) ** 2 / (value + average)
+                for expert, (value, average) in enumerate(
+                    zip(values, averages, strict=True)
+                )
+                if value + average > 0 and expert not in changed
+            )
+            decayed = _ERROR_DECAY * self._errors[index]
+            self._errors[index] = decayed + error
+        best = 0
+        for index, error in enumerate(self._errors):
+            if error < self._errors[best] * (1 - _ERROR_MARGIN):
+                best = index
+        self._chosen = best
+
+    def _update(self, values: Sequence[float], changed: set[int]) -> None:
+        self._ages = [
+            1 if expert in changed else age + 1
+            for expert, age in enumerate(self._ages)
+        ]
+        for gain, averages in zip(self._gains, self._bank, strict=True):
+            for expert, age in enumerate(self._ages):
+                weight = max(gain, 1 / age)
+                averages[expert] += weight * (values[expert] - averages[expert])
 
     def estimate_variance(self, expert: int) -> float:
         """Returns the variance of the estimate of an expert's load."""
         if self._dispersion is None:
             return 0.0
-        return self._dispersion * self.means[expert] / self._ages[expert]
+        gain = self._gains[self._chosen]
+        weight = max(gain / (2 - gain), 1 / self._ages[expert])
+        return self._dispersion * self.means[expert] * weight
--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -49,7 +49,7 @@
     max_moves: int = 24
     tolerance: float = 0.01
     noise_factor: float = 1.0
-    window: int = 32
+    window: int = 64
     change_threshold: float = 4.5
     emergency_skew: float = 2.0
     max_holds: int = 256
