Search a detour through the least loaded surplus replica

Cause: a detour took the slot whose rank ended lowest, which removed a replica of a hot expert; the next step undid it. It now takes the replica whose load is the smallest for its other holders, and does not remove what the same search has added.

Ruled out before: more detours alone (10 instead of 3) changed nothing.

--- a/packages/chicoryplank/src/chicoryplank/rebalance/_search.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_search.py
@@ -125,14 +125,11 @@
 
 
 def _find_replication(
-    placement: Placement,
-    top: int,
-    aim: float,
-    candidates: int = _REPLICATED_CANDIDATES,
+    placement: Placement, top: int, aim: float
 ) -> _Change | None:
     best: _Change | None = None
     victims = _list_victims(placement)
-    for piece, expert in placement.ordered[top][-candidates:]:
+    for piece, expert in placement.ordered[top][-_REPLICATED_CANDIDATES:]:
         count = len(placement.holders[expert])
         shrunk = piece * count / (count + 1)
         reduced = placement.totals[top] - piece + shrunk
@@ -145,6 +142,30 @@
     return best
 
 
+def _find_detour(
+    placement: Placement, top: int, gained: set[int]
+) -> _Change | None:
+    """Replicates the largest replica of the slowest rank.
+
+    Only the ranks that the lost replica's load falls back on count, since a
+    swap can lower the receiving rank afterwards.
+    """
+    expert = placement.ordered[top][-1][1]
+    count = len(placement.holders[expert])
+    shrunk = placement.loads[expert] / (count + 1)
+    best = None
+    for harm, rest, rank, victim in _list_victims(placement):
+        if victim == expert or victim in gained:
+            continue
+        if expert in placement.slots[rank]:
+            continue
+        key = (harm, rest + shrunk, rank, victim)
+        best = key if best is None else min(best, key)
+    if best is None:
+        return None
+    return (max(best[:2]), 1, _REPLACE, (*best[2:], expert))
+
+
 def _apply(placement: Placement, change: _Change) -> None:
     if change[2] == _SWAP:
         placement.swap(*change[3])
@@ -178,6 +199,7 @@
     yield
     steps: list[Step] = []
     moves, detours = 0, 0
+    gained: set[int] = set()
     least_gain = _LEAST_GAIN * sum(loads) / len(placement.totals)
     while moves < max_moves:
         top = max(
@@ -194,13 +216,15 @@
         change = min(found, default=None)
         if change is None or change[0] > largest - least_gain:
             detours += 1
-            change = _find_replication(placement, top, aim, 1)
+            change = _find_detour(placement, top, gained)
             yield
             if change is None or detours > _MAX_DETOURS:
                 break
         if moves + change[1] > max_moves:
             break
         _apply(placement, change)
+        if change[2] == _REPLACE:
+            gained.add(change[3][2])
         moves += change[1]
         assignment = tuple(tuple(slots) for slots in placement.slots)
         steps.append(Step(assignment, moves, max(placement.totals)))
