Lower the tolerance of the skew objective to 0.3 %

Cause: the search stopped 1 % above the lower bound, which is visible where the bound is reached (16 ranks) or large (64 ranks without spare slots).

--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -47,7 +47,7 @@
     switch_cost_steps: float = 1.0
     hysteresis: float = 1.5
     max_moves: int = 24
-    tolerance: float = 0.01
+    tolerance: float = 0.003
     noise_factor: float = 1.0
     window: int = 64
     change_threshold: float = 4.5
