Raise the noise threshold once a group has settled

Cause: on steady loads the estimates go on improving, and each small improvement caused another switch long after the group had settled. A group that made no move in eight decisions on steady loads now needs a gain of three standard errors, as they were when it settled.

--- a/packages/chicoryplank/src/chicoryplank/rebalance/_estimator.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_estimator.py
@@ -10,6 +10,8 @@
 _DISPERSION_GAIN = 0.1
 # Weight of past prediction errors after one more interval.
 _ERROR_DECAY = 0.9
+# Loads count as steady while no average faster than this predicts better.
+_STEADY_GAIN = 1 / 16
 # Share by which a faster average must predict better than a slower one.
 _ERROR_MARGIN = 0.02
 
@@ -47,6 +49,11 @@
         """Estimated load of each expert; empty if none was observed."""
         return self._bank[self._chosen] if self._bank else []
 
+    @property
+    def steady(self) -> bool:
+        """Whether the recent loads only showed noise."""
+        return self._gains[self._chosen] <= _STEADY_GAIN
+
     def observe(self, loads: Sequence[float]) -> None:
         """Adds the loads of one interval; an idle interval is ignored."""
         total = sum(loads)
--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -35,6 +35,9 @@
         max_moves: Copies in one switch.
         tolerance: Skew over its lower bound that is left as it is.
         noise_factor: Standard errors by which the gain must exceed noise.
+        settled_factor: The same once the group has settled on steady loads.
+        settling_decisions: Decisions in a row without moves after which the
+            group counts as settled.
         window: Longest average of loads, in intervals.
         change_threshold: Standard deviations that count as a change of load.
         emergency_skew: Skew above which a hold window does not apply.
@@ -49,6 +52,8 @@
     max_moves: int = 24
     tolerance: float = 0.003
     noise_factor: float = 1.0
+    settled_factor: float = 3.0
+    settling_decisions: int = 8
     window: int = 64
     change_threshold: float = 4.5
     emergency_skew: float = 2.0
@@ -106,6 +111,8 @@
             settings.window, settings.change_threshold
         )
         self._holds: list[tuple[datetime, datetime]] = []
+        self._quiet_decisions = 0
+        self._settled_noise: float | None = None
 
     def hold(self, start: datetime, end: datetime) -> None:
         """Adds a window in which nothing moves, such as a closing call.
@@ -133,6 +140,18 @@
 
     def choose_in_steps(self, expert_map: ExpertMap, now: datetime) -> Steps:
         """Returns the decision from a generator that yields often."""
+        decision = yield from self._decide(expert_map, now)
+        if decision.moves or not self._estimator.steady:
+            self._quiet_decisions = 0
+            self._settled_noise = None
+            return decision
+        self._quiet_decisions += 1
+        if self._quiet_decisions == self._settings.settling_decisions:
+            rank_loads = compute_rank_loads(expert_map, self._estimator.means)
+            self._settled_noise = self._estimate_noise(expert_map, rank_loads)
+        return decision
+
+    def _decide(self, expert_map: ExpertMap, now: datetime) -> Steps:
         loads = tuple(self._estimator.means)
         if not loads:
             return Decision(expert_map, (), 1.0, 1.0, Reason.NO_LOADS)
@@ -159,14 +178,28 @@
         if best is None:
             return Decision(expert_map, (), skew, skew, Reason.NOT_WORTH)
         predicted = best.largest / mean
-        noise = self._estimate_noise(expert_map, rank_loads) / mean
-        if skew - predicted <= self._settings.noise_factor * noise:
+        if skew - predicted <= self._find_threshold(expert_map, rank_loads):
             return Decision(expert_map, (), skew, skew, Reason.WITHIN_NOISE)
         target = arrange_slots(expert_map, best.assignment)
+        yield
         moves = list_moves(expert_map, target, self._settings.expert_bytes)
         reason = Reason.EMERGENCY if emergency else Reason.GAIN
         return Decision(target, moves, skew, predicted, reason)
 
+    def _find_threshold(
+        self, expert_map: ExpertMap, rank_loads: Sequence[float]
+    ) -> float:
+        """Returns the gain of skew that noise alone may show.
+
+        On steady loads the estimates improve for a long time. Without the
+        higher threshold of a settled group each small improvement of an
+        estimate would cause another switch.
+        """
+        noise = self._estimate_noise(expert_map, rank_loads)
+        if self._settled_noise is None:
+            return self._settings.noise_factor * noise
+        return self._settings.settled_factor * max(noise, self._settled_noise)
+
     def _is_held(self, now: datetime) -> bool:
         return any(start <= now < end for start, end in self._holds)
 
@@ -188,10 +221,12 @@
     def _estimate_noise(
         self, expert_map: ExpertMap, rank_loads: Sequence[float]
     ) -> float:
+        """Returns the standard error of the skew of the slowest rank."""
         slowest = max(range(len(rank_loads)), key=rank_loads.__getitem__)
         counts = expert_map.count_replicas()
         variance = sum(
             self._estimator.estimate_variance(expert) / counts[expert] ** 2
             for expert in expert_map.slots[slowest]
         )
-        return math.sqrt(variance)
+        mean = sum(rank_loads) / len(rank_loads)
+        return math.sqrt(variance) / mean
