--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -171,16 +171,18 @@
         if reason is not None:
             return Decision(expert_map, (), skew, skew, reason)
         mean = sum(rank_loads) / len(rank_loads)
-        steps = yield from search_moves(
+        search = yield from search_moves(
             expert_map, loads, self._settings.max_moves, aim * mean
         )
-        best = self._find_best(steps, skew, mean)
+        best = self._find_best(search.steps, skew, mean)
         if best is None:
             return Decision(expert_map, (), skew, skew, Reason.NOT_WORTH)
         predicted = best.largest / mean
         if skew - predicted <= self._find_threshold(expert_map, rank_loads):
             return Decision(expert_map, (), skew, skew, Reason.WITHIN_NOISE)
-        target = arrange_slots(expert_map, best.assignment)
+        assignment = search.build_assignment(best)
+        yield
+        target = arrange_slots(expert_map, assignment)
         yield
         moves = list_moves(expert_map, target, self._settings.expert_bytes)
         reason = Reason.EMERGENCY if emergency else Reason.GAIN
--- a/packages/chicoryplank/src/chicoryplank/rebalance/_search.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_search.py
@@ -21,12 +21,12 @@
     """State of the search after one change.
 
     Attributes:
-        assignment: Experts of each rank.
+        changes: Number of changes so far.
         moves: Copies needed so far.
         largest: Load of the slowest rank.
     """
 
-    assignment: tuple[tuple[ExpertId, ...], ...]
+    changes: int
     moves: int
     largest: float
 
@@ -173,12 +173,36 @@
         placement.replace(*change[3])
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Search:
+    """Result of a search.
+
+    Attributes:
+        expert_map: Map that the search started from.
+        loads: Load of each expert.
+        changes: Changes in order.
+        steps: State after each change.
+    """
+
+    expert_map: ExpertMap
+    loads: Sequence[float]
+    changes: tuple[_Change, ...]
+    steps: tuple[Step, ...]
+
+    def build_assignment(self, step: Step) -> list[list[ExpertId]]:
+        """Returns the experts of each rank after a step."""
+        placement = Placement(self.expert_map, self.loads)
+        for change in self.changes[: step.changes]:
+            _apply(placement, change)
+        return placement.slots
+
+
 def search_moves(
     expert_map: ExpertMap,
     loads: Sequence[float],
     max_moves: int,
     aim: float,
-) -> Generator[None, None, list[Step]]:
+) -> Generator[None, None, "Search"]:
     """Lowers the slowest rank step by step, from the map in force.
 
     Each step either swaps an expert of the slowest rank with a smaller one
@@ -193,11 +217,12 @@
         aim: Load of the slowest rank below which no step is better.
 
     Returns:
-        The states after each step, in order.
+        The steps in order, any of which may be the last one taken.
     """
     placement = Placement(expert_map, loads)
     yield
     steps: list[Step] = []
+    changes: list[_Change] = []
     moves, detours = 0, 0
     gained: set[int] = set()
     least_gain = _LEAST_GAIN * sum(loads) / len(placement.totals)
@@ -226,6 +251,6 @@
         if change[2] == _REPLACE:
             gained.add(change[3][2])
         moves += change[1]
-        assignment = tuple(tuple(slots) for slots in placement.slots)
-        steps.append(Step(assignment, moves, max(placement.totals)))
-    return steps
+        changes.append(change)
+        steps.append(Step(len(changes), moves, max(placement.totals)))
+    return Search(expert_map, loads, tuple(changes), tuple(steps))
