Raise the affinity bonus to 20 requests

Conclusion: a prefill of 600 tokens costs as much step time as the decoding of many requests, so the bonus is large.

--- a/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
@@ -47,7 +47,7 @@
     choices: int = 2
     deciding_entries: int = 1
     zone_penalty: float = 1.0
-    affinity_bonus: float = 2.0
+    affinity_bonus: float = 20.0
     affinity_ttl: timedelta = timedelta(seconds=30)
     max_prefixes: int = 20_000
     queue_weight: float = 1.0
