--- a/packages/chicoryplank/src/chicoryplank/routing/_balanced.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_balanced.py
@@ -80,7 +80,7 @@
             return {}
         bonus = self._parameters.affinity_bonus
         preferred = self._rendezvous.choose(
-            request.prefix, pool.local or pool.everywhere
+            request.prefix, pool.everywhere
         )
         # The rendezvous choice gets half of the bonus without a known holder,
         # so that requests with the same prefix meet there.
