--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
 
-.PHONY: setup test check format unit demo generate
+.PHONY: setup test check format unit demo generate bench-limits
 
 setup: $(VENV)/.installed
 
@@ -34,3 +34,6 @@
 
 generate:
 	$(PYTHON) tools/generate_messages.py
+
+bench-limits: setup
+	$(PYTHON) benchmarks/limits.py
