Estimate service time per priority class

Engines honour priorities, so bulk work that waits inside an engine raised the estimate for urgent requests, which were refused without need.

--- a/packages/chicoryplank/src/chicoryplank/limits/_concurrency.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_concurrency.py
@@ -2,6 +2,7 @@
 
 import math
 
+from chicoryplank.configuration import Priority
 from chicoryplank.limits._fair import find_work
 from chicoryplank.limits._messages import Request
 from chicoryplank.limits._parameters import QueueParameters
@@ -34,7 +35,9 @@
         self._parameters = parameters
         self._value = float(parameters.initial_limit)
         self._target_s = parameters.token_interval.total_seconds()
-        self._work_s = parameters.initial_work_s
+        # Engines honour priorities, so each class sees its own latency.
+        self._mean_work_s = parameters.initial_work_s
+        self._work_s = [parameters.initial_work_s for _ in Priority]
         self._baseline_s = math.inf
         self._next_baseline_s = math.inf
         self._windows = 0
@@ -47,11 +50,11 @@
 
     def service_s(self, request: Request) -> float:
         """Returns the estimated time from admission to the full answer."""
-        return find_work(request) * self._work_s
+        return find_work(request) * self._work_s[request.priority]
 
     def drain_s(self, work: int) -> float:
         """Returns the time in which the group serves an amount of work."""
-        return work * self._work_s / self._value
+        return work * self._mean_work_s / self._value
 
     def observe(
         self,
@@ -74,7 +77,10 @@
         work = find_work(request)
         # Short answers say less about the time per token than long ones.
         weight = min(0.05, work / 2000)
-        self._work_s += (elapsed / work - self._work_s) * weight
+        work_s = elapsed / work
+        priority = request.priority
+        self._mean_work_s += (work_s - self._mean_work_s) * weight
+        self._work_s[priority] += (work_s - self._work_s[priority]) * weight
         if started < self._since:
             return
         self._count += 1
