Spread the unclaimed part of a rate over the entries

An account far below its rate had nearly all of its rate tied to the entries where its demand was, and little where it moved to. The rate beyond known demand is now split evenly; the sum of shares stays at R.

--- a/packages/chicoryplank/src/chicoryplank/limits/_parameters.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_parameters.py
@@ -30,8 +30,8 @@
         silence: Time without demand sums after which the share is 1/N.
         tick: Interval at which demand is estimated.
         smoothing: Time constant of the demand estimate.
-        even_part: Part of an account's rate that counts as demand spread
-            evenly over the entries, so that an idle entry has a share.
+        even_part: Least part of an account's rate that is spread evenly over
+            the entries, so that an idle entry has a share.
         burst: Bucket size, as time at the entry's share.
         advance: Bucket size beyond the share, as time at the account's rate
             summed over all entries.
--- a/packages/chicoryplank/src/chicoryplank/limits/_shares.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_shares.py
@@ -108,16 +108,16 @@
 
     def _fraction(self, now: float) -> float:
         silent_s = now - self._heard_at
-        if silent_s > self._silence_s:
+        if silent_s > self._silence_s or not self._heard or not self._limit:
             return 1 / self._entries
         ticks = math.ceil((self._lag_s + silent_s) / self._tick_s) + 1
         start = max(0, len(self._history) - ticks)
         steady = min(itertools.islice(self._history, start, None))
-        even = self._parameters.even_part * self._limit / self._entries
-        total = max(self._sum, steady) + even * self._heard
-        if total <= 0:
-            return 1 / self._entries
-        return (steady + even) / total * self._heard / self._entries
+        total = max(self._sum, steady)
+        rate = self._limit * self._heard / self._entries
+        even = max(self._parameters.even_part * rate, rate - total)
+        share = rate * (steady + even / self._heard) / (total + even)
+        return share / self._limit
 
 
 class RateShares:
@@ -126,15 +126,20 @@
     Each entry holds a share of the rate R of an account. Let `d` be an
     entry's demand estimate, `m` the least value of `d` over the last
     `max_lag` plus the time since the last demand sum, `D` the last demand
-    sum, `H` the number of entries in it and `e = even_part * R / N`:
+    sum, `H` the number of entries in it, `P = R * H / N` and
+    `E = max(even_part * P, P - D)` the part that is spread evenly:
+
+        share = P * (m + E / H) / (D + E)
 
-        share = R * (m + e) / (D + H * e) * H / N
+    An account below its rate thus keeps its demand where it is and finds the
+    rest of its rate at every entry alike.
 
     Every contribution to `D` is at most as old as the span of `m`, so it is
     at least the `m` of its entry now. The shares of all entries therefore
     never exceed R in sum, even while demand moves between entries: an entry
     claims only demand that it has had for so long that every other entry has
-    heard of it. The factor H / N keeps parts of a partitioned fleet at R in
+    heard of it. (The share falls as D rises, so the sum is greatest if every
+    D equals the sum of all m, and then it is P.) The factor H / N keeps parts of a partitioned fleet at R in
     sum. An entry that heard no sum for `silence` takes R / N.
 
     Worst case: the requests granted by all entries in any window of T
