--- a/packages/chicoryplank/src/chicoryplank/limits/_shares.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_shares.py
@@ -139,8 +139,9 @@
     never exceed R in sum, even while demand moves between entries: an entry
     claims only demand that it has had for so long that every other entry has
     heard of it. (The share falls as D rises, so the sum is greatest if every
-    D equals the sum of all m, and then it is P.) The factor H / N keeps parts of a partitioned fleet at R in
-    sum. An entry that heard no sum for `silence` takes R / N.
+    D equals the sum of all m, and then it is P.) The factor H / N keeps
+    parts of a partitioned fleet at R in sum. An entry that heard no sum for
+    `silence` takes R / N.
 
     Worst case: the requests granted by all entries in any window of T
     seconds are at most
