Smooth the demand estimate over 15 s

With a rate of 100/s over 560 entries, an entry sees less than one request a second, and the least estimate of the last seconds is far below the mean.

--- a/packages/chicoryplank/src/chicoryplank/limits/_parameters.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_parameters.py
@@ -42,7 +42,7 @@
     max_lag: timedelta = timedelta(seconds=6)
     silence: timedelta = timedelta(seconds=3)
     tick: timedelta = timedelta(milliseconds=500)
-    smoothing: timedelta = timedelta(seconds=5)
+    smoothing: timedelta = timedelta(seconds=15)
     even_part: float = 0.1
     burst: timedelta = timedelta(seconds=1)
     advance: timedelta = timedelta(seconds=4)
