--- a/packages/chicoryplank/src/chicoryplank/limits/_parameters.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_parameters.py
@@ -45,7 +45,7 @@
     smoothing: timedelta = timedelta(seconds=15)
     even_part: float = 0.1
     burst: timedelta = timedelta(seconds=1)
-    advance: timedelta = timedelta(seconds=4)
+    advance: timedelta = timedelta(seconds=12)
     min_advance_requests: float = 2.0
     min_advance_tokens: float = 1024.0
 
