Start a group's admission limit at its replicas' batches

Cause: the limit of each group started at 64 requests whatever the number of replicas, and grew by a twentieth per window, so 128 streams over 4 engines waited in the queue. Ruled out: faster growth of the limit, which would change the tuned goodput under overload.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import collections
+import datetime
 import json
 import multiprocessing
 import os
@@ -21,6 +22,16 @@
 sys.path.insert(0, str(ROOT / "tools"))
 
 import fleet as fleets  # noqa: E402
+import layout  # noqa: E402
+
+from chicoryplank.configuration import (  # noqa: E402
+    SnapshotReader,
+    confirm,
+    parse_intent,
+    plan,
+)
+from chicoryplank.ids import OperationId  # noqa: E402
+from chicoryplank_wire.store import EtcdStore  # noqa: E402
 
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _TOKEN = "bench"
@@ -127,45 +138,12 @@
     return cuts[percent - 1] * 1000
 
 
-async def confirm_intent(site, folder: pathlib.Path, fleet) -> None:
+async def confirm_intent(site: layout.Site) -> None:
     """Gives the benchmark's account access to the engines."""
-    import datetime
-    import hashlib
-
-    from chicoryplank.configuration import (
-        SnapshotReader,
-        confirm,
-        parse_intent,
-        plan,
-    )
-    from chicoryplank.ids import OperationId
-    from chicoryplank_wire.store import EtcdStore
-
-    del folder, fleet
-    digest = hashlib.sha256(_TOKEN.encode()).hexdigest()
-    intent = {
-        "accounts": {
-            "add": {
-                "bench": {
-                    "token_sha256": digest,
-                    "requests_per_s": 100_000,
-                    "tokens_per_s": 10_000_000,
-                    "priority": "normal",
-                    "groups": [site.options.engine_deployment],
-                }
-            }
-        },
-        "groups": {
-            "add": {
-                site.options.engine_deployment: {
-                    "models": [_MODEL],
-                    "version": "v1",
-                    "replicas": site.options.engines,
-                    "tokens_per_s": 10_000_000,
-                }
-            }
-        },
-    }
+    intent = layout.make_intent(site.options, _TOKEN)
+    for account in intent["accounts"]["add"].values():
+        account["requests_per_s"] = 100_000
+        account["tokens_per_s"] = 10_000_000
     store = EtcdStore(site.addresses["store"], datetime.timedelta(seconds=2))
     reader = SnapshotReader()
     await reader.refresh(store)
@@ -179,10 +157,10 @@
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         with fleets.Fleet(folder) as fleet:
-            site = fleets.Site(
+            site = layout.Site(
                 fleet,
                 folder,
-                fleets.SiteOptions(
+                layout.SiteOptions(
                     entries=1,
                     engines=options.engines,
                     services=1,
@@ -196,7 +174,7 @@
                 ),
             )
             await site.start()
-            await confirm_intent(site, folder, fleet)
+            await confirm_intent(site)
             await site.wait_until_ready()
             await asyncio.sleep(2)
             await report(options, fleet, site)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/controllers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/controllers.py
@@ -1,21 +1,26 @@
 """Tasks of the entry that keep the blackboard up to date."""
 
 import asyncio
+import collections
+import dataclasses
 from datetime import timedelta
 
 import aiosonic
 
-from chicoryplank.blackboard import Blackboard
+from chicoryplank.blackboard import Blackboard, Instance, Section
 from chicoryplank.clock import Clock
 from chicoryplank.configuration import InstanceListSettings, SnapshotReader
 from chicoryplank.errors import ChicoryplankError
 from chicoryplank.events import Event, emit
+from chicoryplank.limits import Limiter, QueueParameters
 from chicoryplank.store import Store
 from chicoryplank_entry.relays import RelayPool
 from chicoryplank_wire.instance_list import fetch_instances
 
 _CONFIGURATION_INTERVAL = timedelta(seconds=1)
 _SILENCE_INTERVAL = timedelta(seconds=1)
+# Batches of about this size keep an engine busy; the limit adapts from here.
+_REQUESTS_PER_REPLICA = 64
 
 
 async def follow_instances(
@@ -69,3 +74,47 @@
         for relay in pool.relays.values():
             relay.check_silence()
         await asyncio.sleep(0)
+
+
+def count_entries(instances: tuple[Instance, ...]) -> int:
+    """Returns the number of entries that the instance list shows."""
+    return max(1, sum(item.role == "entry" for item in instances))
+
+
+async def configure_limits(
+    limiter: Limiter, blackboard: Blackboard, clock: Clock
+) -> None:
+    """Tells the limiter of each change of accounts, entries and replicas."""
+    while True:
+        instances = blackboard.instances.value
+        entries = count_entries(instances)
+        limiter.configure(
+            blackboard.snapshot.value.accounts, entries, clock.now()
+        )
+        replicas = collections.Counter(
+            item.deployment for item in instances if item.role == "backend"
+        )
+        for deployment, count in replicas.items():
+            limiter.configure_group(
+                deployment, _make_queue_parameters(count, entries)
+            )
+        await _wait_any_change(blackboard.snapshot, blackboard.instances)
+
+
+def _make_queue_parameters(replicas: int, entries: int) -> QueueParameters:
+    """Returns parameters whose first limit fills this entry's share."""
+    share = _REQUESTS_PER_REPLICA * replicas // entries
+    default = QueueParameters()
+    first = min(max(default.initial_limit, share), default.max_limit)
+    return dataclasses.replace(default, initial_limit=first)
+
+
+async def _wait_any_change(*sections: Section) -> None:
+    changes = [
+        asyncio.create_task(section.wait_change()) for section in sections
+    ]
+    try:
+        await asyncio.wait(changes, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for change in changes:
+            change.cancel()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -20,6 +20,8 @@
 from chicoryplank.logs import install_logs
 from chicoryplank_entry.admission import AdmissionGate
 from chicoryplank_entry.controllers import (
+    configure_limits,
+    count_entries,
     follow_configuration,
     follow_instances,
     watch_silence,
@@ -117,28 +119,7 @@
 
     def count_entries(self) -> int:
         """Returns the number of entries that the instance list shows."""
-        return sum(
-            item.role == "entry" for item in self.blackboard.instances.value
-        )
-
-    async def _configure_limits(self) -> None:
-        """Tells the limiter of each change of accounts and entries."""
-        while True:
-            self.gate.limiter.configure(
-                self.blackboard.snapshot.value.accounts,
-                max(1, self.count_entries()),
-                self._clock.now(),
-            )
-            changes = [
-                asyncio.create_task(section.wait_change())
-                for section in (
-                    self.blackboard.snapshot,
-                    self.blackboard.instances,
-                )
-            ]
-            await asyncio.wait(changes, return_when=asyncio.FIRST_COMPLETED)
-            for change in changes:
-                change.cancel()
+        return count_entries(self.blackboard.instances.value)
 
     def _make_server(self) -> CallerServer:
         interface = CallerInterface(
@@ -193,7 +174,9 @@
                 ),
                 watch_silence(self.pool, self._clock),
                 self.gate.run_ticks(),
-                self._configure_limits(),
+                configure_limits(
+                    self.gate.limiter, self.blackboard, self._clock
+                ),
             )
         ]
 
--- a/packages/chicoryplank/src/chicoryplank/limits/_limiter.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_limiter.py
@@ -86,6 +86,19 @@
             raise ValueError(f"entries must be at least 1: {entries}")
         self._shares.configure(dict(accounts), entries, now.timestamp())
 
+    def configure_group(self, group: str, parameters: QueueParameters) -> None:
+        """Takes the queue parameters of a group before its first request.
+
+        A group that has had requests keeps its parameters, because its limit
+        already follows what was observed.
+
+        Args:
+            group: Model group or service.
+            parameters: Parameters of its queue.
+        """
+        if group not in self._groups:
+            self._group_parameters[group] = parameters
+
     def admit(self, request: Request, now: datetime) -> Admission:
         """Decides on a new request.
 
