Register an engine's waiting caller before the next step

Cause: a whole answer waited for the next change in a task that began one turn of the loop later; a last token generated in that turn was missed and the caller waited until its deadline. The wait now registers at once. The new test fails without the change.

--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_serving.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_serving.py
@@ -33,16 +33,16 @@
         for waiter in self._waiters:
             if not waiter.done():
                 waiter.set_result(None)
-        self._waiters.clear()
 
-    async def wait(self) -> None:
-        """Waits for the next call of notify."""
+    def wait(self) -> asyncio.Future[None]:
+        """Returns a future of the next call of notify.
+
+        The caller is registered at once, also if it awaits the future later.
+        """
         waiter = asyncio.get_running_loop().create_future()
         self._waiters.add(waiter)
-        try:
-            await waiter
-        finally:
-            self._waiters.discard(waiter)
+        waiter.add_done_callback(self._waiters.discard)
+        return waiter
 
 
 async def abort_connection(request: Request) -> Response:
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/engine.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/engine.py
@@ -131,7 +131,7 @@
     cut, run.cut = run.cut, None
     try:
         while not run.is_over and not gone.done():
-            change = asyncio.ensure_future(run.changed.wait())
+            change = run.changed.wait()
             await asyncio.wait(
                 (change, gone), return_when=asyncio.FIRST_COMPLETED
             )
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_engine.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_engine.py
@@ -86,6 +86,27 @@
         expected = "".join(expected_tokens("model", "prompt of b", 3))
         self.assertEqual(([1, 2, 3, 4], expected, True), read_events(body))
 
+    def test_answer_follows_a_run_that_ends_at_once(self):
+        """Guards against a caller that starts to wait after the last token."""
+        self.make()
+
+        async def run():
+            finished = []
+            for ticks in range(20):
+                call = self.complete(f"a{ticks}", 1, stream=False)
+                for _ in range(ticks):
+                    await asyncio.sleep(0)
+                # No other task runs between these steps.
+                self.engine.begin_step()
+                self.engine.end_step()
+                await self.step(2)
+                finished.append(call.task.done())
+                call.disconnect()
+                await call.task
+            return finished
+
+        self.assertEqual([True] * 20, asyncio.run(run()))
+
     def test_urgent_requests_leave_the_queue_first(self):
         """Guards against a queue that ignores the priority."""
         self.make(max_batch=1)
