Settle the cost objective as firmly as its other costs ask

Cause: with a noise factor of 2 the cost objective waited for certain estimates and then moved late. It now uses the default factor of 1 and a settled factor of 5.

--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -90,7 +90,7 @@
         hysteresis=2.0,
         max_moves=8,
         tolerance=0.05,
-        noise_factor=2.0,
+        settled_factor=5.0,
     )
 
 
