Give popular prefixes several homes

Cause: with 560 entries and stale reports the engine that is first for the most common prefix (14 % of requests) got all of them.

--- a/packages/chicoryplank/src/chicoryplank/routing/_affinity.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_affinity.py
@@ -1,7 +1,9 @@
 """Which replicas hold a prompt prefix in their cache."""
 
 import collections
+import heapq
 import itertools
+from typing import NamedTuple
 
 from chicoryplank.ids import InstanceId
 from chicoryplank.rendezvous import mix
@@ -9,6 +11,15 @@
 
 # The holders of a very common prefix are many; more are not compared.
 _MAX_HOLDERS = 4
+_COUNTED_REQUESTS = 512
+# Shares of fewer requests would be far too large.
+_MIN_COUNTED_REQUESTS = 32
+
+
+class _Holder(NamedTuple):
+    generation: int
+    expires_at: float
+    confirmed: bool
 
 
 class PrefixIndex:
@@ -27,30 +38,41 @@
     def __init__(self, max_prefixes: int, ttl_s: float) -> None:
         self._max_prefixes = max_prefixes
         self._ttl_s = ttl_s
-        self._holders: collections.OrderedDict[
-            bytes, dict[InstanceId, tuple[int, float]]
+        self._prefixes: collections.OrderedDict[
+            bytes, dict[InstanceId, _Holder]
         ] = collections.OrderedDict()
         self._sequences: dict[InstanceId, int] = {}
         self._generations: dict[InstanceId, int] = {}
         self._counter = itertools.count()
 
-    def add(self, prefix: bytes, instance: InstanceId, now: float) -> None:
-        """Records that an instance has a prefix in its cache."""
-        holders = self._holders.setdefault(prefix, {})
-        self._holders.move_to_end(prefix)
-        holders.pop(instance, None)
+    def add(
+        self, prefix: bytes, instance: InstanceId, now: float, confirmed: bool
+    ) -> None:
+        """Records that an instance has a prefix in its cache.
+
+        Args:
+            prefix: Digest of the prefix.
+            instance: The backend server.
+            now: Time of the news.
+            confirmed: Whether an event says so, not only an own request.
+        """
+        holders = self._prefixes.setdefault(prefix, {})
+        self._prefixes.move_to_end(prefix)
         generation = self._generations.get(instance)
         if generation is None:
             generation = self._begin_generation(instance)
-        holders[instance] = (generation, now + self._ttl_s)
+        known = holders.pop(instance, None)
+        if known is not None and known.generation == generation:
+            confirmed = confirmed or known.confirmed
+        holders[instance] = _Holder(generation, now + self._ttl_s, confirmed)
         if len(holders) > _MAX_HOLDERS:
             del holders[next(iter(holders))]
-        if len(self._holders) > self._max_prefixes:
-            self._holders.popitem(last=False)
+        if len(self._prefixes) > self._max_prefixes:
+            self._prefixes.popitem(last=False)
 
     def remove(self, prefix: bytes, instance: InstanceId) -> None:
         """Records that an instance dropped a prefix."""
-        self._holders.get(prefix, {}).pop(instance, None)
+        self._prefixes.get(prefix, {}).pop(instance, None)
 
     def check_sequence(self, instance: InstanceId, sequence: int) -> bool:
         """Returns whether an event is new; a gap ends what was known."""
@@ -62,16 +84,17 @@
         self._sequences[instance] = sequence
         return True
 
-    def find(self, prefix: bytes, now: float) -> list[InstanceId]:
-        """Returns the instances that probably hold a prefix."""
-        holders = self._holders.get(prefix)
+    def find(self, prefix: bytes, now: float) -> list[tuple[InstanceId, bool]]:
+        """Returns probable holders, and whether an event confirmed each."""
+        holders = self._prefixes.get(prefix)
         if not holders:
             return []
         generations = self._generations
         return [
-            instance
-            for instance, (generation, expires_at) in holders.items()
-            if expires_at > now and generations.get(instance) == generation
+            (instance, holder.confirmed)
+            for instance, holder in holders.items()
+            if holder.expires_at > now
+            and generations.get(instance) == holder.generation
         ]
 
     def forget(self, instance: InstanceId) -> None:
@@ -85,8 +108,42 @@
         return generation
 
 
+class PrefixCounter:
+    """Share of recent requests that have a prefix.
+
+    Args:
+        window: Requests after which all counts are halved, so that old ones
+            fade; it also bounds the number of prefixes.
+    """
+
+    def __init__(self, window: int = _COUNTED_REQUESTS) -> None:
+        self._window = window
+        self._counts: dict[bytes, float] = {}
+        self._total = 0.0
+
+    def count(self, prefix: bytes) -> float:
+        """Counts a request and returns the share of its prefix.
+
+        A prefix that was seen once has the share 0, since one request says
+        nothing about how common it is.
+        """
+        if self._total >= self._window:
+            self._counts = {
+                key: value / 2
+                for key, value in self._counts.items()
+                if value >= 1
+            }
+            self._total = sum(self._counts.values())
+        count = self._counts.get(prefix, 0.0) + 1.0
+        self._counts[prefix] = count
+        self._total += 1.0
+        if count <= 1.5:
+            return 0.0
+        return count / max(self._total, _MIN_COUNTED_REQUESTS)
+
+
 class RendezvousCache:
-    """First choice of each prefix among the replicas in service.
+    """First choices of each prefix among the replicas in service.
 
     The ranking of a few hundred replicas takes longer than the rest of a
     choice, so it is kept until the replicas change.
@@ -97,24 +154,33 @@
 
     def __init__(self, max_prefixes: int) -> None:
         self._max_prefixes = max_prefixes
-        self._choices: dict[bytes, Replica] = {}
+        self._homes: dict[bytes, list[Replica]] = {}
         self._replicas: list[Replica] = []
 
-    def choose(self, prefix: bytes, replicas: list[Replica]) -> Replica:
-        """Returns the replica with the lowest score for a prefix.
+    def rank(
+        self, prefix: bytes, replicas: list[Replica], count: int
+    ) -> list[Replica]:
+        """Returns the replicas with the lowest scores for a prefix.
 
         Args:
             prefix: Digest of the prefix.
             replicas: Not empty; the same list object until they change.
+            count: How many are needed.
+
+        Returns:
+            At least that many, if there are, in the order of their scores.
         """
         if replicas is not self._replicas:
             self._replicas = replicas
-            self._choices.clear()
-        choice = self._choices.get(prefix)
-        if choice is None:
-            if len(self._choices) >= self._max_prefixes:
-                self._choices.clear()
+            self._homes.clear()
+        homes = self._homes.get(prefix)
+        if homes is None or len(homes) < min(count, len(replicas)):
+            if len(self._homes) >= self._max_prefixes:
+                self._homes.clear()
             target = int.from_bytes(prefix[:8])
-            choice = min(replicas, key=lambda item: mix(target, item.key))
-            self._choices[prefix] = choice
-        return choice
+            # Twice the count, so that a growing count seldom ranks again.
+            homes = heapq.nsmallest(
+                2 * count, replicas, key=lambda item: mix(target, item.key)
+            )
+            self._homes[prefix] = homes
+        return homes
--- a/packages/chicoryplank/src/chicoryplank/routing/_balanced.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_balanced.py
@@ -1,11 +1,16 @@
 """The proposed policy: few random choices, affinity and corrected loads."""
 
+import math
 import random
 from collections.abc import Iterable
 from datetime import datetime
 
 from chicoryplank.ids import InstanceId, ZoneId
-from chicoryplank.routing._affinity import PrefixIndex, RendezvousCache
+from chicoryplank.routing._affinity import (
+    PrefixCounter,
+    PrefixIndex,
+    RendezvousCache,
+)
 from chicoryplank.routing._fleet import Fleet, Pool
 from chicoryplank.routing._parameters import RoutingParameters
 from chicoryplank.routing._replica import Replica, to_seconds
@@ -44,6 +49,7 @@
         self._prefixes = PrefixIndex(
             parameters.max_prefixes, parameters.affinity_ttl.total_seconds()
         )
+        self._counter = PrefixCounter()
         self._rendezvous = RendezvousCache(parameters.max_prefixes)
 
     def choose(
@@ -70,7 +76,7 @@
         if choice is None:
             return None
         if request.prefix:
-            self._prefixes.add(request.prefix, choice.name, moment)
+            self._prefixes.add(request.prefix, choice.name, moment, False)
         return choice.name
 
     def _find_affinity(
@@ -79,15 +85,33 @@
         if not request.prefix:
             return {}
         bonus = self._parameters.affinity_bonus
-        preferred = self._rendezvous.choose(request.prefix, pool.everywhere)
-        # The rendezvous choice gets half of the bonus without a known holder,
-        # so that requests with the same prefix meet there.
-        bonuses = {preferred: bonus / 2}
-        for instance in self._prefixes.find(request.prefix, now):
+        confirmed = []
+        presumed = []
+        for instance, is_confirmed in self._prefixes.find(request.prefix, now):
             replica = self._fleet.get(instance)
             if replica in pool.members:
-                bonuses[replica] = bonus
-        return bonuses
+                (confirmed if is_confirmed else presumed).append(replica)
+        # Equal scores go to the first. Homes come before replicas of which
+        # only this entry presumes that they hold the prefix, since the other
+        # entries use the homes too.
+        homes = self._draw_homes(request.prefix, pool)
+        return dict.fromkeys([*confirmed, *homes, *presumed], bonus)
+
+    def _draw_homes(self, prefix: bytes, pool: Pool) -> list[Replica]:
+        # A prefix gets homes in proportion to its share of the requests. Load
+        # reports are too late to spread a popular prefix, and entries that
+        # know their own share only agree on the homes without messages.
+        share = self._counter.count(prefix)
+        size = len(pool.everywhere)
+        count = min(
+            math.ceil(self._parameters.home_factor * share * size) or 1,
+            self._parameters.max_homes,
+            size,
+        )
+        homes = self._rendezvous.rank(prefix, pool.everywhere, count)
+        if count <= 2:
+            return homes[:count]
+        return [homes[int(self._source.random() * count)] for _ in range(2)]
 
     def _draw(self, pool: Pool) -> list[Replica]:
         choices = self._parameters.choices
@@ -140,7 +164,7 @@
         for prefix in event.removed:
             self._prefixes.remove(prefix, event.instance)
         for prefix in event.stored:
-            self._prefixes.add(prefix, event.instance, now)
+            self._prefixes.add(prefix, event.instance, now, True)
 
     def begin(self, instance: InstanceId, cost: float, now: datetime) -> None:
         """Counts a request that was sent."""
--- a/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
@@ -29,6 +29,9 @@
             worse.
         affinity_ttl: How long a replica counts as holder of a prefix without
             news of it.
+        home_factor: Homes of a prefix are its share of the requests times the
+            number of replicas times this factor.
+        max_homes: Most homes of one prefix.
         max_prefixes: Prefixes that are remembered.
         queue_weight: Weight of a queued request against a running one.
         slow_start: Time in which a new replica reaches its full share.
@@ -51,6 +54,8 @@
     zone_penalty: float = 1.0
     affinity_bonus: float = 20.0
     affinity_ttl: timedelta = timedelta(seconds=30)
+    home_factor: float = 8.0
+    max_homes: int = 16
     max_prefixes: int = 20_000
     queue_weight: float = 1.0
     slow_start: timedelta = timedelta(seconds=10)
@@ -64,12 +69,18 @@
         for name in (
             "choices",
             "deciding_entries",
+            "max_homes",
             "max_prefixes",
             "max_failures",
         ):
             value = getattr(self, name)
             _check(name, value, value >= 1, "at least 1")
-        for name in ("zone_penalty", "affinity_bonus", "queue_weight"):
+        for name in (
+            "zone_penalty",
+            "affinity_bonus",
+            "queue_weight",
+            "home_factor",
+        ):
             value = getattr(self, name)
             _check(name, value, value >= 0, "at least 0")
         for name in (
