--- a/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
@@ -55,7 +55,7 @@
     affinity_bonus: float = 20.0
     affinity_ttl: timedelta = timedelta(seconds=30)
     home_factor: float = 8.0
-    max_homes: int = 16
+    max_homes: int = 64
     max_prefixes: int = 20_000
     queue_weight: float = 1.0
     slow_start: timedelta = timedelta(seconds=10)
