--- a/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
@@ -50,7 +50,7 @@
 
     choices: int = 2
     deciding_entries: int = 1
-    report_decay: timedelta = timedelta(milliseconds=200)
+    report_decay: timedelta = timedelta(milliseconds=300)
     zone_penalty: float = 10.0
     affinity_bonus: float = 20.0
     affinity_ttl: timedelta = timedelta(seconds=30)
