Rank prefix homes with one multiplication

Cause: a choice with an unseen prefix over 300 replicas took 215 us at p99 against a limit of 200 us. Evenness over 60 replicas and 30,000 keys: standard deviation 23.9 of 500 (22.4 expected for random). max_prefixes is 1024, since 2048 took 1.4 MB per deployment and an entry has up to 16. Trial on one loaded machine, 300 candidates, prefixes seen once: p99 215 -> 174 us. make bench-routing, balanced, p95 first token: load 0.8 26.7 -> 27.3 ms, 560 entries 63.9 -> 56.5 ms (other homes).

--- a/packages/chicoryplank/src/chicoryplank/routing/_affinity.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_affinity.py
@@ -6,11 +6,12 @@
 from typing import NamedTuple
 
 from chicoryplank.ids import InstanceId
-from chicoryplank.rendezvous import mix
 from chicoryplank.routing._replica import Replica
 
 # The holders of a very common prefix are many; more are not compared.
 _MAX_HOLDERS = 4
+_MULTIPLIER = 0x9E3779B97F4A7C15
+_MASK = (1 << 64) - 1
 _COUNTED_REQUESTS = 512
 # Shares of fewer requests would be far too large.
 _MIN_COUNTED_REQUESTS = 32
@@ -177,10 +178,15 @@
         if homes is None or len(homes) < min(count, len(replicas)):
             if len(self._homes) >= self._max_prefixes:
                 self._homes.clear()
+            # One multiplication spreads as evenly as the full mix here, since
+            # both sides are uniform, and takes half of the time.
             target = int.from_bytes(prefix[:8])
+            scores = {
+                ((target ^ replica.key) * _MULTIPLIER) & _MASK: replica
+                for replica in replicas
+            }
             # Twice the count, so that a growing count seldom ranks again.
-            homes = heapq.nsmallest(
-                2 * count, replicas, key=lambda item: mix(target, item.key)
-            )
+            lowest = heapq.nsmallest(2 * count, scores)
+            homes = [scores[score] for score in lowest]
             self._homes[prefix] = homes
         return homes
--- a/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
@@ -32,7 +32,7 @@
         home_factor: Homes of a prefix are its share of the requests times the
             number of replicas times this factor.
         max_homes: Most homes of one prefix.
-        max_prefixes: Prefixes that are remembered.
+        max_prefixes: Prefixes that are remembered; each takes about 0.7 KB.
         queue_weight: Weight of a queued request against a running one.
         slow_start: Time in which a new replica reaches its full share.
         stall_timeout: Time without output, with requests in flight, after
@@ -56,7 +56,7 @@
     affinity_ttl: timedelta = timedelta(seconds=30)
     home_factor: float = 8.0
     max_homes: int = 64
-    max_prefixes: int = 20_000
+    max_prefixes: int = 1_024
     queue_weight: float = 1.0
     slow_start: timedelta = timedelta(seconds=10)
     stall_timeout: timedelta = timedelta(seconds=1)
