Add retry budgets, verdict rules and hedging

Retries cost budget that requests earn, so a fault cannot multiply traffic by more than 1 plus the ratio and a small floor. A fixed number of retries per request was ruled out: it multiplies traffic most when least can be served. A refusal for overload is passed on.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
 
-.PHONY: setup test check format unit demo generate bench-limits
+.PHONY: setup test check format unit demo generate bench-limits bench-retry
 
 setup: $(VENV)/.installed
 
@@ -37,3 +37,6 @@
 
 bench-limits: setup
 	$(PYTHON) benchmarks/limits.py
+
+bench-retry: setup
+	$(PYTHON) benchmarks/retry.py
--- a/benchmarks/engine_model.py
+++ b/benchmarks/engine_model.py
@@ -51,11 +51,19 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Job:
-    """One attempt at an engine; done is called when its answer is complete."""
+    """One attempt at an engine.
+
+    Attributes:
+        tokens: Tokens of the answer.
+        priority: Priority class; a lower value goes first.
+        done: Called when the answer is complete.
+        started: Called when the engine begins with the first token.
+    """
 
     tokens: int
     priority: int
     done: Callable[[], None]
+    started: Callable[[], None] | None = None
     finish: float = 0.0
     running: bool = False
     cancelled: bool = False
@@ -111,6 +119,8 @@
             self._count += 1
             item = (job.finish, next(self._order), job)
             heapq.heappush(self._running, item)
+            if job.started:
+                job.started()
         while self._running and self._running[0][2].cancelled:
             heapq.heappop(self._running)
         self._version += 1
--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/retry/__init__.py
@@ -0,0 +1,21 @@
+"""Retry budgets, verdict rules, backoff and hedging."""
+
+from chicoryplank.retry._messages import (
+    Arrival,
+    Failure,
+    FirstToken,
+    Hedge,
+    Permission,
+)
+from chicoryplank.retry._parameters import RetryParameters
+from chicoryplank.retry._policy import RetryPolicy
+
+__all__ = [
+    "Arrival",
+    "Failure",
+    "FirstToken",
+    "Hedge",
+    "Permission",
+    "RetryParameters",
+    "RetryPolicy",
+]
--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/retry/tests/test_policy.py
@@ -0,0 +1,198 @@
+"""Tests of retry budgets, verdict rules and hedging."""
+
+import dataclasses
+import random
+from datetime import UTC, datetime, timedelta
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.ids import AccountId
+from chicoryplank.retry import (
+    Arrival,
+    Failure,
+    FirstToken,
+    Hedge,
+    RetryParameters,
+    RetryPolicy,
+)
+from chicoryplank.verdict import Verdict
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+ACCOUNT = AccountId("bidders")
+
+
+def make_failure(
+    code=ErrorCode.BACKEND_FAILED, verdict=Verdict.NOT_RUN, **fields
+):
+    """Returns a failure that may be retried unless fields say otherwise."""
+    error = ChicoryplankError(
+        code, "stand-in", verdict, fields.pop("retry_after", None)
+    )
+    fields.setdefault("repeatable", True)
+    fields.setdefault("deadline", START + timedelta(seconds=10))
+    return Failure(ACCOUNT, "lm-floor", error, **fields)
+
+
+class TestRetries(testtools.TestCase):
+    """Rules for retries."""
+
+    def setUp(self):
+        super().setUp()
+        self.policy = RetryPolicy(random.Random(1))
+
+    def test_verdict_rules(self):
+        """Guards against a bid that is confirmed twice."""
+        unknown = Verdict.MAY_HAVE_RUN
+        cases = [
+            (True, {"repeatable": False}),
+            (False, {"verdict": unknown, "repeatable": False}),
+            (True, {"verdict": unknown}),
+            (False, {"earlier": unknown, "repeatable": False}),
+            (False, {"verdict": Verdict.RAN}),
+            (False, {"sent_bytes": 1}),
+            (False, {"retries": 2}),
+            (False, {"code": ErrorCode.MALFORMED_REQUEST}),
+        ]
+        for allowed, fields in cases:
+            policy = RetryPolicy(random.Random(1))
+            permission = policy.admit(make_failure(**fields), START)
+            self.assertEqual(allowed, permission.allowed, fields)
+            self.assertEqual(allowed, permission.error is None, fields)
+
+    def test_overload_is_passed_on(self):
+        """Guards against retries that keep a fleet overloaded."""
+        for code in (ErrorCode.QUEUE_FULL, ErrorCode.BACKEND_FAILED):
+            failure = make_failure(code, retry_after=timedelta(seconds=3))
+            permission = self.policy.admit(failure, START)
+            self.assertFalse(permission.allowed)
+            self.assertIs(failure.error, permission.error)
+
+    def test_error_covers_all_attempts(self):
+        """Guards against "not run" although an earlier attempt may have."""
+        failure = make_failure(earlier=Verdict.MAY_HAVE_RUN, retries=2)
+        permission = self.policy.admit(failure, START)
+        self.assertIs(Verdict.MAY_HAVE_RUN, permission.error.verdict)
+
+    def test_exhausted_budget_keeps_verdict(self):
+        """Guards against a budget refusal that hides what is known."""
+        failure = make_failure(verdict=Verdict.MAY_HAVE_RUN)
+        while (permission := self.policy.admit(failure, START)).allowed:
+            pass
+        error = permission.error
+        self.assertIs(ErrorCode.RETRY_BUDGET_EXHAUSTED, error.code)
+        self.assertIs(Verdict.MAY_HAVE_RUN, error.verdict)
+        self.assertEqual(timedelta(seconds=20), error.retry_after)
+
+    def test_no_retry_without_time(self):
+        """Guards against an attempt that cannot end in time."""
+        failure = make_failure(expected=timedelta(seconds=11))
+        permission = self.policy.admit(failure, START)
+        self.assertIs(failure.error, permission.error)
+
+    @hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+    @hypothesis.given(strategies.data())
+    def test_budget_bounds_every_window(self, data):
+        """Guards against retries that multiply the traffic of a fault."""
+        parameters = RetryParameters()
+        policy = RetryPolicy(random.Random(1), parameters)
+        for _ in range(100):
+            elapsed = timedelta(seconds=0.01)
+            policy.observe(FirstToken("lm-floor", elapsed), START)
+        now = START
+        level = 0.0
+        steps = strategies.sampled_from(["arrive", "retry", "hedge", "wait"])
+        for action in data.draw(strategies.lists(steps, max_size=120)):
+            if action == "wait":
+                now += timedelta(seconds=3)
+                level = max(0.0, level - 3 * parameters.floor_per_s)
+                continue
+            if action == "arrive":
+                policy.observe(Arrival(ACCOUNT), now)
+                level = max(0.0, level - parameters.ratio)
+                continue
+            deadline = now + timedelta(seconds=10)
+            candidate = make_failure(deadline=deadline)
+            if action == "hedge":
+                waited = timedelta(seconds=1)
+                candidate = Hedge(ACCOUNT, "lm-floor", True, deadline, waited)
+            permission = policy.admit(candidate, now)
+            level += permission.allowed
+            self.assertLessEqual(level, parameters.max_saved + 1e-9)
+
+    @hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+    @hypothesis.given(strategies.integers(0, 1), strategies.integers(1, 3000))
+    def test_backoff_stays_within_deadline(self, retries, left_ms):
+        """Guards against a backoff that outlasts the caller."""
+        expected = timedelta(milliseconds=100)
+        failure = make_failure(
+            deadline=START + expected + timedelta(milliseconds=left_ms),
+            expected=expected,
+            retries=retries,
+        )
+        policy = RetryPolicy(random.Random(left_ms))
+        permission = policy.admit(failure, START)
+        self.assertTrue(permission.allowed)
+        end = START + permission.delay + expected
+        self.assertLess(end, failure.deadline)
+        self.assertLessEqual(permission.delay, RetryParameters().base * 2)
+
+
+class TestHedges(testtools.TestCase):
+    """Rules for a second attempt beside a slow one."""
+
+    def setUp(self):
+        super().setUp()
+        self.policy = RetryPolicy(random.Random(1))
+        for number in range(100):
+            elapsed = timedelta(milliseconds=100 if number < 90 else 400)
+            self.policy.observe(FirstToken("lm-floor", elapsed), START)
+        for _ in range(100):
+            self.policy.observe(Arrival(ACCOUNT), START)
+        self.hedge = Hedge(
+            ACCOUNT,
+            "lm-floor",
+            True,
+            START + timedelta(seconds=10),
+            timedelta(seconds=1),
+        )
+
+    def test_waits_for_high_percentile(self):
+        """Guards against hedges for attempts of usual speed."""
+        delay = self.policy.find_hedge_delay("lm-floor")
+        self.assertGreaterEqual(delay, timedelta(milliseconds=400))
+        self.assertLess(delay, timedelta(milliseconds=441))
+        self.assertIsNone(self.policy.find_hedge_delay("other"))
+
+    def test_rules(self):
+        """Guards against hedges that run work twice or come too late."""
+        cases = [
+            (True, {}),
+            (False, {"repeatable": False}),
+            (False, {"sent_bytes": 1}),
+            (False, {"hedges": 1}),
+            (False, {"waited": timedelta(milliseconds=300)}),
+            (False, {"group": "other"}),
+            (False, {"expected": timedelta(seconds=10)}),
+        ]
+        for allowed, fields in cases:
+            hedge = dataclasses.replace(self.hedge, **fields)
+            permission = self.policy.admit(hedge, START)
+            self.assertEqual(allowed, permission.allowed, fields)
+
+    def test_none_into_overload(self):
+        """Guards against hedges that add to an overload."""
+        self.policy.admit(make_failure(ErrorCode.QUEUE_FULL), START)
+        self.assertFalse(self.policy.admit(self.hedge, START).allowed)
+        later = START + timedelta(seconds=5)
+        self.assertTrue(self.policy.admit(self.hedge, later).allowed)
+
+    def test_leaves_reserve_for_retries(self):
+        """Guards against slow attempts that use up the budget for failures."""
+        while self.policy.admit(self.hedge, START).allowed:
+            pass
+        for allowed in (True, True, False):
+            permission = self.policy.admit(make_failure(), START)
+            self.assertEqual(allowed, permission.allowed)
