Retry and hedge by the retry policy; split the dispatch of requests

A service path was forwarded decoded, so a path with an encoded line break could add a header to the request. Ruled out: rejecting percent-encoded paths, which callers need.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -18,6 +18,7 @@
 from chicoryplank.lifecycle import Application
 from chicoryplank.limits import Limiter
 from chicoryplank.logs import install_logs
+from chicoryplank.retry import RetryPolicy
 from chicoryplank_entry.admission import AdmissionGate
 from chicoryplank_entry.controllers import (
     configure_limits,
@@ -26,10 +27,11 @@
     follow_instances,
     watch_silence,
 )
+from chicoryplank_entry.dispatch import Dispatcher
+from chicoryplank_entry.exchange import AttemptRunner
 from chicoryplank_entry.http import CallerInterface
 from chicoryplank_entry.pacing import OutputPacer
 from chicoryplank_entry.relays import Relay, RelayPool
-from chicoryplank_entry.requests import Dispatcher
 from chicoryplank_entry.selection import Selector
 from chicoryplank_wire.store import EtcdStore
 
@@ -79,10 +81,11 @@
             settings,
             clock,
             self.blackboard,
-            ledger=self.ledger,
-            pool=self.pool,
-            selector=self._selector,
+            runner=AttemptRunner(
+                settings, clock, self.ledger, self.pool, self._selector
+            ),
             gate=self.gate,
+            retries=RetryPolicy(random_source),
         )
         self._store = EtcdStore(settings.store.address, settings.store.timeout)
         self._client = aiosonic.HTTPClient()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -18,13 +18,11 @@
 from chicoryplank.configuration import EntrySettings, Priority
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank_entry import metrics
-from chicoryplank_entry.requests import (
-    CallerRequest,
+from chicoryplank_entry.dispatch import Dispatcher
+from chicoryplank_entry.requests import CallerRequest, Kind, find_account
+from chicoryplank_entry.responses import (
     CallerResponse,
-    Dispatcher,
-    Kind,
     ResponseStream,
-    find_account,
     format_error,
 )
 
@@ -173,6 +171,27 @@
     return _PRIORITIES[text]
 
 
+def _read_service_path(request: Request) -> tuple[str, str]:
+    """Returns the path and query as the caller sent them, and decoded.
+
+    Raises:
+        ChicoryplankError: If the path has empty or dot segments. The service
+            might resolve them to another path than the one that decides
+            whether the call is idempotent.
+    """
+    decoded = "/" + request.path_params["path"]
+    segments = decoded.split("/")[1:]
+    if "" in segments[:-1] or {".", ".."} & set(segments):
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST,
+            "the path must not contain empty, . or .. segments",
+        )
+    raw = request.scope["raw_path"].decode("ascii", "replace")
+    path = "/" + raw.split("/", 4)[4]
+    query = request.scope["query_string"].decode("ascii", "replace")
+    return (f"{path}?{query}" if query else path), decoded
+
+
 def _read_key(request: Request) -> str:
     key = request.headers.get("idempotency-key", "")
     if len(key) > _MAX_KEY_LENGTH:
@@ -388,9 +407,7 @@
         priority = _read_priority(request)
         key = _read_key(request)
         body = await _read_body(request, self._settings)
-        path = "/" + request.path_params["path"]
-        if request.url.query:
-            path = f"{path}?{request.url.query}"
+        path, decoded_path = _read_service_path(request)
         headers = tuple(
             (name, value)
             for name, value in request.headers.items()
@@ -410,6 +427,7 @@
                 priority,
                 timeout,
                 key,
+                decoded_path=decoded_path,
             ),
         )
 
--- a/packages/chicoryplank/src/chicoryplank/attempts/_ledger.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/_ledger.py
@@ -5,7 +5,6 @@
 import enum
 import itertools
 from collections.abc import Callable
-from datetime import timedelta
 
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.ids import Incarnation, InstanceId
@@ -333,7 +332,6 @@
                 ErrorCode.ATTEMPT_ABANDONED,
                 "the connection broke before the attempt arrived",
                 Verdict.NOT_RUN,
-                retry_after=timedelta(seconds=1),
             ),
         )
         return False
--- a/packages/chicoryplank/src/chicoryplank/blackboard.py
+++ b/packages/chicoryplank/src/chicoryplank/blackboard.py
@@ -71,6 +71,7 @@
         leaving: Whether this process is about to stop; callers are sent
             elsewhere.
         draining: Whether this process accepts no new requests.
+        isolated: Whether neither the store nor a peer was heard for too long.
     """
 
     def __init__(self) -> None:
@@ -79,3 +80,4 @@
         self.instances: Section[tuple[Instance, ...]] = Section(())
         self.leaving: Section[bool] = Section(False)
         self.draining: Section[bool] = Section(False)
+        self.isolated: Section[bool] = Section(False)
--- a/packages/chicoryplank/src/chicoryplank/retry/_policy.py
+++ b/packages/chicoryplank/src/chicoryplank/retry/_policy.py
@@ -21,6 +21,7 @@
 _LOCAL_FAILURES = frozenset(
     {
         ErrorCode.ANSWER_TRUNCATED,
+        ErrorCode.ATTEMPT_ABANDONED,
         ErrorCode.BACKEND_FAILED,
         ErrorCode.MEMBER_UNREACHABLE,
         ErrorCode.OUTCOME_UNKNOWN,
