Add fencing, the controller lease and map changes

chicoryplank.orders gains FenceGate (agent), ControllerLease and MapChange (controller), RankMap and join_group (rank). The state of a change is only what groups/<group>/map records; a change is decided only on the promise of every recorded incarnation.

--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -25,6 +25,27 @@
     )
     ENGINE_FAILED = (1203, logbook.WARNING, "backend server failed: {error}")
     CONFIGURATION_APPLIED = (1301, logbook.INFO, "version {version} in force")
+    LEASE_ACQUIRED = (
+        1501,
+        logbook.INFO,
+        "controller of group {group} with token {token}",
+    )
+    LEASE_LOST = (
+        1502,
+        logbook.WARNING,
+        "lease of group {group} with token {token} has lapsed",
+    )
+    MAP_DECIDED = (
+        1503,
+        logbook.INFO,
+        "group {group} switches its expert map in change {change}",
+    )
+    MAP_CHANGE_ABORTED = (
+        1504,
+        logbook.INFO,
+        "group {group} keeps its expert map, change {change} is aborted",
+    )
+    ORDER_REFUSED = (1505, logbook.WARNING, "order {order} refused: {detail}")
 
     @property
     def number(self) -> int:
--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/orders/__init__.py
@@ -0,0 +1,44 @@
+"""Fencing of engine orders and changes of an expert map."""
+
+from chicoryplank.orders._documents import (
+    MapDocument,
+    NextMap,
+    Phase,
+    Prepared,
+    SwitchDecision,
+    decode_document,
+    encode_document,
+    get_lease_key,
+    get_map_key,
+)
+from chicoryplank.orders._fence import FenceGate, Order
+from chicoryplank.orders._lease import ControllerLease
+from chicoryplank.orders._map_change import (
+    MapChange,
+    create_document,
+    join_group,
+    read_document,
+    read_highest_token,
+)
+from chicoryplank.orders._rank import RankMap
+
+__all__ = [
+    "ControllerLease",
+    "FenceGate",
+    "MapChange",
+    "MapDocument",
+    "NextMap",
+    "Order",
+    "Phase",
+    "Prepared",
+    "RankMap",
+    "SwitchDecision",
+    "create_document",
+    "decode_document",
+    "encode_document",
+    "get_lease_key",
+    "get_map_key",
+    "join_group",
+    "read_document",
+    "read_highest_token",
+]
