--- a/tools/demo.py
+++ b/tools/demo.py
@@ -111,6 +111,7 @@
                 for number in (signal.SIGINT, signal.SIGTERM):
                     loop.remove_signal_handler(number)
                     signal.signal(number, signal.SIG_IGN)
+                await site.close()
 
 
 async def _run_site(
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -251,7 +251,9 @@
         """Stops listening and breaks all connections."""
         if self._server is not None:
             self._server.close()
+        self.unblock()
         self.cut()
+        await wait_until(lambda: not self._writers, 1, f"{self.address} breaks")
 
     def cut(self) -> None:
         """Breaks all connections; data under way is lost."""
