Give every request of an agent a clean connection

aiosonic 1.3.3 puts a kept connection back into its pool when a call on it is cancelled.

aiosonic also sends a PUT or DELETE again when a kept connection breaks. The header Connection: close does not prevent that, because it only ends the connection after the call. Non-repeatable requests now get a client that never uses a connection again.

Both tests failed before (read /slow instead of /last; 2 sends instead of 1) and pass now.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 
 import aiosonic
+from aiosonic.connection import Connection
 from aiosonic.exceptions import ConnectTimeout
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
@@ -52,6 +53,33 @@
     body: AsyncIterator[bytes]
 
 
+class _ClosingConnection(Connection):
+    """Connection that is not used again after a call broke off.
+
+    aiosonic 1.3.3 puts a reused connection back into its pool when a call on
+    it is cancelled or times out. The next call then reads the answer to the
+    call before, which belongs to another caller.
+    """
+
+    async def __aexit__(self, exc_type, exc, tb) -> None:
+        """Closes the connection if the call did not end regularly."""
+        if exc_type is not None:
+            self.keep = False
+            self.close()
+        await super().__aexit__(exc_type, exc, tb)
+
+
+def _make_client(
+    max_connections: int, max_requests: int | None
+) -> aiosonic.HTTPClient:
+    """Returns a client that uses a connection again up to so many times."""
+    pool = PoolConfig(size=max_connections, max_conn_requests=max_requests)
+    connector = aiosonic.TCPConnector(
+        pool_configs={":default": pool}, connection_cls=_ClosingConnection
+    )
+    return aiosonic.HTTPClient(connector)
+
+
 class BackendClient:
     """Sends requests to one backend server.
 
@@ -62,14 +90,16 @@
 
     def __init__(self, address: str, max_connections: int) -> None:
         self._url = f"http://{address}"
-        pools = {":default": PoolConfig(size=max_connections)}
-        self._client = aiosonic.HTTPClient(
-            aiosonic.TCPConnector(pool_configs=pools)
-        )
+        self._client = _make_client(max_connections, None)
+        # When a kept connection breaks, the HTTP client may send a PUT or
+        # DELETE a second time. So a non-repeatable request never gets a kept
+        # connection.
+        self._single_client = _make_client(max_connections, 0)
 
     async def close(self) -> None:
         """Closes the connections."""
         await self._client.aclose()
+        await self._single_client.aclose()
 
     async def send(self, request: BackendRequest) -> BackendResponse:
         """Sends a request and returns the head of the response.
@@ -80,12 +110,12 @@
         """
         headers = dict(request.headers)
         headers["X-Request-Id"] = request.request_id
+        client = self._client
         if not request.repeatable:
-            # A pooled connection may break while the request is written, and
-            # an HTTP client may then send it a second time.
+            client = self._single_client
             headers["Connection"] = "close"
         response = await self._open(
-            request.method, request.path, headers, request.body
+            client, request.method, request.path, headers, request.body
         )
         kept = tuple(
             (name.lower(), value)
@@ -120,7 +150,12 @@
             return None
 
     async def _open(
-        self, method: str, path: str, headers: dict[str, str], body: bytes
+        self,
+        client: aiosonic.HTTPClient,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
     ) -> aiosonic.HttpResponse:
         timeouts = Timeouts(
             sock_connect=_CONNECT_TIMEOUT_S,
@@ -128,7 +163,7 @@
             request_timeout=None,
         )
         try:
-            return await self._client.request(
+            return await client.request(
                 self._url + path,
                 method,
                 headers=headers,
@@ -173,6 +208,7 @@
             if not last_id:
                 raise _make_failure(failure)
             response = await self._open(
+                self._client,
                 "GET",
                 f"/v1/streams/{request_id}",
                 {"Last-Event-ID": last_id.decode()},
--- /dev/null
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend.py
@@ -0,0 +1,104 @@
+"""Tests of the backend client against a server on the loopback interface."""
+
+import asyncio
+
+import testtools
+
+from chicoryplank.errors import ChicoryplankError
+from chicoryplank_agent.backend import BackendClient, BackendRequest
+
+_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+
+
+def _make_request(path, method="GET", repeatable=True):
+    return BackendRequest(path, method, path, (), b"", repeatable)
+
+
+class _Server:
+    """Answers a path with itself; remembers every request that arrives."""
+
+    def __init__(self):
+        self.paths = []
+        self.arrived = asyncio.Event()
+        self.release = asyncio.Event()
+        self.closes_on = b""
+        self._closed = []
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._answer, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def close(self):
+        self._server.close()
+        self.release.set()
+        for closed in self._closed:
+            await closed.wait()
+
+    async def _answer(self, reader, writer):
+        closed = asyncio.Event()
+        self._closed.append(closed)
+        while head := await reader.readline():
+            path = head.split()[1]
+            self.paths.append(path.decode())
+            while (await reader.readline()).strip():
+                continue
+            if path == b"/slow":
+                self.arrived.set()
+                await self.release.wait()
+            if path == self.closes_on:
+                break
+            writer.write(_HEAD % (len(path), path))
+        writer.close()
+        closed.set()
+
+
+async def _read(client, request):
+    response = await client.send(request)
+    return b"".join([data async for data in response.body])
+
+
+class TestBackendClient(testtools.TestCase):
+    """One request gets its own response and is sent once."""
+
+    def _run(self, work):
+        async def run():
+            server = _Server()
+            client = BackendClient(await server.start(), 1)
+            try:
+                return await work(server, client)
+            finally:
+                await client.close()
+                await server.close()
+
+        return asyncio.run(run())
+
+    def test_cancelled_request_leaves_no_answer_behind(self):
+        """Guards against answering a caller with another caller's answer."""
+
+        async def work(server, client):
+            await _read(client, _make_request("/first"))
+            slow = asyncio.create_task(_read(client, _make_request("/slow")))
+            await server.arrived.wait()
+            slow.cancel()
+            await asyncio.wait((slow,))
+            server.release.set()
+            return await _read(client, _make_request("/last"))
+
+        self.assertEqual(b"/last", self._run(work))
+
+    def test_non_repeatable_request_is_sent_once(self):
+        """Guards against a resend when a kept connection breaks."""
+
+        async def work(server, client):
+            await _read(client, _make_request("/first"))
+            await _read(client, _make_request("/second", "PUT", False))
+            server.closes_on = b"/quotes"
+            request = _make_request("/quotes", "PUT", repeatable=False)
+            try:
+                await _read(client, request)
+            except ChicoryplankError:
+                pass
+            return server.paths.count("/quotes")
+
+        self.assertEqual(1, self._run(work))
