Add late writes and a driven event loop to the fakes

The models of the decisions need a store whose timed-out write takes effect later, and tasks that run only when a test lets them, on a virtual clock.

--- a/packages/chicoryplank/src/chicoryplank/fakes.py
+++ b/packages/chicoryplank/src/chicoryplank/fakes.py
@@ -1,7 +1,7 @@
 """In-memory store with faults, for tests, benchmarks and embedding."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 
 from chicoryplank.clock import Clock
@@ -19,13 +19,17 @@
         available: Whether calls are answered.
         lose_answers: Number of coming writes that take effect but whose
             answer is lost.
+        delay_writes: Number of coming writes that time out and take effect
+            only when apply_delayed is called.
         calls: Number of calls so far.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.available = True
         self.lose_answers = 0
+        self.delay_writes = 0
         self.calls = 0
+        self._delayed: list[Callable[[], object]] = []
         self._clock = clock
         self._revision = 0
         self._records: dict[str, Record] = {}
@@ -82,7 +86,20 @@
         self, key: str, value: bytes, expected_revision: int, lease: int = 0
     ) -> tuple[SwapOutcome, int]:
         """Writes a value if the key is still at the expected revision."""
+
+        def apply() -> tuple[SwapOutcome, int]:
+            return self._apply_swap(key, value, expected_revision, lease)
+
         self._begin_call()
+        self._check_delay(apply)
+        outcome, revision = apply()
+        if outcome is SwapOutcome.SWAPPED:
+            self._end_write()
+        return outcome, revision
+
+    def _apply_swap(
+        self, key: str, value: bytes, expected_revision: int, lease: int
+    ) -> tuple[SwapOutcome, int]:
         if self._get_revision(key) != expected_revision:
             return SwapOutcome.CONFLICT, self._revision
         if lease and lease not in self._leases:
@@ -92,21 +109,49 @@
         self._attached.pop(key, None)
         if lease:
             self._attached[key] = lease
-        revision = self._revision
-        self._end_write()
-        return SwapOutcome.SWAPPED, revision
+        return SwapOutcome.SWAPPED, self._revision
 
     async def delete(self, key: str, expected_revision: int) -> SwapOutcome:
         """Deletes a key if it is still at the expected revision."""
+
+        def apply() -> SwapOutcome:
+            return self._apply_delete(key, expected_revision)
+
         self._begin_call()
+        self._check_delay(apply)
+        outcome = apply()
+        if outcome is SwapOutcome.SWAPPED:
+            self._end_write()
+        return outcome
+
+    def _apply_delete(self, key: str, expected_revision: int) -> SwapOutcome:
         if self._get_revision(key) != expected_revision:
             return SwapOutcome.CONFLICT
         self._records.pop(key, None)
         self._attached.pop(key, None)
         self._revision += 1
-        self._end_write()
         return SwapOutcome.SWAPPED
 
+    def _check_delay(self, apply: Callable[[], object]) -> None:
+        if self.delay_writes > 0:
+            self.delay_writes -= 1
+            self._delayed.append(apply)
+            raise StoreError("the write timed out", Verdict.MAY_HAVE_RUN)
+
+    @property
+    def delayed(self) -> int:
+        """Number of timed-out writes that have not taken effect yet."""
+        return len(self._delayed)
+
+    def apply_delayed(self, index: int) -> None:
+        """Lets a timed-out write take effect if its comparison still holds.
+
+        Args:
+            index: Position among the delayed writes, oldest first.
+        """
+        self._delayed.pop(index)()
+        self._signal()
+
     async def grant_lease(self, duration: timedelta) -> int:
         """Returns the id of a new lease."""
         self._begin_call()
@@ -145,3 +190,75 @@
                 yield record
                 continue
             await changed.wait()
+
+
+class DrivenLoop(asyncio.BaseEventLoop):
+    """Event loop without I/O whose time is that of an injected clock.
+
+    It runs tasks only inside run_ready, so that a test decides when each
+    process of a model makes progress.
+
+    Args:
+        clock: Source of the loop's time.
+
+    Attributes:
+        failures: Exceptions that no task handled.
+
+    Example:
+        >>> from chicoryplank.clock import ManualClock
+        >>> loop = DrivenLoop(ManualClock())
+        >>> loop.run_until_complete(asyncio.sleep(0, "done"))
+        'done'
+        >>> loop.stop_all()
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__()
+        self._clock = clock
+        # BaseEventLoop asks its selector for events in every iteration.
+        self._selector = self
+        self.failures: list[BaseException] = []
+        self.set_exception_handler(self._record_failure)
+
+    def select(self, timeout: float | None) -> list:
+        """Returns no events; there are no sockets."""
+        del timeout
+        return []
+
+    def _process_events(self, event_list: list) -> None:
+        pass
+
+    def _write_to_self(self) -> None:
+        pass
+
+    def _record_failure(
+        self, loop: asyncio.AbstractEventLoop, context: dict
+    ) -> None:
+        del loop
+        if isinstance(context.get("exception"), BaseException):
+            self.failures.append(context["exception"])
+
+    def time(self) -> float:
+        """Returns the time of the clock in seconds."""
+        return self._clock.elapsed().total_seconds()
+
+    def run_ready(self, max_iterations: int = 1000) -> None:
+        """Runs what is ready until all tasks wait.
+
+        Raises:
+            RuntimeError: If the tasks do not come to rest.
+        """
+        for _ in range(max_iterations):
+            self.call_soon(self.stop)
+            self.run_forever()
+            due = self._scheduled and self._scheduled[0].when() <= self.time()
+            if not self._ready and not due:
+                return
+        raise RuntimeError(f"no rest within {max_iterations} iterations")
+
+    def stop_all(self) -> None:
+        """Cancels all tasks and closes the loop."""
+        for task in asyncio.all_tasks(self):
+            task.cancel()
+        self.run_ready()
+        self.close()
--- a/packages/chicoryplank/src/chicoryplank/tests/test_store.py
+++ b/packages/chicoryplank/src/chicoryplank/tests/test_store.py
@@ -8,6 +8,7 @@
 from chicoryplank.clock import ManualClock
 from chicoryplank.fakes import MemoryStore
 from chicoryplank.store import StoreError, SwapOutcome
+from chicoryplank.verdict import Verdict
 
 
 class TestMemoryStore(testtools.TestCase):
@@ -55,3 +56,22 @@
             return await store.renew_lease(lease), await store.read("a")
 
         self.assertEqual((False, None), asyncio.run(run()))
+
+    def test_delayed_write_takes_effect_late(self):
+        """Guards against a fake whose timed-out writes never take effect."""
+
+        async def run():
+            store = MemoryStore(ManualClock())
+            store.delay_writes = 2
+            for value in (b"1", b"2"):
+                try:
+                    await store.swap("a", value, 0)
+                except StoreError as error:
+                    self.assertIs(Verdict.MAY_HAVE_RUN, error.verdict)
+            before = await store.read("a")
+            store.apply_delayed(1)
+            store.apply_delayed(0)
+            after = await store.read("a")
+            return before, after.value, store.delayed
+
+        self.assertEqual((None, b"2", 0), asyncio.run(run()))
