Settle a discarded run as started

An agent discards the attempts of an entry that stays away for the grace period. The tombstone did not keep whether the attempt had started, so a later Settle was answered 'not started' and the entry reported NOT_RUN for a request that had run. Tombstones now keep it; a repeated Start of such an attempt is rejected as MAY_HAVE_RUN.

--- a/packages/chicoryplank/src/chicoryplank/attempts/_table.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/_table.py
@@ -65,6 +65,19 @@
     error: ChicoryplankError | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Tombstone:
+    """An attempt that must not start any more.
+
+    Attributes:
+        end: Boot time until which it is remembered.
+        started: Whether the attempt may have run before.
+    """
+
+    end: timedelta
+    started: bool
+
+
 class AttemptTable:
     """Attempts of one agent incarnation.
 
@@ -94,7 +107,7 @@
         self._limits = limits
         self._max_clock_skew = max_clock_skew
         self._records: dict[AttemptKey, AttemptRecord] = {}
-        self._tombstones: collections.OrderedDict[AttemptKey, timedelta] = (
+        self._tombstones: collections.OrderedDict[AttemptKey, _Tombstone] = (
             collections.OrderedDict()
         )
         self.draining = False
@@ -142,10 +155,12 @@
         if key in self._records:
             return None
         self._forget_expired()
-        if key in self._tombstones:
+        tombstone = self._tombstones.get(key)
+        if tombstone is not None:
             raise ChicoryplankError(
                 ErrorCode.ATTEMPT_ABANDONED,
                 f"attempt {key.sequence} was abandoned before it arrived",
+                Verdict.MAY_HAVE_RUN if tombstone.started else Verdict.NOT_RUN,
             )
         if self.draining:
             raise ChicoryplankError(
@@ -237,13 +252,16 @@
             self._bury(record)
             return False
         self._forget_expired()
-        if key not in self._tombstones and self._is_full():
+        tombstone = self._tombstones.get(key)
+        if tombstone is not None and tombstone.started:
+            return True
+        if tombstone is None and self._is_full():
             raise ChicoryplankError(
                 ErrorCode.OUTCOME_UNKNOWN,
                 "too many attempts to settle",
                 Verdict.MAY_HAVE_RUN,
             )
-        self._remember(key, self._limits.max_timeout)
+        self._remember(key, self._limits.max_timeout, started=False)
         return False
 
     def read_from(self, record: AttemptRecord, offset: int) -> bytes:
@@ -283,13 +301,20 @@
     def _bury(self, record: AttemptRecord) -> None:
         self._records.pop(record.key, None)
         left = record.deadline - self._clock.elapsed()
+        error = record.error
+        started = record.state is not RunState.QUEUED and (
+            error is None or error.verdict is not Verdict.NOT_RUN
+        )
         # Both clocks may be off by the skew, in opposite directions.
-        self._remember(record.key, left + 2 * self._max_clock_skew)
+        self._remember(record.key, left + 2 * self._max_clock_skew, started)
 
-    def _remember(self, key: AttemptKey, duration: timedelta) -> None:
-        self._tombstones[key] = self._clock.elapsed() + max(
+    def _remember(
+        self, key: AttemptKey, duration: timedelta, started: bool
+    ) -> None:
+        end = self._clock.elapsed() + max(
             duration, self._limits.default_timeout
         )
+        self._tombstones[key] = _Tombstone(end, started)
         self._tombstones.move_to_end(key)
 
     def _is_full(self) -> bool:
@@ -300,6 +325,6 @@
         elapsed = self._clock.elapsed()
         while self._tombstones:
             key = next(iter(self._tombstones))
-            if self._tombstones[key] > elapsed:
+            if self._tombstones[key].end > elapsed:
                 return
             del self._tombstones[key]
--- a/packages/chicoryplank/src/chicoryplank/attempts/tests/test_table.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/tests/test_table.py
@@ -58,6 +58,14 @@
         self.table.start(self._admit())
         self.assertTrue(self.table.settle(_KEY))
 
+    def test_discarded_run_settles_as_started(self):
+        """Guards against "not run" for a run whose entry was away too long."""
+        self.table.start(self._admit())
+        self.table.discard(_KEY)
+        self.assertTrue(self.table.settle(_KEY))
+        error = self._assert_rejected(ErrorCode.ATTEMPT_ABANDONED, self._admit)
+        self.assertIs(Verdict.MAY_HAVE_RUN, error.verdict)
+
     def test_message_after_its_deadline_is_rejected(self):
         """Guards against work for a request that was given up long ago."""
         deadline = self.clock.now() + _SECOND
