--- a/packages/chicoryplank/src/chicoryplank/retry/_parameters.py
+++ b/packages/chicoryplank/src/chicoryplank/retry/_parameters.py
@@ -28,7 +28,7 @@
         max_retry_after: Greatest Retry-After of an exhausted budget.
     """
 
-    ratio: float = 0.1
+    ratio: float = 0.15
     floor_per_s: float = 0.05
     initial: float = 2.0
     max_saved: float = 10.0
