--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -5,14 +5,12 @@
 from collections.abc import AsyncIterator
 
 import aiosonic
-from aiosonic.connection import Connection
 from aiosonic.exceptions import ConnectTimeout
-from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.verdict import Verdict
-from chicoryplank_wire.http import HTTP_FAILURES
+from chicoryplank_wire.http import HTTP_FAILURES, make_client
 
 EVENT_STREAM = "text/event-stream"
 _CONNECT_TIMEOUT_S = 1.0
@@ -53,33 +51,6 @@
     body: AsyncIterator[bytes]
 
 
-class _ClosingConnection(Connection):
-    """Connection that is not used again after a call broke off.
-
-    aiosonic 1.3.3 puts a reused connection back into its pool when a call on
-    it is cancelled or times out. The next call then reads the answer to the
-    call before, which belongs to another caller.
-    """
-
-    async def __aexit__(self, exc_type, exc, tb) -> None:
-        """Closes the connection if the call did not end regularly."""
-        if exc_type is not None:
-            self.keep = False
-            self.close()
-        await super().__aexit__(exc_type, exc, tb)
-
-
-def _make_client(
-    max_connections: int, max_requests: int | None
-) -> aiosonic.HTTPClient:
-    """Returns a client that uses a connection again up to so many times."""
-    pool = PoolConfig(size=max_connections, max_conn_requests=max_requests)
-    connector = aiosonic.TCPConnector(
-        pool_configs={":default": pool}, connection_cls=_ClosingConnection
-    )
-    return aiosonic.HTTPClient(connector)
-
-
 class BackendClient:
     """Sends requests to one backend server.
 
@@ -90,11 +61,11 @@
 
     def __init__(self, address: str, max_connections: int) -> None:
         self._url = f"http://{address}"
-        self._client = _make_client(max_connections, None)
+        self._client = make_client(max_connections)
         # When a kept connection breaks, the HTTP client may send a PUT or
         # DELETE a second time. So a non-repeatable request never gets a kept
         # connection.
-        self._single_client = _make_client(max_connections, 0)
+        self._single_client = make_client(max_connections, max_requests=0)
 
     async def close(self) -> None:
         """Closes the connections."""
@@ -196,7 +167,7 @@
                     if cut < 2:
                         continue
                     events, rest = rest[:cut], rest[cut:]
-                    ended = _END_MARKER in events[-len(_END_MARKER) - 64 :]
+                    ended = _is_end(events)
                     last_id = _find_last_id(events, last_id)
                     yield events
             except HTTP_FAILURES as error:
@@ -220,11 +191,18 @@
         raise _make_failure(failure)
 
 
+def _is_end(events: bytes) -> bool:
+    """Tells whether the last event is the end marker.
+
+    Generated text may contain the same words, but never at a line start,
+    since JSON escapes line breaks.
+    """
+    last = events[events.rfind(b"\n\n", 0, -2) + 1 :]
+    return _END_MARKER in last.split(b"\n")
+
+
 def _find_last_id(events: bytes, default: bytes) -> bytes:
-    start = events.rfind(b"id:")
-    if start < 0:
-        return default
-    found = _EVENT_ID.findall(events[max(0, start - 1) :])
+    found = _EVENT_ID.findall(events)
     return found[-1] if found else default
 
 
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/outbox.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/outbox.py
@@ -16,9 +16,15 @@
 
     Args:
         flush_interval: Longest wait of output that is not urgent.
+
+    Attributes:
+        attached: Attempts whose output goes to this connection. After a
+            reconnect an attempt is attached once the entry resumed it, so
+            that no output overtakes the replay.
     """
 
     def __init__(self, flush_interval: timedelta) -> None:
+        self.attached: set[int] = set()
         self._interval_s = flush_interval.total_seconds()
         self._batch = relay_pb2.AgentBatch()
         self._ready = asyncio.Event()
@@ -33,6 +39,10 @@
             frame.headers.add(name=name, value=value)
         self._ready.set()
 
+    def carries(self, record: AttemptRecord) -> bool:
+        """Tells whether output of an attempt goes to this connection."""
+        return record.key.sequence in self.attached
+
     def add_chunk(
         self, record: AttemptRecord, offset: int, data: bytes
     ) -> None:
@@ -51,11 +61,13 @@
         self._batch.ends.add(
             attempt=record.key.sequence, total_bytes=record.total
         )
+        self.attached.discard(record.key.sequence)
         self._ready.set()
 
     def add_refused(self, sequence: int, error: ChicoryplankError) -> None:
         """Queues a rejection or a failure."""
         retry_after = error.retry_after
+        self.attached.discard(sequence)
         self._batch.refused.add(
             attempt=sequence,
             code=error.code.value,
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
@@ -219,6 +219,7 @@
             return
         if record is None:
             return
+        outbox.attached.add(start.attempt)
         task = asyncio.create_task(self._run_attempt(record, start))
         self._tasks[key] = task
         task.add_done_callback(lambda _: self._tasks.pop(key, None))
@@ -233,6 +234,7 @@
             )
             outbox.add_refused(key.sequence, error)
             return
+        outbox.attached.add(key.sequence)
         if record.status:
             outbox.add_accepted(record)
             try:
@@ -262,6 +264,9 @@
 
     def _cancel(self, key: AttemptKey) -> None:
         record = self._table.discard(key)
+        outbox = self._outboxes.get(key.incarnation)
+        if outbox is not None:
+            outbox.attached.discard(key.sequence)
         task = self._tasks.get(key)
         if record is None or task is None:
             return
@@ -337,6 +342,13 @@
             pieces.append(data)
         return response.status, response.headers, b"".join(pieces)
 
+    def _find_outbox(self, record: AttemptRecord) -> Outbox | None:
+        """Returns the outbox that carries an attempt, if any."""
+        outbox = self._outboxes.get(record.key.incarnation)
+        if outbox is None or not outbox.carries(record):
+            return None
+        return outbox
+
     def _accept(
         self,
         record: AttemptRecord,
@@ -345,19 +357,19 @@
     ) -> None:
         record.status = status
         record.headers = headers
-        outbox = self._outboxes.get(record.key.incarnation)
+        outbox = self._find_outbox(record)
         if outbox is not None:
             outbox.add_accepted(record)
 
     def _append(self, record: AttemptRecord, data: bytes) -> None:
         offset = self._table.append(record, data)
-        outbox = self._outboxes.get(record.key.incarnation)
+        outbox = self._find_outbox(record)
         if outbox is not None:
             outbox.add_chunk(record, offset, data)
 
     def _finish(self, record: AttemptRecord) -> None:
         self._table.finish(record)
-        outbox = self._outboxes.get(record.key.incarnation)
+        outbox = self._find_outbox(record)
         if outbox is not None:
             outbox.add_end(record)
 
@@ -367,7 +379,7 @@
         if record.status and error.verdict is Verdict.NOT_RUN:
             error.verdict = Verdict.MAY_HAVE_RUN
         self._table.fail(record, error)
-        outbox = self._outboxes.get(record.key.incarnation)
+        outbox = self._find_outbox(record)
         if outbox is not None:
             outbox.add_refused(record.key.sequence, error)
 
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend.py
@@ -5,6 +5,7 @@
 import testtools
 
 from chicoryplank.errors import ChicoryplankError
+from chicoryplank_agent import backend
 from chicoryplank_agent.backend import BackendClient, BackendRequest
 
 _HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
@@ -102,3 +103,19 @@
             return server.paths.count("/quotes")
 
         self.assertEqual(1, self._run(work))
+
+
+class TestEvents(testtools.TestCase):
+    """End marker and ids among generated text."""
+
+    def test_generated_text_is_no_end_marker(self):
+        """Guards against a stream that ends where a model quotes the marker."""
+        text = b'id: 4\ndata: {"text":"data: [DONE] id: 9"}\n\n'
+        self.assertFalse(backend._is_end(text))
+        self.assertTrue(backend._is_end(text + b"data: [DONE]\n\n"))
+        self.assertTrue(backend._is_end(b"data: [DONE]\n\n"))
+
+    def test_generated_text_is_no_event_id(self):
+        """Guards against resuming a stream at an id that a model wrote."""
+        text = b'id: 4\ndata: {"text":"id: 9"}\n\n'
+        self.assertEqual(b"4", backend._find_last_id(text, b""))
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -7,7 +7,6 @@
 import uuid
 from collections.abc import Iterator
 
-import aiosonic
 import uvicorn
 
 from chicoryplank.attempts import AttemptLedger
@@ -33,6 +32,7 @@
 from chicoryplank_entry.pacing import OutputPacer
 from chicoryplank_entry.relays import Relay, RelayPool
 from chicoryplank_entry.selection import Selector
+from chicoryplank_wire.http import make_client
 from chicoryplank_wire.store import EtcdStore
 
 
@@ -88,7 +88,7 @@
             retries=RetryPolicy(random_source),
         )
         self._store = EtcdStore(settings.store.address, settings.store.timeout)
-        self._client = aiosonic.HTTPClient()
+        self._client = make_client(1)
         self._tasks: list[asyncio.Task] = []
         self._server = self._make_server()
         self.application = Application(f"entry {settings.instance}")
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/dispatch.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/dispatch.py
@@ -268,9 +268,11 @@
                     pending, return_when=asyncio.FIRST_COMPLETED
                 )
                 for task in done:
-                    error = task.exception() or error
-                    if task.exception() is None and winner is None:
+                    failure = task.exception()
+                    if failure is None and winner is None:
                         winner = tasks[task]
+                    elif failure is not None:
+                        error = _choose_error(error, failure)
         finally:
             for task, item in tasks.items():
                 task.cancel()
@@ -350,5 +352,18 @@
     return f"{call.route.deployment}/{kind}"
 
 
+def _choose_error(
+    first: BaseException | None, second: BaseException
+) -> BaseException:
+    """Returns the error that says that the request may have run, if any."""
+    if (
+        isinstance(first, ChicoryplankError)
+        and first.verdict is not Verdict.NOT_RUN
+    ):
+        return first
+    return second
+
+
 def _count_events(data: bytes) -> int:
-    return data.count(b"data: ")
+    # Generated text may contain the same words, but not at a line start.
+    return data.count(b"\ndata: ") + data.startswith(b"data: ")
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
@@ -24,6 +24,7 @@
 _BROKEN = (OSError, StreamTerminatedError, GRPCError, asyncio.TimeoutError)
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 2.0
+_STABLE_TIME = timedelta(seconds=1)
 _HELLO_TIMEOUT_S = 3.0
 # Three missed reports of an agent, which sends one every 2 s.
 _STALL_TIMEOUT = timedelta(seconds=6)
@@ -187,8 +188,10 @@
                 )
             if self.state is not RelayState.CLOSED:
                 self.state = RelayState.CONNECTING
-            if self._clock.elapsed() - started > timedelta(seconds=5):
+            if self._clock.elapsed() - started > _STABLE_TIME:
+                # The first try after a working connection needs no delay.
                 backoff_s = _MIN_BACKOFF_S
+                continue
             delay_s = backoff_s * self._random.uniform(0.5, 1.0)
             await self._clock.sleep(timedelta(seconds=delay_s))
             backoff_s = min(2 * backoff_s, _MAX_BACKOFF_S)
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/instance_list.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/instance_list.py
@@ -8,7 +8,7 @@
 from chicoryplank.blackboard import Instance
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.ids import InstanceId, ZoneId
-from chicoryplank_wire.http import HTTP_FAILURES
+from chicoryplank_wire.http import HTTP_FAILURES, make_client
 
 _HTTP_OK = 200
 
@@ -52,7 +52,7 @@
         ChicoryplankError: With MEMBER_UNREACHABLE if there is no answer.
     """
     own_client = client is None
-    client = client or aiosonic.HTTPClient()
+    client = client or make_client(1)
     try:
         async with asyncio.timeout(timeout.total_seconds()):
             response = await client.get(f"http://{address}/instances")
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/store.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/store.py
@@ -6,14 +6,14 @@
 from collections.abc import AsyncIterator
 from datetime import timedelta
 
-import aiosonic
 from aiosonic.timeout import Timeouts
 
 from chicoryplank.store import Record, StoreError, SwapOutcome
 from chicoryplank.verdict import Verdict
-from chicoryplank_wire.http import HTTP_FAILURES
+from chicoryplank_wire.http import HTTP_FAILURES, make_client
 
 _HTTP_OK = 200
+_MAX_CONNECTIONS = 16
 _FAILURES = (*HTTP_FAILURES, KeyError)
 
 
@@ -48,7 +48,7 @@
     def __init__(self, address: str, timeout: timedelta) -> None:
         self._url = f"http://{address}"
         self._timeout_s = timeout.total_seconds()
-        self._client = aiosonic.HTTPClient()
+        self._client = make_client(_MAX_CONNECTIONS)
 
     async def close(self) -> None:
         """Closes the connections."""
