Add a soak run of the whole site under seeded faults

The stand-ins keep their records in files when they are told to, and the lag of the instance list can be changed.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
 
-.PHONY: setup test check format unit demo generate
+.PHONY: setup test check format unit demo generate soak soak-quick
 
 setup: $(VENV)/.installed
 
@@ -41,3 +41,13 @@
 
 demo: setup
 	$(PYTHON) tools/demo.py
+
+# Every process, seeded faults, every promise checked. Not part of make test.
+SEED ?= 1
+SECONDS ?= 60
+
+soak: setup
+	$(PYTHON) tools/soak.py --seed $(SEED) --seconds $(SECONDS)
+
+soak-quick: setup
+	$(PYTHON) tools/soak.py --seed 1 --seconds 15
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_engine.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_engine.py
@@ -41,6 +41,7 @@
     ranks: int = 1
     map_digest: str = "initial"
     seed: int = 0
+    record_file: str = ""
 
 
 class RunState(enum.Enum):
@@ -168,7 +169,7 @@
     ) -> None:
         self.options = options
         self.faults = BackendFaults()
-        self.records = RecordBook()
+        self.records = RecordBook(options.record_file)
         self.ranks = RankGroup(options.ranks, options.map_digest)
         self.models = list(options.models)
         self.version = options.version
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_records.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_records.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import hashlib
+import json
+import pathlib
 import time
 from typing import Any
 
@@ -32,22 +34,58 @@
 
 
 class RecordBook:
-    """Counts each run; the oldest records go when the book is full."""
+    """Counts each run; the oldest records go when the book is full.
 
-    def __init__(self) -> None:
+    Args:
+        path: File that keeps the records when the stand-in is killed; none if
+            empty. Each run is written before it is answered.
+    """
+
+    def __init__(self, path: str = "") -> None:
         self._records: dict[tuple[str, str, str], Record] = {}
+        self._file = None
+        if path:
+            self._load(pathlib.Path(path))
+            self._file = pathlib.Path(path).open(  # noqa: SIM115
+                "a", buffering=1
+            )
+
+    def _load(self, path: pathlib.Path) -> None:
+        if not path.exists():
+            return
+        for line in path.read_text().splitlines():
+            try:
+                request_id, place, digest, time_s, details = json.loads(line)
+            except ValueError:
+                # The process was killed while it wrote the last line.
+                continue
+            self._count(request_id, place, digest, time_s, details)
 
     def add(
         self, request_id: str, path: str, body: bytes, **details: Any
     ) -> Record:
         """Counts a run and returns its record."""
         digest = hashlib.sha256(body).hexdigest()
+        now_s = time.time()
+        if self._file is not None:
+            line = json.dumps((request_id, path, digest, now_s, details))
+            self._file.write(f"{line}\n")
+        return self._count(request_id, path, digest, now_s, details)
+
+    def _count(
+        self,
+        request_id: str,
+        path: str,
+        digest: str,
+        now_s: float,
+        details: dict[str, Any],
+    ) -> Record:
         key = (request_id, path, digest)
         record = self._records.get(key)
         if record is None:
             record = self._records[key] = Record(request_id, path, digest)
         record.count += 1
-        record.times_s.append(time.time())
+        record.times_s.append(now_s)
         record.details |= details
         if len(self._records) > MAX_RECORDS:
             del self._records[next(iter(self._records))]
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/engine.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/engine.py
@@ -360,6 +360,7 @@
         click.option("--ranks", default=1, help="Ranks in lock-step."),
         click.option("--map-digest", default="initial", help="First map."),
         click.option("--seed", default=0, help="Seed of lost events."),
+        click.option("--record-file", default="", help="For the records."),
     ]
     return functools.reduce(
         lambda wrapped, option: option(wrapped), reversed(options), command
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/instances.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/instances.py
@@ -64,6 +64,10 @@
         self._schedule()
         return True
 
+    def set_lag(self, lag_s: float) -> None:
+        """Sets the lag of the changes from now on."""
+        self._lag_s = lag_s
+
     def read(self) -> list[dict[str, Any]]:
         """Returns the visible instances."""
         now = self._elapsed()
@@ -100,8 +104,16 @@
             return answer_error(404, "unknown_instance", "unknown instance")
         return JSONResponse({})
 
+    async def faults(request: Request) -> Response:
+        lag_ms = (await read_json(request) or {}).get("lag_ms")
+        if not isinstance(lag_ms, int | float):
+            return answer_error(400, "invalid", "lag_ms must be a number")
+        instances.set_lag(lag_ms / 1_000)
+        return JSONResponse({})
+
     return Starlette(
         routes=[
+            Route("/faults", faults, methods=["POST"]),
             Route("/instances", read, methods=["GET"]),
             Route("/instances", put, methods=["POST"]),
             Route("/leave", leave, methods=["POST"]),
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/service.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/service.py
@@ -24,10 +24,11 @@
 
     Args:
         delay_ms: Time that a call takes.
+        record_file: File that keeps the records; none if empty.
     """
 
-    def __init__(self, delay_ms: float = 0) -> None:
-        self.records = RecordBook()
+    def __init__(self, delay_ms: float = 0, record_file: str = "") -> None:
+        self.records = RecordBook(record_file)
         self.faults = BackendFaults()
         self._delay_s = delay_ms / 1_000
         self._stalled_until_s = 0.0
@@ -95,9 +96,11 @@
 @click.command()
 @click.option("--listen", required=True, help="Host and port.")
 @click.option("--delay-ms", default=2.0, help="Time that a call takes.")
-def main(listen: str, delay_ms: float) -> None:
+@click.option("--record-file", default="", help="File for the records.")
+def main(listen: str, delay_ms: float, record_file: str) -> None:
     """Runs the stand-in."""
-    serve(lambda: make_application(Service(delay_ms)), listen)
+    service = Service(delay_ms, record_file)
+    serve(lambda: make_application(service), listen)
 
 
 if __name__ == "__main__":
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -228,16 +228,20 @@
         delay_s: Added to each piece of data.
         accepts: Whether new connections are forwarded; if not, they are
             closed at once.
+        break_after: Bytes after which the next connection that carries them
+            is broken, by direction; True is towards the target. The bytes
+            before the break are delivered, which may end within a frame.
     """
 
     def __init__(self, port: int, target: str) -> None:
         self.address = f"{HOST}:{port}"
         self.delay_s = 0.0
         self.accepts = True
+        self.break_after: dict[bool, int] = {}
         self._port = port
         self._target = target
-        self._open = asyncio.Event()
-        self._open.set()
+        self._open = {True: asyncio.Event(), False: asyncio.Event()}
+        self.unblock()
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -251,20 +255,29 @@
         """Stops listening and breaks all connections."""
         if self._server is not None:
             self._server.close()
+        self.unblock()
         self.cut()
+        while self._writers:
+            await asyncio.sleep(POLL_INTERVAL_S)
 
     def cut(self) -> None:
         """Breaks all connections; data under way is lost."""
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def block(self) -> None:
-        """Holds all data back; connections stay open."""
-        self._open.clear()
+    def block(self, directions: tuple[bool, ...] = (True, False)) -> None:
+        """Holds data back; connections stay open.
+
+        Args:
+            directions: True is towards the target.
+        """
+        for direction in directions:
+            self._open[direction].clear()
 
     def unblock(self) -> None:
         """Lets the data pass again."""
-        self._open.set()
+        for is_open in self._open.values():
+            is_open.set()
 
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -281,7 +294,8 @@
         self._writers |= {writer, far_writer}
         try:
             await asyncio.gather(
-                self._pump(reader, far_writer), self._pump(far_reader, writer)
+                self._pump(reader, far_writer, True),
+                self._pump(far_reader, writer, False),
             )
         except OSError:
             pass
@@ -291,12 +305,23 @@
                 self._writers.discard(item)
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: bool,
     ) -> None:
         while data := await reader.read(FORWARD_BYTES):
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
-            await self._open.wait()
+            await self._open[direction].wait()
+            limit = self.break_after.get(direction)
+            if limit is not None and len(data) > limit:
+                del self.break_after[direction]
+                writer.write(data[:limit])
+                await writer.drain()
+                raise ConnectionResetError("broken by a fault")
+            if limit is not None:
+                self.break_after[direction] = limit - len(data)
             writer.write(data)
             await writer.drain()
         writer.write_eof()
--- a/tools/layout.py
+++ b/tools/layout.py
@@ -26,7 +26,10 @@
     Attributes:
         has_links: Whether forwarders stand between entries and agents, and
             between daemons and the store.
+        keeps_records: Whether engines and services keep their records in
+            files, so that they outlast a killed process.
         engine_arguments: Further arguments of each engine.
+        service_arguments: Further arguments of each service.
         entry_settings: Further settings of each entry.
         agent_settings: Further settings of each agent.
     """
@@ -40,7 +43,9 @@
     service_deployment: str = "press-tablets"
     service: str = "tablets"
     has_links: bool = False
+    keeps_records: bool = False
     engine_arguments: tuple[str, ...] = ()
+    service_arguments: tuple[str, ...] = ()
     entry_settings: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     agent_settings: Mapping[str, Any] = dataclasses.field(default_factory=dict)
 
@@ -82,6 +87,7 @@
 
     Attributes:
         addresses: Address by process name; an entry's is its caller address.
+        instances: What was registered in the instance list, by name.
         links: Forwarders by name: the agent's for entries that connect to it,
             `store-<daemon>` for a daemon's calls of the store.
     """
@@ -91,6 +97,7 @@
     ) -> None:
         self.options = options
         self.addresses: dict[str, str] = {}
+        self.instances: dict[str, dict[str, Any]] = {}
         self.links: dict[str, Forwarder] = {}
         self._fleet = fleet
         self._folder = folder
@@ -116,9 +123,10 @@
         for number in range(1, self.options.engines + 1):
             arguments = ("--models", self.options.model)
             arguments += self.options.engine_arguments
-            self._start_standin(f"engine-{number}", "engine", *arguments)
+            self._start_backend(f"engine-{number}", "engine", *arguments)
         for number in range(1, self.options.services + 1):
-            self._start_standin(f"service-{number}", "service")
+            arguments = self.options.service_arguments
+            self._start_backend(f"service-{number}", "service", *arguments)
         for name in [*self._find("engine-"), *self._find("service-")]:
             await wait_for_http(self.addresses[name], "/records", limit_s)
             await self._start_agent(name)
@@ -135,7 +143,8 @@
             await wait_for_http(address, "/readyz", limit_s)
 
     async def register(self, instance: Mapping[str, Any]) -> None:
-        """Adds an instance to the instance list."""
+        """Adds or replaces an instance in the instance list."""
+        self.instances[instance["instance"]] = dict(instance)
         status, _ = await request_json(
             self.addresses["instances"], "/instances", "POST", dict(instance)
         )
@@ -156,6 +165,12 @@
     def _take_address(self) -> str:
         return f"{HOST}:{self._ports.pop()}"
 
+    def _start_backend(self, name: str, kind: str, *arguments: str) -> None:
+        if self.options.keeps_records:
+            path = self._folder / f"{name}.records"
+            arguments += ("--record-file", str(path))
+        self._start_standin(name, kind, *arguments)
+
     def _start_standin(self, name: str, kind: str, *arguments: str) -> None:
         address = self.addresses[name] = self._take_address()
         module = f"chicoryplank_standins.{kind}"
