Keep segments and index of a claim shard in step

A compare-and-swap on the last segment proves that the view holds every claim only if the index of claims is as new as the segments. Two cases broke that: a refresh that failed after it had read some segments left the index old, and an answer that arrived after a newer one put an older segment back while a write was in flight. In both a claimed key could be claimed again, so a non-idempotent request could run twice. Each segment now enters view and index together and is never replaced by an older one. A lock around the calls was ruled out: the check for a key and the write would then be separated by a wait.

--- a/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
@@ -60,14 +60,23 @@
             StoreError: If the store does not answer.
         """
         records = await store.read_prefix(self._prefix)
-        self._segments = {
+        stored = {
             self._parse_number(record): _Stored(
                 Segment.decode(record.value), record.revision
             )
             for record in records
         }
-        self._loaded = True
+        # Only the oldest segments are ever deleted.
+        first = min(stored, default=0)
+        self._segments = {
+            number: item
+            for number, item in self._segments.items()
+            if number >= first
+        }
         self._index()
+        for number, item in sorted(stored.items()):
+            self._observe(number, item)
+        self._loaded = True
 
     async def refresh(self, store: Store) -> None:
         """Reads what changed: the last segment and those after it.
@@ -86,15 +95,33 @@
                 break
             known = False
             segment = Segment.decode(record.value)
-            self._segments[number] = _Stored(segment, record.revision)
+            self._observe(number, _Stored(segment, record.revision))
             if not segment.sealed:
                 break
             number += 1
         if known:
             # The last known segment was deleted, so the view is very old.
             await self.reload(store)
-            return
-        self._index()
+
+    def _observe(self, number: int, stored: _Stored) -> None:
+        """Takes over a segment unless a newer state of it is known.
+
+        Segments and index change together, so that the view is never newer
+        in its revisions than in its claims, whatever other calls do while
+        one of them waits for the store.
+        """
+        known = self._segments.get(number)
+        if known is not None:
+            if known.revision >= stored.revision:
+                return
+            for claim in known.segment.claims:
+                if self._claims.get(claim.key) == claim:
+                    del self._claims[claim.key]
+        self._segments[number] = stored
+        for claim in stored.segment.claims:
+            held = self._claims.get(claim.key)
+            if held is None or held.expires_s <= claim.expires_s:
+                self._claims[claim.key] = claim
 
     def _parse_number(self, record: Record) -> int:
         return int(record.key.removeprefix(self._prefix))
@@ -140,10 +167,7 @@
         )
         combined = stored.segment.claims + claims
         segment = Segment(combined, len(combined) >= self._max_claims)
-        swapped = await self._swap(store, number, stored, segment)
-        if swapped:
-            self._claims.update((claim.key, claim) for claim in claims)
-        return swapped
+        return await self._swap(store, number, stored, segment)
 
     async def remove(self, store: Store, claim: Claim) -> bool:
         """Removes a claim whose request is known not to have run.
@@ -159,10 +183,7 @@
         if claim not in stored.segment.claims:
             return False
         left = tuple(item for item in stored.segment.claims if item != claim)
-        swapped = await self._swap(store, number, stored, Segment(left))
-        if swapped:
-            self._claims.pop(claim.key, None)
-        return swapped
+        return await self._swap(store, number, stored, Segment(left))
 
     async def _swap(
         self, store: Store, number: int, stored: _Stored, segment: Segment
@@ -172,7 +193,7 @@
         )
         if outcome is not SwapOutcome.SWAPPED:
             return False
-        self._segments[number] = _Stored(segment, revision)
+        self._observe(number, _Stored(segment, revision))
         return True
 
     async def delete_expired(self, store: Store, now: datetime) -> int:
--- a/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
@@ -8,7 +8,12 @@
 from chicoryplank.clock import ManualClock
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.fakes import MemoryStore
-from chicoryplank.idempotency import ClaimRegistry, ClaimSettings
+from chicoryplank.idempotency import (
+    Claim,
+    ClaimRegistry,
+    ClaimSettings,
+    ClaimShard,
+)
 from chicoryplank.verdict import Verdict
 
 _KEY = "00000000" + "a" * 24
@@ -170,6 +175,79 @@
         self.assertNotEqual("admitted", blocked)
         self.assertEqual("admitted", admitted)
 
+    def test_broken_refresh_forgets_no_claim(self):
+        """Guards against a second claim after a refresh that broke off."""
+
+        async def run():
+            first, second = self._make_registry(), self._make_registry()
+            await first.admit("0" * 32, _BODY, "a0")
+            for number in range(1, 3):
+                key = f"00000000{number:024x}"
+                await second.admit(key, _BODY, f"b{number}")
+            inner = self.store.read
+            reads = []
+
+            async def read_once(key):
+                reads.append(key)
+                self.store.available = len(reads) < 2
+                return await inner(key)
+
+            self.store.read = read_once
+            blocked = await self._try_admit(first, "a9", "0" * 31 + "9")
+            self.store.read = inner
+            self.store.available = True
+            return blocked, await self._try_admit(first, "a1", "0" * 31 + "1")
+
+        blocked, again = asyncio.run(run())
+        self.assertEqual(
+            (ErrorCode.STORE_UNAVAILABLE, Verdict.NOT_RUN), blocked
+        )
+        self.assertEqual(
+            (ErrorCode.CLAIMED_ELSEWHERE, Verdict.MAY_HAVE_RUN), again
+        )
+
+    def test_older_answer_does_not_hide_a_claim(self):
+        """Guards against a second claim after reads that overtook others."""
+
+        async def run():
+            store, shard = self.store, ClaimShard("claims/x/", 9)
+            old, new, last = (
+                Claim(name * 32, _BODY, name, 2**40) for name in "123"
+            )
+            other = ClaimShard("claims/x/", 9)
+            await other.load(store)
+            await other.add(store, (old,))
+            await shard.load(store)
+            inner, gate = store.read, asyncio.Event()
+
+            async def read_late(key):
+                record = await inner(key)
+                await gate.wait()
+                return record
+
+            store.read = read_late
+            late = asyncio.create_task(shard.refresh(store))
+            await asyncio.sleep(0)
+            store.read = inner
+            await other.add(store, (new,))
+            await shard.refresh(store)
+            swap = store.swap
+
+            async def swap_late(*arguments):
+                gate.set()
+                await late
+                return await swap(*arguments)
+
+            store.swap = swap_late
+            added = await shard.add(store, (last,))
+            found = [
+                shard.find(item.key, self.clock.now())
+                for item in (old, new, last)
+            ]
+            return added, found == [old, new, last]
+
+        self.assertEqual((True, True), asyncio.run(run()))
+
     def test_expired_segments_are_deleted(self):
         """Guards against claims that fill the store for ever."""
 
