--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
 
-.PHONY: setup test check format unit demo generate bench-routing
+.PHONY: setup test check format unit demo generate bench-routing bench-membership
 
 setup: $(VENV)/.installed
 
@@ -37,3 +37,6 @@
 
 bench-routing: setup
 	$(PYTHON) benchmarks/routing.py
+
+bench-membership: setup
+	$(PYTHON) benchmarks/membership.py
--- a/packages/chicoryplank/src/chicoryplank/membership/_demand.py
+++ b/packages/chicoryplank/src/chicoryplank/membership/_demand.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import heapq
 from collections.abc import Mapping
 from datetime import timedelta
 
@@ -54,10 +55,7 @@
         if self._known is None:
             changes = dict(values)
         else:
-            changes = _find_changes(values, self._known, min_change)[
-                :max_deltas
-            ]
-            changes = dict(changes)
+            changes = _find_changes(values, self._known, max_deltas, min_change)
             for account in self._uncertain:
                 changes[account] = values.get(account, 0.0)
         self._uncertain.update(changes)
@@ -95,19 +93,19 @@
 
 
 def _find_changes(
-    values: Demand, known: Demand, min_change: float
-) -> list[tuple[AccountId, float]]:
+    values: Demand, known: Demand, max_deltas: int, min_change: float
+) -> dict[AccountId, float]:
     changes = []
-    for account in values.keys() | known.keys():
-        value = values.get(account, 0.0)
+    for account, value in values.items():
         before = known.get(account, 0.0)
-        # A demand that ends is always sent, since it frees a share.
-        if abs(value - before) > min_change * max(value, before) or (
-            before and not value
-        ):
-            changes.append((-abs(value - before), account, value))
-    changes.sort()
-    return [(account, value) for _, account, value in changes]
+        change = abs(value - before)
+        if change > min_change * value or change > min_change * before:
+            changes.append((change, account))
+    # A demand that ends is always sent, since it frees a share.
+    ended = known.keys() - values.keys()
+    changes.extend((known[account], account) for account in ended)
+    largest = heapq.nlargest(max_deltas, changes)
+    return {account: values.get(account, 0.0) for _, account in largest}
 
 
 def _merge(values: dict[AccountId, float], changes: Demand) -> None:
--- a/packages/chicoryplank/src/chicoryplank/membership/_members.py
+++ b/packages/chicoryplank/src/chicoryplank/membership/_members.py
@@ -7,7 +7,7 @@
 from chicoryplank.ids import InstanceId
 from chicoryplank.membership._parameters import MembershipParameters
 from chicoryplank.membership._tree import Links, choose_links
-from chicoryplank.rendezvous import digest, rank
+from chicoryplank.rendezvous import digest_member, rank
 
 _ENTRY = "entry"
 
@@ -132,7 +132,7 @@
         excess = len(self._members) - self._parameters.max_members
         if excess > 0:
             # All processes drop the same members.
-            for name in sorted(self._members, key=digest)[-excess:]:
+            for name in sorted(self._members, key=digest_member)[-excess:]:
                 del self._members[name]
 
     def _is_present(self, member: _Member, now: datetime) -> bool:
--- a/packages/chicoryplank/src/chicoryplank/membership/_tree.py
+++ b/packages/chicoryplank/src/chicoryplank/membership/_tree.py
@@ -12,7 +12,7 @@
 
 from chicoryplank.blackboard import Instance
 from chicoryplank.ids import InstanceId, ZoneId
-from chicoryplank.rendezvous import digest, rank
+from chicoryplank.rendezvous import digest_member, rank
 
 _ENTRY = "entry"
 
@@ -37,8 +37,10 @@
     for entry in entries:
         zones.setdefault(entry.zone, []).append(entry.instance)
     for members in zones.values():
-        members.sort(key=lambda name: (digest(name), name))
-    return sorted(zones.items(), key=lambda item: (digest(item[0]), item[0]))
+        members.sort(key=lambda name: (digest_member(name), name))
+    return sorted(
+        zones.items(), key=lambda item: (digest_member(item[0]), item[0])
+    )
 
 
 def _find_parent_position(position: int, fan_out: int) -> int:
--- a/packages/chicoryplank/src/chicoryplank/rendezvous.py
+++ b/packages/chicoryplank/src/chicoryplank/rendezvous.py
@@ -23,9 +23,14 @@
     return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest())
 
 
-# Names of members recur in every ranking, keys do not. The size bounds the
-# memory at about 0.5 MB.
-_digest_member = functools.lru_cache(maxsize=4096)(digest)
+@functools.lru_cache(maxsize=4096)
+def digest_member(name: str) -> int:
+    """Returns the digest of a name that recurs in every ranking.
+
+    Keys do not recur and use digest. The size of the cache bounds the memory
+    at about 0.5 MB.
+    """
+    return digest(name)
 
 
 def mix(first: int, second: int) -> int:
@@ -55,5 +60,5 @@
     """
     target = digest(key)
     return sorted(
-        set(members), key=lambda name: (mix(target, _digest_member(name)), name)
+        set(members), key=lambda name: (mix(target, digest_member(name)), name)
     )
