Keep the verdict of a write whose read-back fails

Cause: when the answer of a write is lost and the read-back fails too, the read's verdict NOT_RUN reached the caller, although the write may have been applied. Found by review, covered by test_outcome_that_cannot_be_read_back.

--- a/packages/chicoryplank/src/chicoryplank/orders/_map_change.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/_map_change.py
@@ -108,7 +108,11 @@
         verdict = error.verdict
         if verdict is Verdict.NOT_RUN:
             raise
-        recorded, written = await read_document(store, group)
+        try:
+            recorded, written = await read_document(store, group)
+        except StoreError as failed:
+            # The failed read says nothing about the write before it.
+            raise StoreError(failed.message, verdict) from error
         if recorded.write_id == document.write_id:
             return written
     raise ChicoryplankError(
--- a/packages/chicoryplank/src/chicoryplank/orders/tests/test_orders.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/tests/test_orders.py
@@ -23,6 +23,7 @@
     read_highest_token,
 )
 from chicoryplank.rebalance import make_map
+from chicoryplank.store import StoreError
 from chicoryplank.verdict import Verdict
 
 GROUP = "gavel"
@@ -329,6 +330,22 @@
 
         asyncio.run(run())
 
+    def test_outcome_that_cannot_be_read_back(self):
+        """Guards against "not run" for a decision that may be recorded."""
+
+        async def fail(key):
+            raise StoreError("the store is down", Verdict.NOT_RUN)
+
+        async def run():
+            _, change = await self.prepare()
+            self.store.lose_answers = 1
+            self.store.read = fail
+            code = await get_code(change.decide())
+            expected = (ErrorCode.STORE_UNAVAILABLE, Verdict.MAY_HAVE_RUN)
+            self.assertEqual(expected, code)
+
+        asyncio.run(run())
+
     def test_replacement_cancels_the_promise(self):
         """Guards against a decision on the promise of a dead rank."""
 
