--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -52,7 +52,7 @@
     max_moves: int = 24
     tolerance: float = 0.003
     noise_factor: float = 1.0
-    settled_factor: float = 3.0
+    settled_factor: float = 5.0
     settling_decisions: int = 8
     window: int = 64
     change_threshold: float = 4.5
