Allow the cost objective 16 moves in a switch

Cause: with 8 moves its search stays in a poor placement until a change of the estimates frees it, long after settling.

--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -88,7 +88,7 @@
         move_cost_steps=1.0,
         switch_cost_steps=10.0,
         hysteresis=2.0,
-        max_moves=8,
+        max_moves=16,
         tolerance=0.05,
         settled_factor=5.0,
     )
