Spread configuration and demand over the dissemination tree

Cause: every entry polled the root document once a second and knew nothing of the demand at other entries, so limits used 1/N and 560 entries would have made 560 calls a second. Ruled out: a watch for each entry, since waiting watches count and the service's rates grow more slowly than the fleet.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/controllers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/controllers.py
@@ -9,15 +9,17 @@
 
 from chicoryplank.blackboard import Blackboard, Instance, Section
 from chicoryplank.clock import Clock
-from chicoryplank.configuration import InstanceListSettings, SnapshotReader
+from chicoryplank.configuration import InstanceListSettings
 from chicoryplank.errors import ChicoryplankError
 from chicoryplank.events import Event, emit
+from chicoryplank.ids import InstanceId
 from chicoryplank.limits import Limiter, QueueParameters
-from chicoryplank.store import Store
+from chicoryplank.membership import choose_sources
 from chicoryplank_entry.relays import RelayPool
 from chicoryplank_wire.instance_list import fetch_instances
 
-_CONFIGURATION_INTERVAL = timedelta(seconds=1)
+# Two, so that an agent hears of a version if one of them has failed.
+_SOURCES = 2
 _SILENCE_INTERVAL = timedelta(seconds=1)
 # Batches of about this size keep an engine busy; the limit adapts from here.
 _REQUESTS_PER_REPLICA = 64
@@ -45,26 +47,28 @@
         await clock.sleep(settings.poll_interval)
 
 
-async def follow_configuration(
-    store: Store, blackboard: Blackboard, pool: RelayPool, clock: Clock
+async def announce_configuration(
+    blackboard: Blackboard, pool: RelayPool, own: InstanceId
 ) -> None:
-    """Applies each newer configuration version of the store."""
-    reader = SnapshotReader()
+    """Tells agents of a new version where this entry is one of their sources.
+
+    Every message carries the version anyway. Agents that begin or cease to
+    leave are told by all their entries at once.
+    """
+    leaving = blackboard.snapshot.value.leaving
     while True:
-        try:
-            applied = await reader.refresh(store)
-        except ChicoryplankError as error:
-            emit(Event.CONFIGURATION_UNAVAILABLE, error=error.message)
-        else:
-            if applied:
-                blackboard.snapshot.write(reader.snapshot)
-                emit(
-                    Event.CONFIGURATION_APPLIED,
-                    version=reader.snapshot.version,
-                )
-                for relay in pool.relays.values():
-                    relay.wake()
-        await clock.sleep(_CONFIGURATION_INTERVAL)
+        snapshot = await blackboard.snapshot.wait_change()
+        changed = snapshot.leaving ^ leaving
+        leaving = snapshot.leaving
+        entries = [
+            item.instance
+            for item in blackboard.instances.value
+            if item.role == "entry"
+        ]
+        for agent, relay in pool.relays.items():
+            sources = choose_sources(agent, entries, count=_SOURCES)
+            if agent in changed or own in sources or own not in entries:
+                relay.wake()
 
 
 async def watch_silence(pool: RelayPool, clock: Clock) -> None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 import uvicorn
+from grpclib.server import Server
 
 from chicoryplank.attempts import AttemptLedger
 from chicoryplank.blackboard import Blackboard, Instance
@@ -17,12 +18,15 @@
 from chicoryplank.lifecycle import Application
 from chicoryplank.limits import Limiter
 from chicoryplank.logs import install_logs
+from chicoryplank.membership import MembershipParameters
 from chicoryplank.retry import RetryPolicy
 from chicoryplank_entry.admission import AdmissionGate
+from chicoryplank_entry.configuration import ConfigurationHolder
+from chicoryplank_entry.control import ControlService, DemandExchange
 from chicoryplank_entry.controllers import (
+    announce_configuration,
     configure_limits,
     count_entries,
-    follow_configuration,
     follow_instances,
     watch_silence,
 )
@@ -90,6 +94,8 @@
         self._store = EtcdStore(settings.store.address, settings.store.timeout)
         self._client = make_client(1)
         self._tasks: list[asyncio.Task] = []
+        self.control = self._make_control()
+        self._control_server = Server([self.control])
         self._server = self._make_server()
         self.application = Application(f"entry {settings.instance}")
         self._add_hooks()
@@ -99,6 +105,7 @@
         add_hooks("store", stop=self._store.close)
         add_hooks("client", stop=self._client.aclose)
         add_hooks("relays", stop=self.pool.close)
+        add_hooks("control", start=self._start_control, stop=self._stop_control)
         add_hooks(
             "controllers",
             start=self._start_controllers,
@@ -120,6 +127,28 @@
         relay.on_progress = self._selector.observe_progress
         return relay
 
+    def _make_control(self) -> ControlService:
+        settings = self._settings
+        own = Instance(
+            settings.instance,
+            "entry",
+            settings.zone,
+            settings.control_address,
+            settings.caller_address,
+        )
+        parameters = MembershipParameters(address_ttl=settings.address_ttl)
+        holder = ConfigurationHolder(
+            self._store, self.blackboard, self._clock, settings.max_isolation
+        )
+        return ControlService(
+            own,
+            parameters,
+            self._clock,
+            blackboard=self.blackboard,
+            holder=holder,
+            demand=DemandExchange(self.gate.limiter, parameters),
+        )
+
     def count_entries(self) -> int:
         """Returns the number of entries that the instance list shows."""
         return count_entries(self.blackboard.instances.value)
@@ -150,16 +179,23 @@
         )
 
     def _choose_addresses(self, caller: str) -> list[str]:
-        del caller
-        own = self._settings.caller_address
-        others = [
-            item.caller_address
-            for item in self.blackboard.instances.value
-            if item.role == "entry" and not item.leaving
-        ]
+        leaving = set(self.blackboard.snapshot.value.leaving)
         if self.blackboard.leaving.value:
-            return [address for address in others if address != own]
-        return others or [own]
+            leaving.add(self._settings.instance)
+        chosen = self.control.membership.choose_addresses(
+            caller, self._clock.now(), frozenset(leaving)
+        )
+        return list(chosen.addresses)
+
+    async def _start_control(self) -> None:
+        host, port = self._settings.control_address.rsplit(":", 1)
+        await self._control_server.start(host, int(port))
+
+    async def _stop_control(self) -> None:
+        await self.control.close()
+        self._control_server.close()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._control_server.wait_closed(), 1)
 
     async def _start_controllers(self) -> None:
         self._tasks = [
@@ -172,9 +208,11 @@
                     self.pool,
                     self._clock,
                 ),
-                follow_configuration(
-                    self._store, self.blackboard, self.pool, self._clock
+                announce_configuration(
+                    self.blackboard, self.pool, self._settings.instance
                 ),
+                self.control.follow_list(),
+                self.control.send_heartbeats(),
                 watch_silence(self.pool, self._clock),
                 self.gate.run_ticks(),
                 configure_limits(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/dispatch.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/dispatch.py
@@ -76,10 +76,10 @@
                 "this entry is shutting down; use another address",
                 retry_after=_RETRY_SOON,
             )
-        if self._blackboard.snapshot.value.version == 0:
+        if not self._blackboard.synchronized.value:
             raise ChicoryplankError(
                 ErrorCode.NOT_READY,
-                "this entry has no configuration yet",
+                "this entry has no current configuration yet",
                 retry_after=_RETRY_SOON,
             )
         if self._blackboard.isolated.value:
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_control.py
@@ -0,0 +1,157 @@
+"""Tests of the spread of configuration and demand between two entries."""
+
+import asyncio
+import json
+from datetime import timedelta
+
+import testtools
+from grpclib.server import Server
+
+from chicoryplank.blackboard import Blackboard, Instance
+from chicoryplank.clock import SystemClock
+from chicoryplank.configuration import (
+    SnapshotReader,
+    confirm,
+    parse_intent,
+    plan,
+)
+from chicoryplank.fakes import MemoryStore
+from chicoryplank.ids import InstanceId, OperationId, ZoneId
+from chicoryplank.limits import Limiter
+from chicoryplank.membership import MembershipParameters
+from chicoryplank_entry.configuration import ConfigurationHolder
+from chicoryplank_entry.control import ControlService, DemandExchange
+
+_PARAMETERS = MembershipParameters(
+    heartbeat_interval=timedelta(milliseconds=20), watchers_per_zone=1
+)
+_INTENT = {
+    "services": {"add": {"quotes": {"deployment": "quotes"}}},
+}
+
+
+async def _confirm(store, number):
+    reader = SnapshotReader()
+    await reader.refresh(store)
+    intent = dict(_INTENT)
+    if number > 1:
+        intent = {"leaving": {"add": [f"agent-{number}"]}}
+    made = plan(reader.snapshot, parse_intent(json.dumps(intent)), None)
+    await confirm(store, made, "test", OperationId(f"operation-{number}"))
+
+
+class _Entry:
+    """Control part of an entry on a loopback port."""
+
+    def __init__(self, name, store):
+        self.clock = SystemClock()
+        self.blackboard = Blackboard()
+        self.name = name
+        self.store = store
+        self.tasks = []
+
+    async def listen(self):
+        holder = ConfigurationHolder(
+            self.store, self.blackboard, self.clock, timedelta(seconds=60)
+        )
+        limiter = Limiter(self.clock.now())
+        port = await _find_port()
+        self.instance = Instance(
+            InstanceId(self.name), "entry", ZoneId("a"), f"127.0.0.1:{port}"
+        )
+        self.service = ControlService(
+            self.instance,
+            _PARAMETERS,
+            self.clock,
+            blackboard=self.blackboard,
+            holder=holder,
+            demand=DemandExchange(limiter, _PARAMETERS),
+        )
+        self.server = Server([self.service])
+        await self.server.start("127.0.0.1", port)
+
+    def run(self, instances):
+        self.blackboard.instances.write(instances)
+        self.tasks = [
+            asyncio.create_task(self.service.follow_list()),
+            asyncio.create_task(self.service.send_heartbeats()),
+        ]
+
+    async def close(self):
+        for task in self.tasks:
+            task.cancel()
+        await self.service.close()
+        self.server.close()
+        await self.server.wait_closed()
+
+    @property
+    def version(self):
+        return self.blackboard.snapshot.value.version
+
+
+async def _find_port():
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    server.close()
+    await server.wait_closed()
+    return port
+
+
+async def _wait(condition):
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class TestControlService(testtools.TestCase):
+    """Versions reach entries that do not read the store."""
+
+    def _run(self, work):
+        async def run():
+            store = MemoryStore(SystemClock())
+            entries = [_Entry(f"entry-{number}", store) for number in (1, 2)]
+            for entry in entries:
+                await entry.listen()
+            try:
+                return await work(store, entries)
+            finally:
+                for entry in entries:
+                    await entry.close()
+
+        return asyncio.run(run())
+
+    def test_version_spreads_without_the_store(self):
+        """Guards against an entry that misses a version in an outage."""
+
+        async def work(store, entries):
+            await _confirm(store, 1)
+            instances = tuple(entry.instance for entry in entries)
+            for entry in entries:
+                entry.run(instances)
+            await _wait(lambda: all(e.version == 1 for e in entries))
+            store.available = False
+            late = _Entry("entry-3", store)
+            await late.listen()
+            entries.append(late)
+            late.run((*instances, late.instance))
+            await _wait(lambda: late.version == 1)
+            return late.blackboard.synchronized.value
+
+        self.assertTrue(self._run(work))
+
+    def test_new_version_reaches_both(self):
+        """Guards against a confirmed change that stays on one entry."""
+
+        async def work(store, entries):
+            await _confirm(store, 1)
+            for entry in entries:
+                entry.run(tuple(item.instance for item in entries))
+            await _wait(lambda: all(e.version == 1 for e in entries))
+            await _confirm(store, 2)
+            await _wait(lambda: all(e.version == 2 for e in entries))
+            return [
+                entry.blackboard.snapshot.value.leaving for entry in entries
+            ]
+
+        expected = [frozenset({"agent-2"})] * 2
+        self.assertEqual(expected, self._run(work))
--- a/packages/chicoryplank/src/chicoryplank/blackboard.py
+++ b/packages/chicoryplank/src/chicoryplank/blackboard.py
@@ -71,6 +71,8 @@
         leaving: Whether this process is about to stop; callers are sent
             elsewhere.
         draining: Whether this process accepts no new requests.
+        synchronized: Whether the configuration was once as new as that of
+            every peer heard.
         isolated: Whether neither the store nor a peer was heard for too long.
     """
 
@@ -80,4 +82,5 @@
         self.instances: Section[tuple[Instance, ...]] = Section(())
         self.leaving: Section[bool] = Section(False)
         self.draining: Section[bool] = Section(False)
+        self.synchronized: Section[bool] = Section(False)
         self.isolated: Section[bool] = Section(False)
