Take over an abandoned claim by a write

An agent that had told a caller not_run took over its own earlier claim from its cached view, without a write. If the store had dropped that claim (the answer to the release was lost, or the release took effect late), another agent could claim the key as well, and the request ran twice. The claim is now replaced by compare-and-swap, in a sealed segment too; an attempt runs only if the store shows its own name.

--- a/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 from datetime import timedelta
 
 from chicoryplank.clock import Clock
@@ -48,13 +49,19 @@
     """Commits the claims of one shard, one write in flight at a time."""
 
     def __init__(
-        self, shard: ClaimShard, store: Store, clock: Clock, interval: timedelta
+        self,
+        shard: ClaimShard,
+        store: Store,
+        clock: Clock,
+        interval: timedelta,
+        is_abandoned: Callable[[str], bool],
     ) -> None:
         self.shard = shard
         self.waiting: list[_Waiting] = []
         self._store = store
         self._clock = clock
         self._interval = interval
+        self._is_abandoned = is_abandoned
         self._task: asyncio.Task | None = None
         self._last_write = clock.elapsed() - interval
 
@@ -94,8 +101,17 @@
         now = self._clock.now()
         fresh: dict[str, Claim] = {}
         for item in group:
-            if self.shard.find(item.claim.key, now) is None:
-                fresh.setdefault(item.claim.key, item.claim)
+            claim = item.claim
+            held = self.shard.find(claim.key, now)
+            if held is None:
+                fresh.setdefault(claim.key, claim)
+            elif (
+                held.body == claim.body
+                and held.attempt != claim.attempt
+                and self._is_abandoned(held.attempt)
+                and not await self.shard.replace(self._store, held, claim)
+            ):
+                return False
         if fresh and not await self.shard.add(
             self._store, tuple(fresh.values())
         ):
@@ -164,7 +180,9 @@
         self._settings = settings
         self._writers: dict[int, _ShardWriter] = {}
         # Attempts that were rejected as not run; their claims may be taken
-        # over by this agent incarnation, which alone knows it.
+        # over by this agent incarnation, which alone knows it. A claim is
+        # taken over by a write: the store may have dropped the old claim
+        # without this agent knowing it, or may drop it late.
         self._abandoned: dict[str, float] = {}
 
     def _get_writer(self, key: str) -> _ShardWriter:
@@ -180,6 +198,7 @@
                 self._store,
                 self._clock,
                 self._settings.write_interval,
+                self._abandoned.__contains__,
             )
             self._writers[number] = writer
         return writer
@@ -247,9 +266,13 @@
         if held is not None and held.attempt == attempt:
             return
         if held is not None and held.attempt in self._abandoned:
-            # The first attempt never ran, and this one runs in its place.
-            del self._abandoned[held.attempt]
-            return
+            self._abandon(attempt)
+            raise ChicoryplankError(
+                ErrorCode.STORE_UNAVAILABLE,
+                "the key could not be claimed: the store did not answer",
+                Verdict.NOT_RUN,
+                retry_after=_RETRY_SOON,
+            )
         emit(Event.CLAIM_HELD_ELSEWHERE, service=self._service)
         raise ChicoryplankError(
             ErrorCode.CLAIMED_ELSEWHERE,
--- a/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
@@ -145,6 +145,37 @@
             self._claims.update((claim.key, claim) for claim in claims)
         return swapped
 
+    async def replace(self, store: Store, old: Claim, new: Claim) -> bool:
+        """Puts a claim in the place of one whose request has not run.
+
+        The segment may be sealed. Views that still hold the old claim reject
+        the key as well, so they need not learn of it. The expiry stays, since
+        such a view decides by it when the segment can be deleted.
+
+        Returns:
+            False if another writer changed the segment; reload and try again.
+
+        Raises:
+            StoreError: If the outcome is unknown or nothing was written.
+        """
+        for number, stored in self._segments.items():
+            if old not in stored.segment.claims:
+                continue
+            new = dataclasses.replace(new, expires_s=old.expires_s)
+            claims = tuple(
+                new if claim == old else claim
+                for claim in stored.segment.claims
+            )
+            segment = Segment(claims, stored.segment.sealed)
+            # Until the outcome is known, the view may miss the write.
+            self._loaded = False
+            if not await self._swap(store, number, stored, segment):
+                return False
+            self._loaded = True
+            self._claims[new.key] = new
+            return True
+        return False
+
     async def remove(self, store: Store, claim: Claim) -> bool:
         """Removes a claim whose request is known not to have run.
 
--- a/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
@@ -170,6 +170,41 @@
         self.assertNotEqual("admitted", blocked)
         self.assertEqual("admitted", admitted)
 
+    def test_lost_release_allows_one_run(self):
+        """Guards against taking over a claim that the store has dropped."""
+
+        async def run():
+            first, second = self._make_registry(), self._make_registry()
+            await first.admit(_KEY, _BODY, "a")
+            self.store.lose_answers = 1
+            await first.release(_KEY, "a")
+            return (
+                await self._try_admit(first, "b"),
+                await self._try_admit(second, "c"),
+            )
+
+        self.assertEqual(1, asyncio.run(run()).count("admitted"))
+
+    def test_claim_in_sealed_segment_is_taken_over(self):
+        """Guards against losing a key whose segment is sealed."""
+
+        async def run():
+            first, second = self._make_registry(), self._make_registry()
+            await first.admit(_KEY, _BODY, "a")
+            for number in range(4):
+                await first.admit(f"00000000{number:024x}", _BODY, "other")
+            await first.release(_KEY, "a")
+            return (
+                await self._try_admit(first, "b"),
+                await self._try_admit(second, "c"),
+            )
+
+        expected = (
+            "admitted",
+            (ErrorCode.CLAIMED_ELSEWHERE, Verdict.MAY_HAVE_RUN),
+        )
+        self.assertEqual(expected, asyncio.run(run()))
+
     def test_expired_segments_are_deleted(self):
         """Guards against claims that fill the store for ever."""
 
