Answer waiting claims after an unexpected failure

An exception other than a coded error ended the writer of a shard and left its attempts waiting for ever; a planned stop of the agent then took its whole drain timeout. Both tests waited for ever before.

--- a/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
@@ -96,6 +96,8 @@
             raise StoreError("too many conflicting writes", Verdict.NOT_RUN)
         except ChicoryplankError as error:
             await self._settle(group, error)
+        except Exception as error:
+            self._reject_unexpected(group, error)
 
     async def _try_commit(self, group: list[_Waiting]) -> bool:
         now = self._clock.now()
@@ -134,6 +136,9 @@
         except ChicoryplankError:
             self._reject(group, error)
             return
+        except Exception as failure:
+            self._reject_unexpected(group, failure)
+            return
         now = self._clock.now()
         for item in group:
             held = self.shard.find(item.claim.key, now)
@@ -144,6 +149,20 @@
             else:
                 item.done.set_result(held)
 
+    def _reject_unexpected(
+        self, group: list[_Waiting], error: Exception
+    ) -> None:
+        """Answers all that wait, so that no attempt waits for ever."""
+        detail = repr(error)
+        emit(Event.INVARIANT_VIOLATED, name="claims_end", detail=detail)
+        self._reject(
+            group,
+            ChicoryplankError(
+                ErrorCode.INVARIANT_VIOLATED,
+                f"unexpected failure of a claim: {detail}",
+            ),
+        )
+
     def _reject(self, group: list[_Waiting], error: ChicoryplankError) -> None:
         for item in group:
             if not item.done.done():
--- a/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
@@ -3,6 +3,7 @@
 import dataclasses
 from datetime import datetime
 
+from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.idempotency._claims import Claim, Segment
 from chicoryplank.invariants import require
 from chicoryplank.store import Record, Store, SwapOutcome
@@ -85,6 +86,11 @@
             if record is None:
                 break
             known = False
+            if self._parse_number(record) != number:
+                raise ChicoryplankError(
+                    ErrorCode.MALFORMED_CLAIMS,
+                    f"{record.key!r} is not segment {number}",
+                )
             segment = Segment.decode(record.value)
             self._segments[number] = _Stored(segment, record.revision)
             if not segment.sealed:
@@ -97,7 +103,13 @@
         self._index()
 
     def _parse_number(self, record: Record) -> int:
-        return int(record.key.removeprefix(self._prefix))
+        suffix = record.key.removeprefix(self._prefix)
+        if suffix == record.key or not suffix.isdigit():
+            raise ChicoryplankError(
+                ErrorCode.MALFORMED_CLAIMS,
+                f"{record.key!r} is no segment of {self._prefix}",
+            )
+        return int(suffix)
 
     def _index(self) -> None:
         self._claims = {
--- a/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
@@ -205,6 +205,43 @@
         )
         self.assertEqual(expected, asyncio.run(run()))
 
+    def test_unexpected_failure_is_answered(self):
+        """Guards against requests that wait for ever for their claim."""
+
+        async def run():
+            registry = self._make_registry()
+
+            async def fail(prefix):
+                raise RuntimeError(prefix)
+
+            self.store.read_prefix = fail
+            async with asyncio.timeout(5):
+                return await self._try_admit(registry, "a")
+
+        self.assertEqual(
+            (ErrorCode.INVARIANT_VIOLATED, Verdict.NOT_RUN), asyncio.run(run())
+        )
+
+    def test_answer_for_another_key_is_rejected(self):
+        """Guards against a store answer that belongs to another call."""
+
+        async def run():
+            await self._make_registry().admit(_KEY, _BODY, "a")
+            registry = self._make_registry()
+            read_prefix = self.store.read_prefix
+
+            async def read_other(prefix):
+                del prefix
+                return await read_prefix("claims/bids/0000/")
+
+            self.store.read_prefix = read_other
+            key = "00000001" + "a" * 24
+            return await self._try_admit(registry, "b", key)
+
+        self.assertEqual(
+            (ErrorCode.MALFORMED_CLAIMS, Verdict.NOT_RUN), asyncio.run(run())
+        )
+
     def test_expired_segments_are_deleted(self):
         """Guards against claims that fill the store for ever."""
 
