--- a/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
@@ -3,6 +3,7 @@
 import dataclasses
 from datetime import datetime
 
+from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.idempotency._claims import Claim, Segment
 from chicoryplank.invariants import require
 from chicoryplank.store import Record, Store, SwapOutcome
@@ -94,6 +95,11 @@
             if record is None:
                 break
             known = False
+            if self._parse_number(record) != number:
+                raise ChicoryplankError(
+                    ErrorCode.MALFORMED_CLAIMS,
+                    f"{record.key!r} is not segment {number}",
+                )
             segment = Segment.decode(record.value)
             self._observe(number, _Stored(segment, record.revision))
             if not segment.sealed:
@@ -124,7 +130,13 @@
                 self._claims[claim.key] = claim
 
     def _parse_number(self, record: Record) -> int:
-        return int(record.key.removeprefix(self._prefix))
+        suffix = record.key.removeprefix(self._prefix)
+        if suffix == record.key or not suffix.isdigit():
+            raise ChicoryplankError(
+                ErrorCode.MALFORMED_CLAIMS,
+                f"{record.key!r} is no segment of {self._prefix}",
+            )
+        return int(suffix)
 
     def _index(self) -> None:
         self._claims = {
@@ -169,6 +181,37 @@
         segment = Segment(combined, len(combined) >= self._max_claims)
         return await self._swap(store, number, stored, segment)
 
+    async def replace(self, store: Store, old: Claim, new: Claim) -> bool:
+        """Puts a claim in the place of one whose request has not run.
+
+        The segment may be sealed. Views that still hold the old claim reject
+        the key as well, so they need not learn of it. The expiry stays, since
+        such a view decides by it when the segment can be deleted.
+
+        Returns:
+            False if another writer changed the segment; reload and try again.
+
+        Raises:
+            StoreError: If the outcome is unknown or nothing was written.
+        """
+        for number, stored in self._segments.items():
+            if old not in stored.segment.claims:
+                continue
+            new = dataclasses.replace(new, expires_s=old.expires_s)
+            claims = tuple(
+                new if claim == old else claim
+                for claim in stored.segment.claims
+            )
+            segment = Segment(claims, stored.segment.sealed)
+            # Until the outcome is known, the view may miss the write.
+            self._loaded = False
+            if not await self._swap(store, number, stored, segment):
+                return False
+            self._loaded = True
+            self._claims[new.key] = new
+            return True
+        return False
+
     async def remove(self, store: Store, claim: Claim) -> bool:
         """Removes a claim whose request is known not to have run.
 
