Claim an abandoned key anew instead of from the view

An agent took over its own abandoned claim as soon as its view showed it. When the release of that claim had an unknown outcome, the removal could have taken effect or do so later, and then another agent could claim the same key: two runs of a non-idempotent request. The new attempt now replaces the claim by compare-and-swap, which also defeats a removal that is still on its way. A claim in a sealed segment can't be removed and is taken over as before.

--- a/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Container
 from datetime import timedelta
 
 from chicoryplank.clock import Clock
@@ -48,9 +49,15 @@
     """Commits the claims of one shard, one write in flight at a time."""
 
     def __init__(
-        self, shard: ClaimShard, store: Store, clock: Clock, interval: timedelta
+        self,
+        shard: ClaimShard,
+        store: Store,
+        clock: Clock,
+        interval: timedelta,
+        abandoned: Container[str],
     ) -> None:
         self.shard = shard
+        self._abandoned = abandoned
         self.waiting: list[_Waiting] = []
         self._store = store
         self._clock = clock
@@ -94,7 +101,8 @@
         now = self._clock.now()
         fresh: dict[str, Claim] = {}
         for item in group:
-            if self.shard.find(item.claim.key, now) is None:
+            held = self.shard.find(item.claim.key, now)
+            if held is None or self._may_replace(held, item.claim):
                 fresh.setdefault(item.claim.key, item.claim)
         if fresh and not await self.shard.add(
             self._store, tuple(fresh.values())
@@ -103,6 +111,18 @@
         self._resolve(group)
         return True
 
+    def _may_replace(self, held: Claim, claim: Claim) -> bool:
+        """Whether a claim takes the place of one that never ran.
+
+        It is written anew, because a removal of the old claim may have an
+        unknown outcome and take effect late.
+        """
+        return (
+            held.attempt in self._abandoned
+            and held.body == claim.body
+            and self.shard.is_removable(held)
+        )
+
     def _resolve(self, group: list[_Waiting]) -> None:
         now = self._clock.now()
         for item in group:
@@ -123,7 +143,7 @@
             held = self.shard.find(item.claim.key, now)
             if item.done.done():
                 continue
-            if held is None:
+            if held is None or self._may_replace(held, item.claim):
                 item.done.set_exception(error)
             else:
                 item.done.set_result(held)
@@ -180,6 +200,7 @@
                 self._store,
                 self._clock,
                 self._settings.write_interval,
+                self._abandoned,
             )
             self._writers[number] = writer
         return writer
@@ -214,11 +235,13 @@
         except asyncio.CancelledError:
             self._abandon(attempt)
             raise
-        self._check_held(held, body, attempt)
+        self._check_held(writer, held, body, attempt)
 
     async def _commit(self, writer: _ShardWriter, claim: Claim) -> Claim | None:
         held = await writer.submit(claim)
-        if held is None or held.attempt in (claim.attempt, *self._abandoned):
+        if held is None or held.attempt == claim.attempt:
+            return held
+        if self._can_take_over(writer, held):
             return held
         # The view may be old; another agent may have released the claim.
         await writer.shard.refresh(self._store)
@@ -238,7 +261,20 @@
                 retry_after=_RETRY_SOON,
             )
 
-    def _check_held(self, held: Claim | None, body: str, attempt: str) -> None:
+    def _can_take_over(self, writer: _ShardWriter, held: Claim) -> bool:
+        """Whether a claim never ran and cannot be removed any more."""
+        return (
+            held.attempt in self._abandoned
+            and not writer.shard.is_removable(held)
+        )
+
+    def _check_held(
+        self,
+        writer: _ShardWriter,
+        held: Claim | None,
+        body: str,
+        attempt: str,
+    ) -> None:
         if held is not None and held.body != body:
             raise ChicoryplankError(
                 ErrorCode.KEY_REUSED,
@@ -246,7 +282,7 @@
             )
         if held is not None and held.attempt == attempt:
             return
-        if held is not None and held.attempt in self._abandoned:
+        if held is not None and self._can_take_over(writer, held):
             # The first attempt never ran, and this one runs in its place.
             del self._abandoned[held.attempt]
             return
--- a/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
@@ -146,12 +146,20 @@
             return number + 1, _Stored(Segment(), 0)
         return number, stored
 
+    def is_removable(self, claim: Claim) -> bool:
+        """Whether a write may still remove a claim of the view.
+
+        A claim in a sealed segment stands until it expires.
+        """
+        return claim in self._get_last()[1].segment.claims
+
     async def add(self, store: Store, claims: tuple[Claim, ...]) -> bool:
         """Adds claims, all or none.
 
         Args:
             store: The key-value service.
-            claims: Claims whose keys are not in the view.
+            claims: Claims whose keys are not in the view, or that replace
+                removable claims.
 
         Returns:
             False if another writer changed the shard; reload and try again.
@@ -165,7 +173,11 @@
             "claims_go_to_open_segment",
             f"segment {number} of {self._prefix}",
         )
-        combined = stored.segment.claims + claims
+        keys = {claim.key for claim in claims}
+        kept = (
+            claim for claim in stored.segment.claims if claim.key not in keys
+        )
+        combined = (*kept, *claims)
         segment = Segment(combined, len(combined) >= self._max_claims)
         return await self._swap(store, number, stored, segment)
 
--- a/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
@@ -248,6 +248,42 @@
 
         self.assertEqual((True, True), asyncio.run(run()))
 
+    def test_claim_whose_release_is_unknown_is_claimed_anew(self):
+        """Guards against a second run when the release takes effect late."""
+
+        async def run():
+            first, second = self._make_registry(), self._make_registry()
+            await first.admit(_KEY, _BODY, "a")
+            self.store.delay_writes = 1
+            await first.release(_KEY, "a")
+            again = await self._try_admit(first, "b")
+            self.store.apply_delayed(0)
+            return again, await self._try_admit(second, "c")
+
+        again, elsewhere = asyncio.run(run())
+        self.assertEqual("admitted", again)
+        self.assertEqual(
+            (ErrorCode.CLAIMED_ELSEWHERE, Verdict.MAY_HAVE_RUN), elsewhere
+        )
+
+    def test_sealed_claim_can_be_taken_over(self):
+        """Guards against a key that stays blocked in a sealed segment."""
+
+        async def run():
+            registry = self._make_registry()
+            for number in range(3):
+                key = f"00000000{number:024x}"
+                await registry.admit(key, _BODY, f"a{number}")
+            await registry.release("0" * 32, "a0")
+            return (
+                await self._try_admit(registry, "b", "0" * 32),
+                await self._try_admit(registry, "c", "0" * 32),
+            )
+
+        again, twice = asyncio.run(run())
+        self.assertEqual("admitted", again)
+        self.assertNotEqual("admitted", twice)
+
     def test_expired_segments_are_deleted(self):
         """Guards against claims that fill the store for ever."""
 
