Keep tombstones until no late start can be accepted

A settled attempt was remembered for max_timeout, but with wall clocks off by max_clock_skew its start message is accepted for up to twice the skew longer. A buried attempt was remembered by its budget, which may be below its deadline. Both could start an attempt after NOT_RUN, or a second time.

--- a/packages/chicoryplank/src/chicoryplank/attempts/_table.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/_table.py
@@ -44,6 +44,8 @@
         key: Name of the attempt.
         repeatable: Whether the request is idempotent.
         deadline: Boot time at which the attempt is abandoned.
+        last_start: Boot time after which a repeated start message of the
+            attempt is rejected as late.
         state: Progress.
         status: HTTP status of the backend server; 0 before it answered.
         headers: Response headers as (name, value).
@@ -56,6 +58,7 @@
     key: AttemptKey
     repeatable: bool
     deadline: timedelta
+    last_start: timedelta
     state: RunState = RunState.QUEUED
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
@@ -179,7 +182,13 @@
                 f"{len(self._records)} attempts are in progress",
                 retry_after=_RETRY_SOON,
             )
-        record = AttemptRecord(key, repeatable, self._clock.elapsed() + budget)
+        elapsed = self._clock.elapsed()
+        # Until then this clock may go back by the skew, beside the skew that
+        # the check above allows.
+        left = deadline - self._clock.now() + 2 * self._max_clock_skew
+        record = AttemptRecord(
+            key, repeatable, elapsed + budget, elapsed + left
+        )
         self._records[key] = record
         return record
 
@@ -261,7 +270,10 @@
                 "too many attempts to settle",
                 Verdict.MAY_HAVE_RUN,
             )
-        self._remember(key, self._limits.max_timeout, started=False)
+        # The entry sent the attempt before, with at most this time left; its
+        # clock and this one may be off by the skew.
+        duration = self._limits.max_timeout + 2 * self._max_clock_skew
+        self._remember(key, duration, started=False)
         return False
 
     def read_from(self, record: AttemptRecord, offset: int) -> bytes:
@@ -300,13 +312,12 @@
 
     def _bury(self, record: AttemptRecord) -> None:
         self._records.pop(record.key, None)
-        left = record.deadline - self._clock.elapsed()
+        left = record.last_start - self._clock.elapsed()
         error = record.error
         started = record.state is not RunState.QUEUED and (
             error is None or error.verdict is not Verdict.NOT_RUN
         )
-        # Both clocks may be off by the skew, in opposite directions.
-        self._remember(record.key, left + 2 * self._max_clock_skew, started)
+        self._remember(record.key, left, started)
 
     def _remember(
         self, key: AttemptKey, duration: timedelta, started: bool
--- a/packages/chicoryplank/src/chicoryplank/attempts/tests/test_table.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/tests/test_table.py
@@ -87,6 +87,39 @@
             ErrorCode.DEADLINE_EXCEEDED, self.table.start, record
         )
 
+    def test_tombstones_outlast_skewed_clocks(self):
+        """Guards against a run after "not run" where the clock is behind."""
+        limits = RequestLimits()
+        skew = 0.5 * _SECOND
+        deadline = self.clock.now() + limits.max_timeout + skew
+        late = limits.max_timeout + skew
+        self.table.settle(_KEY)
+        self.clock.advance(late)
+        self._assert_rejected(
+            ErrorCode.ATTEMPT_ABANDONED,
+            self.table.admit,
+            _KEY,
+            True,
+            _SECOND,
+            deadline,
+        )
+
+    def test_short_budget_does_not_shorten_a_tombstone(self):
+        """Guards against a second start after a budget below the deadline."""
+        deadline = self.clock.now() + 100 * _SECOND
+        record = self.table.admit(_KEY, True, 70 * _SECOND, deadline)
+        self.table.start(record)
+        self.table.discard(_KEY)
+        self.clock.advance(90 * _SECOND)
+        self._assert_rejected(
+            ErrorCode.ATTEMPT_ABANDONED,
+            self.table.admit,
+            _KEY,
+            True,
+            70 * _SECOND,
+            deadline,
+        )
+
     def test_draining_rejects_new_work_only(self):
         """Guards against new work at a leaving backend server."""
         record = self._admit()
