--- a/benchmarks/engine_model.py
+++ b/benchmarks/engine_model.py
@@ -24,9 +24,9 @@
     return int(min(500, 8 + rng.expovariate(1 / (MEAN_TOKENS - 8))))
 
 
-def find_capacity(replicas: int) -> float:
+def find_capacity(replicas: int, growth_s: float = STEP_PER_REQUEST_S) -> float:
     """Returns the tokens per second that full batches generate."""
-    return replicas * BATCH / (STEP_S + STEP_PER_REQUEST_S * BATCH)
+    return replicas * BATCH / (STEP_S + growth_s * BATCH)
 
 
 class Simulation:
@@ -74,10 +74,18 @@
 
     A step takes 6 ms plus 0.25 ms for each request in the batch and yields
     one token for each. Further requests wait by priority, then arrival.
+
+    Args:
+        simulation: The simulation.
+        growth_s: Time that each request in the batch adds to a step; 0 for a
+            service with 64 workers.
     """
 
-    def __init__(self, simulation: Simulation) -> None:
+    def __init__(
+        self, simulation: Simulation, growth_s: float = STEP_PER_REQUEST_S
+    ) -> None:
         self._simulation = simulation
+        self._growth_s = growth_s
         self._order = itertools.count()
         self._running: list[tuple[float, int, Job]] = []
         self._waiting: list[tuple[int, int, Job]] = []
@@ -105,7 +113,7 @@
 
     def _advance(self) -> None:
         elapsed = self._simulation.now - self._updated
-        step_s = STEP_S + STEP_PER_REQUEST_S * self._count
+        step_s = STEP_S + self._growth_s * self._count
         self._steps += elapsed / step_s
         self._updated = self._simulation.now
 
@@ -126,7 +134,7 @@
         self._version += 1
         if self._running:
             version = self._version
-            step_s = STEP_S + STEP_PER_REQUEST_S * self._count
+            step_s = STEP_S + self._growth_s * self._count
             left = max(0.0, self._running[0][0] - self._steps)
             self._simulation.schedule(
                 self._updated + left * step_s, lambda: self._finish(version)
--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -15,6 +15,7 @@
 from engine_model import (
     BATCH,
     MEAN_TOKENS,
+    STEP_PER_REQUEST_S,
     Job,
     Replica,
     Simulation,
@@ -57,6 +58,7 @@
     stated: int
     job: Job | None = None
     replica: Replica | None = None
+    began: float | None = None
     ended: float | None = None
 
     @property
@@ -87,7 +89,12 @@
     def start(self, call):
         """Sends a request to a replica."""
         call.replica = choose_replica(self.replicas, self.rng)
-        call.job = Job(call.tokens, call.priority, lambda: self._end(call))
+        call.job = Job(
+            call.tokens,
+            call.priority,
+            lambda: self._end(call),
+            lambda: self._begin(call),
+        )
         call.replica.submit(call.job)
 
     def leave(self, call, succeeded):
@@ -96,6 +103,9 @@
     def drop(self, call):
         """Takes note that the caller of a queued request gave up."""
 
+    def _begin(self, call):
+        call.began = self.simulation.now
+
     def _end(self, call):
         call.ended = self.simulation.now
         self.leave(call, True)
@@ -199,26 +209,28 @@
 }
 
 
-def run_load(make_entry, sources, duration_s, seed):
+def run_load(make_entry, sources, options, service=False):
     """Runs a load and returns the calls that arrived after the warm-up.
 
     Args:
         make_entry: Class of the entries.
         sources: Pairs (calls per second, function that draws account and
             priority).
-        duration_s: Length of the measured part.
-        seed: Seed of all random draws.
+        options: Duration and seed.
+        service: Whether to model a plain service, whose requests state no
+            size and whose workers do not slow each other down.
     """
-    rng = random.Random(seed)
+    rng = random.Random(options.seed)
     simulation = Simulation()
-    replicas = [Replica(simulation) for _ in range(REPLICAS)]
+    growth_s = 0.0 if service else STEP_PER_REQUEST_S
+    replicas = [Replica(simulation, growth_s) for _ in range(REPLICAS)]
     entries = [make_entry(simulation, replicas, rng) for _ in range(ENTRIES)]
     numbers = itertools.count()
 
     def arrive(rate, draw):
         account, priority = draw(rng)
         tokens = draw_tokens(rng)
-        stated = int(tokens * rng.uniform(1, 2))
+        stated = 0 if service else int(tokens * rng.uniform(1, 2))
         now = simulation.now
         call = Call(next(numbers), account, priority, now, tokens, stated)
         rng.choice(entries).take(call)
@@ -229,7 +241,7 @@
         simulation.schedule(
             0.0, lambda rate=rate, draw=draw: arrive(rate, draw)
         )
-    end = WARM_UP_S + duration_s
+    end = WARM_UP_S + options.duration
     # Calls are judged by their arrival, so the load goes on until the last
     # of them has ended.
     simulation.run(end + max(DEADLINES_S.values()))
@@ -243,17 +255,38 @@
     return f"account-{rng.randrange(10)}", priority
 
 
-def find_p95(calls):
-    """Returns the 95th percentile of time to the full answer."""
-    times = sorted(
-        call.ended - call.arrived for call in calls if call.ended is not None
-    )
+def find_p95(times):
+    """Returns the 95th percentile."""
+    times = sorted(times)
     return times[int(0.95 * len(times))] if times else float("nan")
 
 
+def find_latencies(calls):
+    """Returns times to the full answer."""
+    return [
+        call.ended - call.arrived for call in calls if call.ended is not None
+    ]
+
+
+def find_waits(calls):
+    """Returns times until an engine began; others are left out."""
+    return [
+        call.began - call.arrived for call in calls if call.began is not None
+    ]
+
+
 def print_goodput(options):
     """Prints goodput and urgent latency by load."""
-    capacity = find_capacity(REPLICAS)
+    print_loads(options, False)
+
+
+def print_services(options):
+    """Prints the same for requests without a stated size."""
+    print_loads(options, True)
+
+
+def print_loads(options, service):
+    capacity = find_capacity(REPLICAS, 0.0 if service else STEP_PER_REQUEST_S)
     rate = capacity / MEAN_TOKENS
     print(f"capacity {capacity:.0f} tokens/s, {rate:.0f} answers/s")
     print("| load | policy | answers | tokens | urgent in time | urgent p95 |")
@@ -262,7 +295,7 @@
         (0.8, 1.0, 1.2, 2.0), POLICIES.items()
     ):
         sources = [(load * rate, draw_mixed)]
-        calls = run_load(policy, sources, options.duration, options.seed)
+        calls = run_load(policy, sources, options, service)
         good = [call for call in calls if call.ended is not None]
         tokens = sum(call.tokens for call in good) / options.duration
         urgent = [call for call in calls if call.priority is Priority.URGENT]
@@ -270,7 +303,7 @@
         print(
             f"| {load} | {name} | {len(good) / options.duration / rate:.3f} "
             f"| {tokens / capacity:.3f} | {in_time / len(urgent):.3f} "
-            f"| {find_p95(urgent):.2f} s |"
+            f"| {find_p95(find_latencies(urgent)):.2f} s |"
         )
 
 
@@ -279,17 +312,23 @@
     rate = find_capacity(REPLICAS) / MEAN_TOKENS
     urgent = (0.05 * rate, lambda rng: ("account-0", Priority.URGENT))
     bulk = (2.0 * rate, lambda rng: ("account-1", Priority.BULK))
-    print("| urgent p95 with policy | alone | beside bulk | in time |")
-    print("|---|---|---|---|")
+    print(
+        "| urgent | beside bulk | p95 to first token | p95 to end | in time |"
+    )
+    print("|---|---|---|---|---|")
     for name, policy in POLICIES.items():
-        alone = run_load(policy, [urgent], options.duration, options.seed)
-        mixed = run_load(policy, [urgent, bulk], options.duration, options.seed)
-        beside = [call for call in mixed if call.priority is Priority.URGENT]
-        in_time = sum(call.ended is not None for call in beside) / len(beside)
-        print(
-            f"| {name} | {find_p95(alone):.2f} s | {find_p95(beside):.2f} s "
-            f"| {in_time:.3f} |"
-        )
+        for label, sources in (("no", [urgent]), ("yes", [urgent, bulk])):
+            calls = [
+                call
+                for call in run_load(policy, sources, options)
+                if call.priority is Priority.URGENT
+            ]
+            in_time = sum(call.ended is not None for call in calls) / len(calls)
+            wait_ms = find_p95(find_waits(calls)) * 1000
+            print(
+                f"| {name} | {label} | {wait_ms:.0f} ms "
+                f"| {find_p95(find_latencies(calls)):.2f} s | {in_time:.3f} |"
+            )
 
 
 def print_fairness(options):
@@ -311,7 +350,7 @@
     print("| policy | Jain index | least part served of a small account |")
     print("|---|---|---|")
     for name, policy in POLICIES.items():
-        calls = run_load(policy, sources, options.duration, options.seed)
+        calls = run_load(policy, sources, options)
         served = collections.Counter()
         for call in calls:
             if call.ended is not None:
@@ -492,6 +531,7 @@
     print(f"seed {options.seed}, {options.duration:.0f} s measured")
     tables = {
         "goodput": print_goodput,
+        "services": print_services,
         "urgent": print_urgent,
         "fairness": print_fairness,
         "overshoot": print_overshoot,
