Log ejections of replicas

Cause: operators cannot see why a replica gets no requests from an entry. Events 1801 and 1802 name the replica. The benchmark drops log records.

--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -13,6 +13,7 @@
 import argparse
 import random
 
+import logbook
 from engine_model import WARM_UP_S, ZONES, Scenario, Simulation
 
 from chicoryplank.routing import (
@@ -105,6 +106,7 @@
     parser.add_argument("--policy", default="", help="part of a name")
     parser.add_argument("--seed", type=int, default=_SEED)
     options = parser.parse_args()
+    logbook.NullHandler().push_application()
     print(f"seed {options.seed}")
     print(
         f"{'scenario':<23} load {'policy':<15} {'ttft p50/p95/p99 ms':>23}"
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -26,6 +26,13 @@
     ENGINE_FAILED = (1203, logbook.WARNING, "backend server failed: {error}")
     CONFIGURATION_APPLIED = (1301, logbook.INFO, "version {version} in force")
 
+    REPLICA_EJECTED = (
+        1801,
+        logbook.WARNING,
+        "replica {replica} takes no new requests: stalled or failing",
+    )
+    REPLICA_RETURNED = (1802, logbook.INFO, "replica {replica} is in service")
+
     @property
     def number(self) -> int:
         """Stable number of the event."""
--- a/packages/chicoryplank/src/chicoryplank/routing/_fleet.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_fleet.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId, ZoneId
 from chicoryplank.routing._parameters import RoutingParameters
 from chicoryplank.routing._replica import Replica
@@ -104,8 +105,10 @@
             self._pools.clear()
             if replica.ejected:
                 replica.return_to_service(now)
+                emit(Event.REPLICA_RETURNED, replica=replica.name)
             else:
                 replica.ejected = True
+                emit(Event.REPLICA_EJECTED, replica=replica.name)
 
     def get_pool(self, request: RoutingRequest) -> Pool:
         """Returns the replicas in service for a role and an adapter."""
--- a/packages/chicoryplank/src/chicoryplank/routing/tests/test_routing.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/tests/test_routing.py
@@ -4,6 +4,7 @@
 import random
 from datetime import UTC, datetime, timedelta
 
+import logbook
 import testtools
 
 from chicoryplank.errors import ChicoryplankError
@@ -245,6 +246,12 @@
 class TestEjection(testtools.TestCase):
     """Stalled and failing replicas leave and return."""
 
+    def setUp(self):
+        super().setUp()
+        self.log = logbook.TestHandler()
+        self.log.push_application()
+        self.addCleanup(self.log.pop_application)
+
     def _stall(self, policy, candidates, names):
         policy.choose(RoutingRequest(), candidates, _START)
         for name in names:
@@ -261,6 +268,8 @@
         policy.observe(LoadReport(InstanceId("r0"), 0, 0, _after(60)))
         counts = _count_choices(policy, candidates, _after(60.5))
         self.assertIn("r0", counts)
+        numbers = [record.extra["event"] for record in self.log.records]
+        self.assertEqual([1801, 1802], numbers)
 
     def test_progress_for_other_entries_counts(self):
         """Guards against ejection of a replica whose queue is just long."""
