--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -78,6 +78,13 @@
     )
     ORDER_REFUSED = (1505, logbook.WARNING, "order {order} refused: {detail}")
 
+    REPLICA_EJECTED = (
+        1801,
+        logbook.WARNING,
+        "replica {replica} takes no new requests: stalled or failing",
+    )
+    REPLICA_RETURNED = (1802, logbook.INFO, "replica {replica} is in service")
+
     @property
     def number(self) -> int:
         """Stable number of the event."""
