--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -170,6 +170,19 @@
             reason = Reason.HELD
         if reason is not None:
             return Decision(expert_map, (), skew, skew, reason)
+        decision = yield from self._search(expert_map, loads, rank_loads, aim)
+        if emergency and decision.moves:
+            return dataclasses.replace(decision, reason=Reason.EMERGENCY)
+        return decision
+
+    def _search(
+        self,
+        expert_map: ExpertMap,
+        loads: Sequence[float],
+        rank_loads: Sequence[float],
+        aim: float,
+    ) -> Steps:
+        skew = compute_skew(rank_loads)
         mean = sum(rank_loads) / len(rank_loads)
         search = yield from search_moves(
             expert_map, loads, self._settings.max_moves, aim * mean
@@ -185,8 +198,7 @@
         target = arrange_slots(expert_map, assignment)
         yield
         moves = list_moves(expert_map, target, self._settings.expert_bytes)
-        reason = Reason.EMERGENCY if emergency else Reason.GAIN
-        return Decision(target, moves, skew, predicted, reason)
+        return Decision(target, moves, skew, predicted, Reason.GAIN)
 
     def _find_threshold(
         self, expert_map: ExpertMap, rank_loads: Sequence[float]
--- a/packages/chicoryplank/src/chicoryplank/rebalance/_search.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_search.py
@@ -173,6 +173,24 @@
         placement.replace(*change[3])
 
 
+def _choose_change(
+    placement: Placement, aim: float, gained: set[int]
+) -> Generator[None, None, tuple[_Change | None, bool]]:
+    """Returns the best change and whether it is a detour."""
+    totals = placement.totals
+    top = max(range(len(totals)), key=totals.__getitem__)
+    swap = _find_swap(placement, top, aim)
+    yield
+    replication = _find_replication(placement, top, aim)
+    yield
+    found = [item for item in (swap, replication) if item is not None]
+    change = min(found, default=None)
+    least_gain = _LEAST_GAIN * sum(totals) / len(totals)
+    if change is not None and change[0] <= totals[top] - least_gain:
+        return change, False
+    return _find_detour(placement, top, gained), True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Search:
     """Result of a search.
@@ -221,30 +239,16 @@
     """
     placement = Placement(expert_map, loads)
     yield
-    steps: list[Step] = []
     changes: list[_Change] = []
-    moves, detours = 0, 0
+    steps: list[Step] = []
     gained: set[int] = set()
-    least_gain = _LEAST_GAIN * sum(loads) / len(placement.totals)
-    while moves < max_moves:
-        top = max(
-            range(len(placement.totals)), key=placement.totals.__getitem__
-        )
-        largest = placement.totals[top]
-        if largest <= aim:
-            break
-        swap = _find_swap(placement, top, aim)
-        yield
-        replication = _find_replication(placement, top, aim)
+    moves, detours = 0, 0
+    while moves < max_moves and max(placement.totals) > aim:
+        change, is_detour = yield from _choose_change(placement, aim, gained)
         yield
-        found = [item for item in (swap, replication) if item is not None]
-        change = min(found, default=None)
-        if change is None or change[0] > largest - least_gain:
-            detours += 1
-            change = _find_detour(placement, top, gained)
-            yield
-            if change is None or detours > _MAX_DETOURS:
-                break
+        detours += is_detour
+        if change is None or detours > _MAX_DETOURS:
+            break
         if moves + change[1] > max_moves:
             break
         _apply(placement, change)
