--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -40,7 +40,8 @@
             group counts as settled.
         window: Longest average of loads, in intervals.
         change_threshold: Standard deviations that count as a change of load.
-        emergency_skew: Skew above which a hold window does not apply.
+        emergency_skew: Skew, as a multiple of its lower bound, above which a
+            hold window does not apply.
         max_holds: Hold windows kept at a time.
     """
 
@@ -162,7 +163,7 @@
         bound = compute_skew_bound(loads, capacities)
         aim = bound * (1 + self._settings.tolerance)
         yield
-        emergency = skew > self._settings.emergency_skew
+        emergency = skew > self._settings.emergency_skew * bound
         reason = None
         if skew <= aim:
             reason = Reason.BALANCED
--- a/packages/chicoryplank/src/chicoryplank/rebalance/tests/test_rebalance.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/tests/test_rebalance.py
@@ -214,6 +214,15 @@
         self.assertEqual(Reason.EMERGENCY, decision.reason)
         self.assertGreater(len(decision.moves), 0)
 
+    def test_skew_that_no_map_can_lower_is_no_emergency(self):
+        """Guards against hold windows that a hot expert makes void."""
+        policy = make_policy(emergency_skew=1.2)
+        policy.hold(NOW, NOW + timedelta(seconds=10))
+        policy.observe([1000.0] + [1.0] * 63, NOW)
+        decision = policy.choose(make_map(64, 16, 0), NOW)
+        self.assertGreater(decision.current_skew, 1.2)
+        self.assertEqual((), decision.moves)
+
     def test_cost_above_gain(self):
         """Guards against a switch that costs more than it gains."""
         policy = make_policy(switch_cost_steps=1e6)
