--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -47,9 +47,9 @@
 
     expert_bytes: int
     horizon_steps: float = 1000.0
-    move_cost_steps: float = 0.1
+    move_cost_steps: float = 0.2
     switch_cost_steps: float = 1.0
-    hysteresis: float = 1.2
+    hysteresis: float = 1.5
     max_moves: int = 24
     tolerance: float = 0.003
     noise_factor: float = 1.0
