--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -40,7 +40,8 @@
             group counts as settled.
         window: Longest average of loads, in intervals.
         change_threshold: Standard deviations that count as a change of load.
-        emergency_skew: Skew above which a hold window does not apply.
+        emergency_skew: Skew, as a multiple of its lower bound, above which a
+            hold window does not apply.
         max_holds: Hold windows kept at a time.
     """
 
@@ -162,7 +163,7 @@
         bound = compute_skew_bound(loads, capacities)
         aim = bound * (1 + self._settings.tolerance)
         yield
-        emergency = skew > self._settings.emergency_skew
+        emergency = skew > self._settings.emergency_skew * bound
         reason = None
         if skew <= aim:
             reason = Reason.BALANCED
@@ -170,6 +171,19 @@
             reason = Reason.HELD
         if reason is not None:
             return Decision(expert_map, (), skew, skew, reason)
+        decision = yield from self._search(expert_map, loads, rank_loads, aim)
+        if emergency and decision.moves:
+            return dataclasses.replace(decision, reason=Reason.EMERGENCY)
+        return decision
+
+    def _search(
+        self,
+        expert_map: ExpertMap,
+        loads: Sequence[float],
+        rank_loads: Sequence[float],
+        aim: float,
+    ) -> Steps:
+        skew = compute_skew(rank_loads)
         mean = sum(rank_loads) / len(rank_loads)
         search = yield from search_moves(
             expert_map, loads, self._settings.max_moves, aim * mean
@@ -185,8 +199,7 @@
         target = arrange_slots(expert_map, assignment)
         yield
         moves = list_moves(expert_map, target, self._settings.expert_bytes)
-        reason = Reason.EMERGENCY if emergency else Reason.GAIN
-        return Decision(target, moves, skew, predicted, reason)
+        return Decision(target, moves, skew, predicted, Reason.GAIN)
 
     def _find_threshold(
         self, expert_map: ExpertMap, rank_loads: Sequence[float]
