--- a/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
@@ -256,7 +256,8 @@
 
     async def _commit(self, writer: _ShardWriter, claim: Claim) -> Claim | None:
         held = await writer.submit(claim)
-        if held is None or held.attempt in (claim.attempt, *self._abandoned):
+        is_own = held is not None and held.attempt == claim.attempt
+        if held is None or is_own or held.attempt in self._abandoned:
             return held
         # The view may be old; another agent may have released the claim.
         await writer.shard.refresh(self._store)
--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -52,7 +52,7 @@
     max_moves: int = 24
     tolerance: float = 0.003
     noise_factor: float = 1.0
-    settled_factor: float = 3.0
+    settled_factor: float = 5.0
     settling_decisions: int = 8
     window: int = 64
     change_threshold: float = 4.5
@@ -88,7 +88,7 @@
         move_cost_steps=1.0,
         switch_cost_steps=10.0,
         hysteresis=2.0,
-        max_moves=8,
+        max_moves=16,
         tolerance=0.05,
         settled_factor=5.0,
     )
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -257,8 +257,7 @@
             self._server.close()
         self.unblock()
         self.cut()
-        while self._writers:
-            await asyncio.sleep(POLL_INTERVAL_S)
+        await wait_until(lambda: not self._writers, 1, f"{self.address} breaks")
 
     def cut(self) -> None:
         """Breaks all connections; data under way is lost."""
