--- a/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
@@ -175,78 +175,6 @@
         self.assertNotEqual("admitted", blocked)
         self.assertEqual("admitted", admitted)
 
-    def test_lost_release_allows_one_run(self):
-        """Guards against taking over a claim that the store has dropped."""
-
-        async def run():
-            first, second = self._make_registry(), self._make_registry()
-            await first.admit(_KEY, _BODY, "a")
-            self.store.lose_answers = 1
-            await first.release(_KEY, "a")
-            return (
-                await self._try_admit(first, "b"),
-                await self._try_admit(second, "c"),
-            )
-
-        self.assertEqual(1, asyncio.run(run()).count("admitted"))
-
-    def test_claim_in_sealed_segment_is_taken_over(self):
-        """Guards against losing a key whose segment is sealed."""
-
-        async def run():
-            first, second = self._make_registry(), self._make_registry()
-            await first.admit(_KEY, _BODY, "a")
-            for number in range(4):
-                await first.admit(f"00000000{number:024x}", _BODY, "other")
-            await first.release(_KEY, "a")
-            return (
-                await self._try_admit(first, "b"),
-                await self._try_admit(second, "c"),
-            )
-
-        expected = (
-            "admitted",
-            (ErrorCode.CLAIMED_ELSEWHERE, Verdict.MAY_HAVE_RUN),
-        )
-        self.assertEqual(expected, asyncio.run(run()))
-
-    def test_unexpected_failure_is_answered(self):
-        """Guards against requests that wait for ever for their claim."""
-
-        async def run():
-            registry = self._make_registry()
-
-            async def fail(prefix):
-                raise RuntimeError(prefix)
-
-            self.store.read_prefix = fail
-            async with asyncio.timeout(5):
-                return await self._try_admit(registry, "a")
-
-        self.assertEqual(
-            (ErrorCode.INVARIANT_VIOLATED, Verdict.NOT_RUN), asyncio.run(run())
-        )
-
-    def test_answer_for_another_key_is_rejected(self):
-        """Guards against a store answer that belongs to another call."""
-
-        async def run():
-            await self._make_registry().admit(_KEY, _BODY, "a")
-            registry = self._make_registry()
-            read_prefix = self.store.read_prefix
-
-            async def read_other(prefix):
-                del prefix
-                return await read_prefix("claims/bids/0000/")
-
-            self.store.read_prefix = read_other
-            key = "00000001" + "a" * 24
-            return await self._try_admit(registry, "b", key)
-
-        self.assertEqual(
-            (ErrorCode.MALFORMED_CLAIMS, Verdict.NOT_RUN), asyncio.run(run())
-        )
-
     def test_broken_refresh_forgets_no_claim(self):
         """Guards against a second claim after a refresh that broke off."""
 
@@ -320,6 +248,78 @@
 
         self.assertEqual((True, True), asyncio.run(run()))
 
+    def test_lost_release_allows_one_run(self):
+        """Guards against taking over a claim that the store has dropped."""
+
+        async def run():
+            first, second = self._make_registry(), self._make_registry()
+            await first.admit(_KEY, _BODY, "a")
+            self.store.lose_answers = 1
+            await first.release(_KEY, "a")
+            return (
+                await self._try_admit(first, "b"),
+                await self._try_admit(second, "c"),
+            )
+
+        self.assertEqual(1, asyncio.run(run()).count("admitted"))
+
+    def test_claim_in_sealed_segment_is_taken_over(self):
+        """Guards against losing a key whose segment is sealed."""
+
+        async def run():
+            first, second = self._make_registry(), self._make_registry()
+            await first.admit(_KEY, _BODY, "a")
+            for number in range(4):
+                await first.admit(f"00000000{number:024x}", _BODY, "other")
+            await first.release(_KEY, "a")
+            return (
+                await self._try_admit(first, "b"),
+                await self._try_admit(second, "c"),
+            )
+
+        expected = (
+            "admitted",
+            (ErrorCode.CLAIMED_ELSEWHERE, Verdict.MAY_HAVE_RUN),
+        )
+        self.assertEqual(expected, asyncio.run(run()))
+
+    def test_unexpected_failure_is_answered(self):
+        """Guards against requests that wait for ever for their claim."""
+
+        async def run():
+            registry = self._make_registry()
+
+            async def fail(prefix):
+                raise RuntimeError(prefix)
+
+            self.store.read_prefix = fail
+            async with asyncio.timeout(5):
+                return await self._try_admit(registry, "a")
+
+        self.assertEqual(
+            (ErrorCode.INVARIANT_VIOLATED, Verdict.NOT_RUN), asyncio.run(run())
+        )
+
+    def test_answer_for_another_key_is_rejected(self):
+        """Guards against a store answer that belongs to another call."""
+
+        async def run():
+            await self._make_registry().admit(_KEY, _BODY, "a")
+            registry = self._make_registry()
+            read_prefix = self.store.read_prefix
+
+            async def read_other(prefix):
+                del prefix
+                return await read_prefix("claims/bids/0000/")
+
+            self.store.read_prefix = read_other
+            key = "00000001" + "a" * 24
+            return await self._try_admit(registry, "b", key)
+
+        self.assertEqual(
+            (ErrorCode.MALFORMED_CLAIMS, Verdict.NOT_RUN), asyncio.run(run())
+        )
+
     def test_expired_segments_are_deleted(self):
         """Guards against claims that fill the store for ever."""
 
