Run faults beside each other and on the control links

Links between entries can be cut and blocked. A traceback in the log of a daemon counts as a violation. Operators no longer ask for the value in force, which a plan refuses.

--- a/Makefile
+++ b/Makefile
@@ -50,4 +50,4 @@
 	$(PYTHON) tools/soak.py --seed $(SEED) --seconds $(SECONDS)
 
 soak-quick: setup
-	$(PYTHON) tools/soak.py --seed 1 --seconds 15
+	$(PYTHON) tools/soak.py --seed 1 --seconds 25
--- a/tools/layout.py
+++ b/tools/layout.py
@@ -89,7 +89,8 @@
         addresses: Address by process name; an entry's is its caller address.
         instances: What was registered in the instance list, by name.
         links: Forwarders by name: the agent's for entries that connect to it,
-            `store-<daemon>` for a daemon's calls of the store.
+            `store-<daemon>` for a daemon's calls of the store,
+            `control-<entry>` for other entries that connect to it.
     """
 
     def __init__(
@@ -102,7 +103,7 @@
         self._fleet = fleet
         self._folder = folder
         backends = options.engines + options.services
-        self._ports = choose_ports(2 + 4 * backends + 3 * options.entries)
+        self._ports = choose_ports(2 + 4 * backends + 4 * options.entries)
 
     @property
     def entries(self) -> list[str]:
@@ -240,7 +241,7 @@
                 "instance": name,
                 "role": "entry",
                 "zone": zone,
-                "address": control,
+                "address": await self._link(f"control-{name}", control),
                 "caller_address": caller,
             }
         )
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -208,7 +208,9 @@
             span = (change.at_s, due_s)
             if due_s > end_s or timeline.find(*span, kinds=_STORE):
                 continue
-            if timeline.find(*span, entry, f"store-{entry}"):
+            if timeline.find(
+                *span, entry, f"store-{entry}", f"control-{entry}"
+            ):
                 continue
             judged += 1
             in_time = any(
@@ -240,8 +242,10 @@
     events: collections.Counter[str] = collections.Counter()
     for path in sorted(folder.glob("*.log")):
         for line in path.read_text(errors="replace").splitlines():
-            if line.startswith("Traceback"):
-                events["tracebacks"] += 1
+            if line.startswith("Traceback") and path.name.startswith(
+                ("agent-", "entry-")
+            ):
+                violations.add("traceback", path.name)
             if not line.startswith('{"time"'):
                 continue
             document = json.loads(line)
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -57,6 +57,8 @@
         self.callers = callers
         self.target = target
         self.errors: list[str] = []
+        # Held by whatever must be, or must not be, beside a planned stop.
+        self.stage = asyncio.Lock()
         self._busy: set[str] = set()
 
     @contextlib.contextmanager
@@ -203,21 +205,21 @@
         link.delay_s = 0
 
 
-async def disturb_store_link(
-    world: World, random_source: random.Random
-) -> None:
-    """Cuts or blocks the way of one daemon to the store."""
-    name, link = _pick_link(world, random_source, "store-")
-    async with world.record("store_link", name):
-        if random_source.random() < 0.5:
-            link.block(random_source.choice([(True,), (False,)]))
-            await asyncio.sleep(random_source.uniform(0.5, 5))
-        else:
-            link.accepts = False
-            link.cut()
-            await asyncio.sleep(random_source.uniform(0.5, 3))
-        link.accepts = True
-        link.unblock()
+def _make_link_fault(kind: str, prefix: str) -> Fault:
+    async def disturb(world: World, random_source: random.Random) -> None:
+        name, link = _pick_link(world, random_source, prefix)
+        async with world.record(kind, name):
+            if random_source.random() < 0.5:
+                link.block(random_source.choice([(True,), (False,)]))
+                await asyncio.sleep(random_source.uniform(0.5, 5))
+            else:
+                link.accepts = False
+                link.cut()
+                await asyncio.sleep(random_source.uniform(0.5, 3))
+            link.accepts = True
+            link.unblock()
+
+    return disturb
 
 
 def _make_store_fault(kind: str) -> Fault:
@@ -358,7 +360,8 @@
     "cut_link": cut_link,
     "block_link": block_link,
     "delay_link": delay_link,
-    "store_link": disturb_store_link,
+    "store_link": _make_link_fault("store_link", "store-"),
+    "control_link": _make_link_fault("control_link", "control-"),
     "store_down": _make_store_fault("store_down"),
     "store_slow": _make_store_fault("store_slow"),
     "store_loses_answers": _make_store_fault("store_loses_answers"),
@@ -375,6 +378,24 @@
 PLANNED = frozenset(
     {"mark_leaving", "drain", "stop_entry", "stop_agent", "replace_entries"}
 )
+# Short faults of one process or link, which run beside the others.
+SIMPLE = frozenset(
+    {
+        "kill_entry",
+        "kill_agent",
+        "kill_engine",
+        "kill_service",
+        "pause_entry",
+        "pause_agent",
+        "pause_engine",
+        "pause_service",
+        "cut_link",
+        "block_link",
+        "delay_link",
+        "store_link",
+        "control_link",
+    }
+)
 _PAIR_SHARE = 0.5
 _GAP_S = (0.3, 1.0)
 _QUIET_S = 2.5
@@ -398,25 +419,55 @@
     world: World, kinds: list[str], seconds: float, seed: str
 ) -> None:
     """Injects faults for a time and heals each."""
-    random_source = random.Random(seed)
     end_s = time.monotonic() + seconds
+    single = [kind for kind in kinds if kind in SIMPLE]
+    lanes = [_run_rounds(world, kinds, end_s, f"{seed}/rounds")]
+    if single:
+        lanes.append(_run_singles(world, single, end_s, f"{seed}/singles"))
+    await asyncio.gather(*lanes)
+
+
+async def _run_rounds(
+    world: World, kinds: list[str], end_s: float, seed: str
+) -> None:
+    """Runs faults alone and in pairs, some of them undisturbed."""
+    random_source = random.Random(seed)
     for number, names in enumerate(make_rounds(kinds, random_source)):
         if time.monotonic() > end_s:
             return
-        quiet = len(names) == 1 and names[0] in PLANNED
-        await asyncio.sleep(
-            _QUIET_S if quiet else random_source.uniform(*_GAP_S)
-        )
-        sources = [random.Random(f"{seed}/{number}/{name}") for name in names]
-        results = await asyncio.gather(
-            *(
-                FAULTS[name](world, source)
-                for name, source in zip(names, sources, strict=True)
-            ),
-            return_exceptions=True,
-        )
-        for name, result in zip(names, results, strict=True):
-            if isinstance(result, FleetError):
-                world.errors.append(f"{name}: {result}")
-            elif isinstance(result, BaseException):
-                raise result
+        if len(names) == 1 and names[0] in PLANNED:
+            async with world.stage:
+                await asyncio.sleep(_QUIET_S)
+                await _run_round(world, names, f"{seed}/{number}")
+            continue
+        await asyncio.sleep(random_source.uniform(*_GAP_S))
+        await _run_round(world, names, f"{seed}/{number}")
+
+
+async def _run_singles(
+    world: World, kinds: list[str], end_s: float, seed: str
+) -> None:
+    """Runs simple faults beside the rounds."""
+    random_source = random.Random(seed)
+    number = 0
+    while time.monotonic() < end_s:
+        number += 1
+        async with world.stage:
+            names = (random_source.choice(kinds),)
+            await _run_round(world, names, f"{seed}/{number}")
+        await asyncio.sleep(random_source.uniform(*_GAP_S))
+
+
+async def _run_round(world: World, names: tuple[str, ...], seed: str) -> None:
+    results = await asyncio.gather(
+        *(
+            FAULTS[name](world, random.Random(f"{seed}/{name}"))
+            for name in names
+        ),
+        return_exceptions=True,
+    )
+    for name, result in zip(names, results, strict=True):
+        if isinstance(result, FleetError):
+            world.errors.append(f"{name}: {result}")
+        elif isinstance(result, BaseException):
+            raise result
--- a/tools/soak_operators.py
+++ b/tools/soak_operators.py
@@ -124,8 +124,11 @@
     async def run(self, seconds: float, random_source: random.Random) -> None:
         """Changes the configuration again and again; a third are races."""
         end_s = time.monotonic() + seconds
-        while time.monotonic() < end_s:
-            tokens = random_source.randint(8_000, 9_000)
+        for number in itertools.count(1):
+            if time.monotonic() > end_s:
+                return
+            # Each change and each racing operator asks for another value.
+            tokens = 8_000 + 2 * number
             change = {"shop-floor": {"tokens_per_s": tokens}}
             names = (
                 ("ann", "bob") if random_source.random() < 1 / 3 else ("ann",)
