Keep a refused attempt from starting by a repeated message

An attempt that was refused because the table was full, the agent was leaving or the deadline had passed left no tombstone. A second copy of its start message could then run after the entry was told NOT_RUN. A tombstone for each refusal was ruled out: under overload they would fill the table and stop new work. The agent keeps the highest refused number of each entry incarnation instead; entries send attempts in the order of their numbers. The transport does not duplicate messages, so this is a second line of defence.

--- a/packages/chicoryplank/src/chicoryplank/attempts/_table.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/_table.py
@@ -81,6 +81,19 @@
     started: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refusal:
+    """Refused attempts of one entry incarnation.
+
+    Attributes:
+        sequence: Highest number that was refused.
+        end: Boot time after which a start message would be too late.
+    """
+
+    sequence: int
+    end: timedelta
+
+
 class AttemptTable:
     """Attempts of one agent incarnation.
 
@@ -113,6 +126,7 @@
         self._tombstones: collections.OrderedDict[AttemptKey, _Tombstone] = (
             collections.OrderedDict()
         )
+        self._refusals: dict[Incarnation, _Refusal] = {}
         self.draining = False
 
     def __len__(self) -> int:
@@ -153,11 +167,28 @@
             message is a duplicate.
 
         Raises:
-            ChicoryplankError: If the attempt must not start; it has not run.
+            ChicoryplankError: If the attempt must not start; the verdict says
+                whether it may have run before.
         """
         if key in self._records:
             return None
         self._forget_expired()
+        try:
+            self._check_start(key, deadline)
+        except ChicoryplankError:
+            self._remember_refusal(key)
+            raise
+        elapsed = self._clock.elapsed()
+        # Until then this clock may go back by the skew, beside the skew that
+        # a start message is allowed.
+        left = deadline - self._clock.now() + 2 * self._max_clock_skew
+        record = AttemptRecord(
+            key, repeatable, elapsed + budget, elapsed + left
+        )
+        self._records[key] = record
+        return record
+
+    def _check_start(self, key: AttemptKey, deadline: datetime) -> None:
         tombstone = self._tombstones.get(key)
         if tombstone is not None:
             raise ChicoryplankError(
@@ -165,6 +196,12 @@
                 f"attempt {key.sequence} was abandoned before it arrived",
                 Verdict.MAY_HAVE_RUN if tombstone.started else Verdict.NOT_RUN,
             )
+        refusal = self._refusals.get(key.incarnation)
+        if refusal is not None and key.sequence <= refusal.sequence:
+            raise ChicoryplankError(
+                ErrorCode.ATTEMPT_ABANDONED,
+                f"attempt {key.sequence} was refused before",
+            )
         if self.draining:
             raise ChicoryplankError(
                 ErrorCode.SHUTTING_DOWN,
@@ -182,15 +219,24 @@
                 f"{len(self._records)} attempts are in progress",
                 retry_after=_RETRY_SOON,
             )
+
+    def _remember_refusal(self, key: AttemptKey) -> None:
+        """Keeps a refused attempt from starting by a repeated message.
+
+        An entry sends its attempts in the order of their numbers, so the
+        highest refused number stands for all below it that are unknown.
+        """
         elapsed = self._clock.elapsed()
-        # Until then this clock may go back by the skew, beside the skew that
-        # the check above allows.
-        left = deadline - self._clock.now() + 2 * self._max_clock_skew
-        record = AttemptRecord(
-            key, repeatable, elapsed + budget, elapsed + left
-        )
-        self._records[key] = record
-        return record
+        for incarnation in list(self._refusals):
+            if self._refusals[incarnation].end > elapsed:
+                break
+            del self._refusals[incarnation]
+        known = self._refusals.pop(key.incarnation, None)
+        sequence = key.sequence
+        if known is not None:
+            sequence = max(sequence, known.sequence)
+        duration = self._limits.max_timeout + 2 * self._max_clock_skew
+        self._refusals[key.incarnation] = _Refusal(sequence, elapsed + duration)
 
     def start(self, record: AttemptRecord) -> None:
         """Marks an attempt as sent to the backend server.
--- a/packages/chicoryplank/src/chicoryplank/attempts/tests/test_table.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/tests/test_table.py
@@ -120,6 +120,14 @@
             deadline,
         )
 
+    def test_rejected_start_stays_rejected(self):
+        """Guards against a repeated message that runs after "not run"."""
+        self.table.draining = True
+        self._assert_rejected(ErrorCode.SHUTTING_DOWN, self._admit)
+        self.table.draining = False
+        self._assert_rejected(ErrorCode.ATTEMPT_ABANDONED, self._admit)
+        self.assertIsNotNone(self._admit(AttemptKey(_KEY.incarnation, 8)))
+
     def test_draining_rejects_new_work_only(self):
         """Guards against new work at a leaving backend server."""
         record = self._admit()
