Bound the runs of non-idempotent requests

A run goes on when its attempt is cancelled, so the bound on attempts did not bound the runs: callers that come and go could add runs for up to max_timeout.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/claims.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/claims.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 
 from chicoryplank.attempts import AttemptRecord, AttemptTable
 from chicoryplank.configuration import RequestLimits
@@ -20,6 +21,7 @@
 
 # Responses kept for replay take at most this much memory.
 _MAX_KEPT_BYTES = 4 * 1024 * 1024
+_RETRY_SOON = timedelta(seconds=1)
 
 Collect = Callable[
     [relay_pb2.Start],
@@ -87,6 +89,7 @@
         body = digest_body(start.method, start.path, start.body)
         execution = self._executions.find(key, body)
         if execution is None:
+            self._check_bound()
             execution = self._executions.begin(key, body)
             run = _Run(execution, [record])
             self._runs[key] = run
@@ -98,6 +101,19 @@
         await execution.wait()
         return execution
 
+    def _check_bound(self) -> None:
+        """Rejects a new run beyond the limit.
+
+        The bound on attempts does not bound the runs, because a run goes on
+        after its attempt was cancelled.
+        """
+        if len(self._runs) >= self._limits.max_requests:
+            raise ChicoryplankError(
+                ErrorCode.TOO_MANY_REQUESTS,
+                f"{len(self._runs)} runs are in progress",
+                retry_after=_RETRY_SOON,
+            )
+
     def _join(self, key: str, record: AttemptRecord) -> None:
         run = self._runs.get(key)
         if run is None or run.sent:
