Model attempts and claims under faults on a virtual clock

Two entries, two agents (the real relay service on driven event loops), a store with late writes and lost answers, and a network that delays, repeats, reorders and loses messages. Broken variants of ledger, table, registry and store must be caught; the test of each names the failure it guards against.

--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_model.py
@@ -0,0 +1,135 @@
+"""Randomised test of claims under store faults, restarts and moves."""
+
+from unittest import mock
+
+import testtools
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    rule,
+    run_state_machine_as_test,
+)
+
+from chicoryplank.attempts.tests.model import (
+    CLAIM_ACTIONS,
+    Parts,
+    World,
+    find_violation,
+    run_seed,
+)
+from chicoryplank.errors import ChicoryplankError
+from chicoryplank.idempotency import ClaimRegistry, ClaimShard
+from chicoryplank.verdict import Verdict
+from chicoryplank_agent.claims import ClaimedRuns
+
+_NAMES = [name for name, weight in CLAIM_ACTIONS.items() for _ in [0] * weight]
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Non-idempotent requests through two agents and a faulty store."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World(0, 1.0)
+
+    @rule(name=st.sampled_from(_NAMES), number=st.integers(0, 65_535))
+    def act(self, name, number):
+        self.world.act(name, number)
+
+    def teardown(self):
+        self.world.close()
+
+
+def _write_without_comparison(world):
+    store, swap = world.store, world.store.swap
+
+    async def overwrite(key, value, expected_revision, lease=0):
+        del expected_revision
+        return await swap(key, value, store._get_revision(key), lease)
+
+    store.swap = overwrite
+
+
+class _RunsWithoutClaim(ClaimRegistry):
+    async def admit(self, key, body, attempt):
+        try:
+            await super().admit(key, body, attempt)
+        except ChicoryplankError as error:
+            if error.verdict is not Verdict.NOT_RUN:
+                raise
+
+
+class _ReleasesAlways(ClaimRegistry):
+    def _check_held(self, writer, held, body, attempt):
+        if held is not None:
+            self._abandon(held.attempt)
+        super()._check_held(writer, held, body, attempt)
+
+
+class TestClaimModel(testtools.TestCase):
+    """A key runs at most once, and broken variants violate it."""
+
+    def test_machine(self):
+        """Guards against a second run or a false verdict."""
+        run_state_machine_as_test(
+            ClaimMachine,
+            settings=settings(
+                derandomize=True,
+                max_examples=30,
+                stateful_step_count=80,
+                deadline=None,
+                database=None,
+            ),
+        )
+
+    def test_random_seeds(self):
+        """Guards against faults that need longer runs than the machine's."""
+        worlds = [run_seed(seed, 300, CLAIM_ACTIONS, 1.0) for seed in range(40)]
+        self.assertGreater(sum(world.responses for world in worlds), 100)
+        self.assertGreater(sum(len(world.not_run) for world in worlds), 50)
+
+    def _assert_caught(self, text, actions=CLAIM_ACTIONS, **parts):
+        found = find_violation(actions, 1.0, Parts(**parts))
+        self.assertIn(text, found)
+
+    def test_writes_without_comparison_are_caught(self):
+        """Guards against a model in which writers never race."""
+        self._assert_caught("runs twice", prepare=_write_without_comparison)
+
+    def test_runs_without_claim_are_caught(self):
+        """Guards against a model without failed or unknown claims."""
+        self._assert_caught("runs twice", registry=_RunsWithoutClaim)
+
+    def test_claims_of_others_taken_over_are_caught(self):
+        """Guards against a model that misses a claim of another agent."""
+        with mock.patch.object(
+            ClaimShard, "is_removable", lambda self, claim: False
+        ):
+            self._assert_caught("runs twice", registry=_ReleasesAlways)
+
+    def test_unbounded_runs_are_caught(self):
+        """Guards against a model that does not check the bound on runs."""
+        with mock.patch.object(ClaimedRuns, "_check_bound", lambda self: None):
+            actions = {"request": 30, "deliver": 40, "store": 40, "advance": 4}
+            self._assert_caught("executions", actions)
+
+    def test_takeover_without_a_write_is_caught(self):
+        """Guards against a model whose removals never take effect late."""
+        with mock.patch.object(
+            ClaimShard, "is_removable", lambda self, claim: False
+        ):
+            self._assert_caught(
+                "runs twice",
+                {
+                    "request": 14,
+                    "progress": 10,
+                    "deliver": 6,
+                    "store": 14,
+                    "store_fault": 8,
+                    "late_write": 6,
+                    "backend_fault": 6,
+                    "move": 6,
+                    "advance": 1,
+                },
+            )
