--- a/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
@@ -158,13 +158,6 @@
             return number + 1, _Stored(Segment(), 0)
         return number, stored
 
-    def is_removable(self, claim: Claim) -> bool:
-        """Whether a write may still remove a claim of the view.
-
-        A claim in a sealed segment stands until it expires.
-        """
-        return claim in self._get_last()[1].segment.claims
-
     async def add(self, store: Store, claims: tuple[Claim, ...]) -> bool:
         """Adds claims, all or none.
 
--- a/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_model.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_model.py
@@ -60,11 +60,20 @@
                 raise
 
 
-class _ReleasesAlways(ClaimRegistry):
-    def _check_held(self, writer, held, body, attempt):
-        if held is not None:
-            self._abandon(held.attempt)
-        super()._check_held(writer, held, body, attempt)
+class _IgnoresHolder(ClaimRegistry):
+    def _check_held(self, held, body, attempt):
+        del held, body, attempt
+
+
+class _TakesOverAbandoned(ClaimRegistry):
+    def _check_held(self, held, body, attempt):
+        if held is None or held.attempt not in self._abandoned:
+            super()._check_held(held, body, attempt)
+
+
+async def _replace_without_write(self, store, old, new):
+    del self, store, old, new
+    return True
 
 
 class TestClaimModel(testtools.TestCase):
@@ -103,10 +112,7 @@
 
     def test_claims_of_others_taken_over_are_caught(self):
         """Guards against a model that misses a claim of another agent."""
-        with mock.patch.object(
-            ClaimShard, "is_removable", lambda self, claim: False
-        ):
-            self._assert_caught("runs twice", registry=_ReleasesAlways)
+        self._assert_caught("runs twice", registry=_IgnoresHolder)
 
     def test_unbounded_runs_are_caught(self):
         """Guards against a model that does not check the bound on runs."""
@@ -116,9 +122,7 @@
 
     def test_takeover_without_a_write_is_caught(self):
         """Guards against a model whose removals never take effect late."""
-        with mock.patch.object(
-            ClaimShard, "is_removable", lambda self, claim: False
-        ):
+        with mock.patch.object(ClaimShard, "replace", _replace_without_write):
             self._assert_caught(
                 "runs twice",
                 {
@@ -132,4 +136,5 @@
                     "move": 6,
                     "advance": 1,
                 },
+                registry=_TakesOverAbandoned,
             )
