Adapt the concurrency limit after half a limit of answers

Windows of ten answers of different sizes have noisy means; the least of them became the baseline of a service, and its limit fell below its capacity.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -527,7 +527,12 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--duration", type=float, default=60.0)
     parser.add_argument("--part", default="", help="goodput, urgent, ...")
+    parser.add_argument("--policy", default="", help="limiter, ...")
     options = parser.parse_args()
+    if options.policy:
+        chosen = POLICIES[options.policy]
+        POLICIES.clear()
+        POLICIES[options.policy] = chosen
     print(f"seed {options.seed}, {options.duration:.0f} s measured")
     tables = {
         "goodput": print_goodput,
--- a/packages/chicoryplank/src/chicoryplank/limits/_concurrency.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_concurrency.py
@@ -27,7 +27,8 @@
         now: Time in seconds.
     """
 
-    _MIN_SAMPLES = 10
+    # A window of few answers says more about their sizes than about the load.
+    _MIN_SAMPLES = 20
     _MIN_WINDOW_S = 0.25
     _BASELINE_WINDOWS = 200
 
@@ -92,7 +93,7 @@
             self._request_count += 1
             self._request_elapsed += elapsed
         if (
-            self._count >= self._MIN_SAMPLES
+            self._count >= max(self._MIN_SAMPLES, self._value / 2)
             and now - self._since >= self._MIN_WINDOW_S
         ):
             self._adapt(now)
