Handle rates of 0 and clocks that step back

An account with a token rate of 0 had an empty bucket of size 0, which counts as full, so its requests passed. After a step back of the clock, buckets and limits stood still until the clock had caught up. An entry whose instance list shrank kept counting more entries in the sums than there are. The randomised test of cut-off entries now covers split fleets as well.

--- a/packages/chicoryplank/src/chicoryplank/limits/_concurrency.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_concurrency.py
@@ -82,6 +82,8 @@
         priority = request.priority
         self._mean_work_s += (work_s - self._mean_work_s) * weight
         self._work_s[priority] += (work_s - self._work_s[priority]) * weight
+        if now < self._since:
+            self._reset(now)
         if started < self._since:
             return
         self._count += 1
--- a/packages/chicoryplank/src/chicoryplank/limits/_limiter.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_limiter.py
@@ -56,12 +56,13 @@
         queues: QueueParameters | None = None,
         group_queues: Mapping[str, QueueParameters] | None = None,
     ) -> None:
-        self._shares = RateShares(
-            shares or ShareParameters(), 1, now.timestamp()
-        )
+        self._shares = RateShares(shares or ShareParameters(), 1)
         self._queue_parameters = queues or QueueParameters()
         self._group_parameters = dict(group_queues or {})
-        self._groups: dict[str, GroupQueue] = {}
+        self._groups = {
+            name: GroupQueue(parameters, now.timestamp())
+            for name, parameters in self._group_parameters.items()
+        }
         self._queued: dict[AttemptId, Request] = {}
         self._in_progress: dict[AttemptId, str] = {}
 
--- a/packages/chicoryplank/src/chicoryplank/limits/_shares.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_shares.py
@@ -46,12 +46,13 @@
         self._limit = limit
         self._entries = entries
         advance_s = self._parameters.advance.total_seconds()
-        self._advance = max(self._min_advance, limit * advance_s / entries)
+        advance = max(self._min_advance, limit * advance_s / entries)
+        self._advance = advance if limit else 0.0
 
     def hear(self, total: float, heard: int, heard_at: float) -> None:
         """Takes a demand sum over entries; in force with the next refill."""
         self._sum = total
-        self._heard = min(heard, self._entries)
+        self._heard = heard
         self._heard_at = heard_at
 
     def refill(self, now: float) -> None:
@@ -66,7 +67,9 @@
         self._level += min(rate, self._rate) * elapsed
         self._rate = rate
         self._level = min(self._level, self._capacity())
-        self._refilled_at = max(now, self._refilled_at)
+        # After a step back of the clock the elapsed time counts from there;
+        # waiting until it catches up would refuse all requests meanwhile.
+        self._refilled_at = now
 
     def count(self, amount: float) -> None:
         """Adds to the demand."""
@@ -78,6 +81,8 @@
         An amount above the bucket's size needs a full bucket and leaves a
         debt.
         """
+        if not self._limit:
+            return math.inf
         missing = min(amount, self._capacity()) - self._level
         if missing <= 0:
             return 0.0
@@ -97,6 +102,7 @@
 
     def _roll(self, now: float) -> None:
         if now < self._next_tick:
+            self._next_tick = min(self._next_tick, now + self._tick_s)
             return
         elapsed = int((now - self._next_tick) / self._tick_s) + 1
         estimate = self._history[-1]
@@ -114,9 +120,10 @@
         start = max(0, len(self._history) - ticks)
         steady = min(itertools.islice(self._history, start, None))
         total = max(self._sum, steady)
-        rate = self._limit * self._heard / self._entries
+        heard = min(self._heard, self._entries)
+        rate = self._limit * heard / self._entries
         even = max(self._parameters.even_part * rate, rate - total)
-        share = rate * (steady + even / self._heard) / (total + even)
+        share = rate * (steady + even / heard) / (total + even)
         return share / self._limit
 
 
@@ -153,7 +160,9 @@
     `C = silence + G * K / N` for K entries that are cut off and still
     counted in the others' sums for G seconds, because they keep their last
     share for `silence` and the others may take it over at once. The bound
-    assumes that N is not below the number of live entries. For generated
+    assumes that N is not below the number of live entries. A request counts
+    when it is accepted; one that leaves a queue without having run gives back
+    what it took. A restarted entry starts with a full bucket. For generated
     tokens add N times the largest request, since a request larger than the
     bucket is granted when the bucket is full, and whatever was generated
     beyond the stated `tokens`.
@@ -161,19 +170,15 @@
     Args:
         parameters: Parameters.
         entries: Number N of live entries, this one included.
-        now: Time in seconds.
     """
 
-    def __init__(
-        self, parameters: ShareParameters, entries: int, now: float
-    ) -> None:
+    def __init__(self, parameters: ShareParameters, entries: int) -> None:
         self._parameters = parameters
         self._entries = entries
         self._meters: dict[AccountId, tuple[_Meter, _Meter]] = {}
         self._peers: PeerDemand | None = None
         self._heard_at = -math.inf
         self._applied: dict[AccountId, float] = {}
-        self._now = now
 
     def configure(
         self,
@@ -185,6 +190,7 @@
         self._entries = entries
         for account in self._meters.keys() - accounts.keys():
             del self._meters[account]
+            self._applied.pop(account, None)
         for account, rates in accounts.items():
             meters = self._meters.get(account)
             if meters is None:
--- a/packages/chicoryplank/src/chicoryplank/limits/tests/test_shares.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/tests/test_shares.py
@@ -10,6 +10,7 @@
 from chicoryplank.errors import ErrorCode
 from chicoryplank.ids import AccountId, AttemptId
 from chicoryplank.limits import (
+    Completion,
     Demand,
     Limiter,
     Outcome,
@@ -64,8 +65,11 @@
         self.grants.append((self.now, admitted))
         return admitted
 
-    def step(self, lags, cut_off=frozenset()):
-        """Moves time and delivers sums that are as old as each lag says."""
+    def step(self, lags, cut_off=frozenset(), split=False):
+        """Moves time and delivers sums that are as old as each lag says.
+
+        Entries that are cut off hear nothing, or each other after a split.
+        """
         self.now += STEP
         zero = Demand(0.0, 0.0)
         self.history.append(
@@ -74,15 +78,17 @@
                 for limiter in self.limiters
             ]
         )
-        connected = [
-            entry for entry in range(len(self.limiters)) if entry not in cut_off
-        ]
-        for entry in connected:
+        connected = set(range(len(self.limiters))) - cut_off
+        for part in (connected, cut_off) if split else (connected,):
+            self._deliver(lags, part)
+
+    def _deliver(self, lags, part):
+        for entry in part:
             lag = min(lags[entry], len(self.history) - 1)
             known = self.history[-1 - lag]
-            total = sum(known[peer].requests_per_s for peer in connected)
+            total = sum(known[peer].requests_per_s for peer in part)
             sums = {ACCOUNT: Demand(total, 0.0)}
-            peers = PeerDemand(sums, len(connected))
+            peers = PeerDemand(sums, len(part))
             self.limiters[entry].observe(peers, self.now)
 
     def worst_excess(self, extra_s=0.0):
@@ -134,6 +140,7 @@
         entry = strategies.integers(0, entries - 1)
         cut_off = data.draw(strategies.frozensets(entry, min_size=1))
         lags = [data.draw(strategies.integers(0, 7)) for _ in range(entries)]
+        split = data.draw(strategies.booleans())
         warm = data.draw(strategies.lists(entry, min_size=1, max_size=3))
         for _ in range(30):
             for target in warm:
@@ -144,7 +151,7 @@
             for _ in range(5):
                 for target in targets:
                     fleet.send(target, 12)
-                fleet.step(lags, cut_off)
+                fleet.step(lags, cut_off, split)
         # Sums lose the cut-off entries at once, so that G is the lag of 7
         # steps, rounded up to the tick.
         silence_s = PARAMETERS.silence.total_seconds() + STEP.total_seconds()
@@ -179,6 +186,46 @@
             fleet.step([4] * 8, everyone)
         self.assertAlmostEqual(40 / 8 * 10, granted, delta=2)
 
+    def test_tokens_are_settled(self):
+        """Guards against accounts that pay for tokens never generated."""
+        account = AccountConfiguration(
+            "", 100, 100, Priority.NORMAL, frozenset()
+        )
+        limiter = Limiter(START)
+        limiter.configure({ACCOUNT: account}, 1, START)
+        outcomes = []
+        for number in range(4):
+            attempt = AttemptId(str(number))
+            request = Request(
+                attempt,
+                ACCOUNT,
+                "g",
+                Priority.NORMAL,
+                START + timedelta(seconds=60),
+                1000,
+            )
+            outcomes.append(limiter.admit(request, START).outcome)
+            used = 1000 if number else 0
+            limiter.observe(Completion(attempt, used), START)
+        # The bucket holds 13 s of the rate, 1,300 tokens.
+        admitted = [item is Outcome.ADMITTED for item in outcomes]
+        self.assertEqual([True, True, False, False], admitted)
+
+    def test_rate_of_zero_refuses_everything(self):
+        """Guards against an account that is shut off but still served."""
+        fleet = Fleet(1, 0)
+        self.assertEqual(0, fleet.send(0, 5))
+
+    def test_clock_that_steps_back(self):
+        """Guards against refusals until the clock has caught up."""
+        fleet = Fleet(1, 10)
+        fleet.now += timedelta(hours=1)
+        fleet.send(0, 500)
+        fleet.now = START
+        self.assertEqual(0, fleet.send(0, 1))
+        fleet.now += timedelta(seconds=1)
+        self.assertEqual(10, fleet.send(0, 20))
+
     def test_refusal_names_time_and_verdict(self):
         """Guards against a refusal that a caller cannot act on."""
         fleet = Fleet(1, 2)
--- a/packages/chicoryplank/src/chicoryplank/retry/_policy.py
+++ b/packages/chicoryplank/src/chicoryplank/retry/_policy.py
@@ -49,7 +49,7 @@
     def add(self, amount: float, now: datetime) -> None:
         """Adds an amount and what the floor yields for the time passed."""
         elapsed_s = max(0.0, (now - self._updated).total_seconds())
-        self._updated = max(now, self._updated)
+        self._updated = now
         self._saved = min(
             self._saved + amount + elapsed_s * self._parameters.floor_per_s,
             self._parameters.max_saved,
