--- a/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
@@ -24,6 +24,8 @@
         choices: Replicas that are compared for each request.
         deciding_entries: Entries that send to the same replicas.
         report_decay: Age at which the weight of a report has fallen to 37 %.
+        recent_weight: Load that a request adds at the moment it is sent.
+        recent_time: Time in which that load falls to 37 %.
         zone_penalty: Load by which a replica in another zone must be better.
         affinity_bonus: Load by which a replica that holds the prefix may be
             worse.
@@ -51,6 +53,8 @@
     choices: int = 2
     deciding_entries: int = 1
     report_decay: timedelta = timedelta(milliseconds=300)
+    recent_weight: float = 5.0
+    recent_time: timedelta = timedelta(milliseconds=100)
     zone_penalty: float = 10.0
     affinity_bonus: float = 20.0
     affinity_ttl: timedelta = timedelta(seconds=30)
@@ -85,6 +89,7 @@
             _check(name, value, value >= 0, "at least 0")
         for name in (
             "report_decay",
+            "recent_time",
             "affinity_ttl",
             "slow_start",
             "stall_timeout",
--- a/packages/chicoryplank/src/chicoryplank/routing/_replica.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_replica.py
@@ -39,6 +39,7 @@
     """
 
     __slots__ = (
+        "_begun_at",
         "_changes",
         "_decay_s",
         "_fault_since",
@@ -52,6 +53,7 @@
         "_pending",
         "_ramp_since",
         "_ramp_time",
+        "_recent_s",
         "_reported",
         "_retry_at",
         "_strikes",
@@ -75,6 +77,8 @@
         self.ejected = False
         self._parameters = parameters
         self._decay_s = parameters.report_decay.total_seconds()
+        self._recent_s = parameters.recent_time.total_seconds()
+        self._begun_at = float("-inf")
         self._own_weight = math.sqrt(parameters.deciding_entries)
         self._reported: float | None = None
         self._measured_at = float("-inf")
@@ -124,6 +128,7 @@
         if self.in_flight == 0:
             self._waiting_since = now
         self.in_flight += 1
+        self._begun_at = now
         self._in_flight_cost += cost
         self._add_change(now, cost)
 
@@ -188,12 +193,17 @@
         # flight take its place. They stand for those of the other entries as
         # well; the root of their number lies between counting only the own
         # ones and assuming that all others choose the same replica.
-        own = self._in_flight_cost * self._own_weight
+        # A request that was just sent is likely in its prefill, which delays
+        # the first token of the next one.
+        recent = self._parameters.recent_weight * math.exp(
+            (self._begun_at - now) / self._recent_s
+        )
+        own = self._in_flight_cost * self._own_weight + recent
         if self._reported is None:
             return own
         weight = math.exp((self._measured_at - now) / self._decay_s)
         reported = max(0.0, self._reported + self._pending)
-        return weight * reported + (1.0 - weight) * own
+        return weight * (reported + recent) + (1.0 - weight) * own
 
     def scale(self, load: float, now: float) -> float:
         """Returns a load relative to capacity and slow start."""
