--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -28,8 +28,6 @@
 
     Attributes:
         expert_bytes: Size of one expert's weights.
-        spread_weight: Gain of a lower load of the most loaded replica, as a
-            share of the gain of a lower skew; it prepares for spikes.
         horizon_steps: Steps over which a lower skew is counted as gain.
         move_cost_steps: Cost of copying one expert.
         switch_cost_steps: Cost of one switch, whatever its moves.
@@ -48,7 +46,6 @@
     """
 
     expert_bytes: int
-    spread_weight: float = 0.1
     horizon_steps: float = 1000.0
     move_cost_steps: float = 0.2
     switch_cost_steps: float = 1.0
@@ -168,7 +165,9 @@
         yield
         emergency = skew > self._settings.emergency_skew * bound
         reason = None
-        if self._is_held(now) and not emergency:
+        if skew <= aim:
+            reason = Reason.BALANCED
+        elif self._is_held(now) and not emergency:
             reason = Reason.HELD
         if reason is not None:
             return Decision(expert_map, (), skew, skew, reason)
@@ -189,13 +188,11 @@
         search = yield from search_moves(
             expert_map, loads, self._settings.max_moves, aim * mean
         )
-        piece = search.largest_piece
-        best = self._find_best(search.steps, skew, mean, piece)
+        best = self._find_best(search.steps, skew, mean)
         if best is None:
             return Decision(expert_map, (), skew, skew, Reason.NOT_WORTH)
         predicted = best.largest / mean
-        gain = self._count_gain(best, skew, mean, piece)
-        if gain <= self._find_threshold(expert_map, rank_loads):
+        if skew - predicted <= self._find_threshold(expert_map, rank_loads):
             return Decision(expert_map, (), skew, skew, Reason.WITHIN_NOISE)
         assignment = search.build_assignment(best)
         yield
@@ -222,13 +219,12 @@
         return any(start <= now < end for start, end in self._holds)
 
     def _find_best(
-        self, steps: Sequence[Step], skew: float, mean: float, piece: float
+        self, steps: Sequence[Step], skew: float, mean: float
     ) -> Step | None:
         settings = self._settings
         best, best_value = None, 0.0
         for step in steps:
-            gain = self._count_gain(step, skew, mean, piece)
-            gain *= settings.horizon_steps
+            gain = (skew - step.largest / mean) * settings.horizon_steps
             cost = settings.hysteresis * (
                 settings.switch_cost_steps
                 + settings.move_cost_steps * step.moves
@@ -237,13 +233,6 @@
                 best, best_value = step, gain - cost
         return best
 
-    def _count_gain(
-        self, step: Step, skew: float, mean: float, piece: float
-    ) -> float:
-        spread = (piece - step.largest_piece) / mean
-        skew_gain = skew - step.largest / mean
-        return skew_gain + self._settings.spread_weight * spread
-
     def _estimate_noise(
         self, expert_map: ExpertMap, rank_loads: Sequence[float]
     ) -> float:
--- a/packages/chicoryplank/src/chicoryplank/rebalance/_search.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_search.py
@@ -11,9 +11,6 @@
 _REPLICATED_CANDIDATES = 4
 # Replications in a row that may raise the maximum before a swap lowers it.
 _MAX_DETOURS = 3
-# A spread takes a slot only from an expert whose replicas stay this much
-# smaller, so that two experts of similar load do not alternate.
-_SPREAD_RATIO = 1.5
 # Least improvement of the slowest rank, relative to the mean. Without it the
 # search spends slots on replicas of experts that have almost no load.
 _LEAST_GAIN = 0.002
@@ -27,13 +24,11 @@
         changes: Number of changes so far.
         moves: Copies needed so far.
         largest: Load of the slowest rank.
-        largest_piece: Load of the most loaded replica.
     """
 
     changes: int
     moves: int
     largest: float
-    largest_piece: float
 
 
 class Placement:
@@ -60,10 +55,6 @@
         """Returns the load of one replica of an expert."""
         return self.loads[expert] / len(self.holders[expert])
 
-    def find_largest_piece(self) -> tuple[float, int]:
-        """Returns the load and the expert of the most loaded replica."""
-        return max(pieces[-1] for pieces in self.ordered)
-
     def _refresh(self, rank: int) -> None:
         pieces = [(self.get_piece(item), item) for item in self.slots[rank]]
         pieces.sort()
@@ -175,31 +166,6 @@
     return (max(best[:2]), 1, _REPLACE, (*best[2:], expert))
 
 
-def _find_spread(placement: Placement) -> _Change | None:
-    """Replicates the most loaded replica without raising the maximum.
-
-    A sudden spike of a replicated expert then loads each rank less.
-    """
-    piece, expert = placement.find_largest_piece()
-    largest = max(placement.totals)
-    count = len(placement.holders[expert])
-    shrunk = placement.loads[expert] / (count + 1)
-    best = None
-    for harm, rest, rank, victim in _list_victims(placement):
-        if victim == expert or expert in placement.slots[rank]:
-            continue
-        if max(harm, rest + shrunk) > largest:
-            continue
-        load = placement.loads[victim]
-        grown = load / (len(placement.holders[victim]) - 1)
-        if grown * _SPREAD_RATIO < piece:
-            key = (grown, rest + shrunk, rank, victim)
-            best = key if best is None else min(best, key)
-    if best is None:
-        return None
-    return (best[1], 1, _REPLACE, (*best[2:], expert))
-
-
 def _apply(placement: Placement, change: _Change) -> None:
     if change[2] == _SWAP:
         placement.swap(*change[3])
@@ -234,14 +200,12 @@
         loads: Load of each expert.
         changes: Changes in order.
         steps: State after each change.
-        largest_piece: Load of the most loaded replica before the changes.
     """
 
     expert_map: ExpertMap
     loads: Sequence[float]
     changes: tuple[_Change, ...]
     steps: tuple[Step, ...]
-    largest_piece: float
 
     def build_assignment(self, step: Step) -> list[list[ExpertId]]:
         """Returns the experts of each rank after a step."""
@@ -275,26 +239,15 @@
     """
     placement = Placement(expert_map, loads)
     yield
-    start = placement.find_largest_piece()[0]
     changes: list[_Change] = []
     steps: list[Step] = []
     gained: set[int] = set()
     moves, detours = 0, 0
-    spreading = False
-    while moves < max_moves:
-        change = None
-        if not spreading and max(placement.totals) > aim:
-            change, is_detour = yield from _choose_change(
-                placement, aim, gained
-            )
-            detours += is_detour
-            if detours > _MAX_DETOURS:
-                change = None
-        if change is None:
-            spreading = True
-            change = _find_spread(placement)
+    while moves < max_moves and max(placement.totals) > aim:
+        change, is_detour = yield from _choose_change(placement, aim, gained)
         yield
-        if change is None:
+        detours += is_detour
+        if change is None or detours > _MAX_DETOURS:
             break
         if moves + change[1] > max_moves:
             break
@@ -303,12 +256,5 @@
             gained.add(change[3][2])
         moves += change[1]
         changes.append(change)
-        steps.append(
-            Step(
-                len(changes),
-                moves,
-                max(placement.totals),
-                placement.find_largest_piece()[0],
-            )
-        )
-    return Search(expert_map, loads, tuple(changes), tuple(steps), start)
+        steps.append(Step(len(changes), moves, max(placement.totals)))
+    return Search(expert_map, loads, tuple(changes), tuple(steps))
