Model racing operators and readers, add the soak

Operators plan, confirm, repeat and crash, a collection runs beside them, and readers follow from the store, from watched roots and from peers, with late writes and lost answers. Each version must have one winner and the expected content, and no reader may go back or mix.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
 
-.PHONY: setup test check format unit demo generate
+.PHONY: setup test check format unit demo generate soak-model
 
 setup: $(VENV)/.installed
 
@@ -39,5 +39,11 @@
 bench-%: setup
 	$(PYTHON) benchmarks/$(subst -,_,$*).py
 
+# Runs the models of attempts, claims and configuration over many seeds.
+SEED ?= 0
+STEPS ?= 2000000
+soak-model: setup
+	$(PYTHON) tools/soak_model.py --seed $(SEED) --steps $(STEPS)
+
 demo: setup
 	$(PYTHON) tools/demo.py
--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/configuration/tests/model.py
@@ -0,0 +1,422 @@
+"""Model of racing operators and of readers on a virtual clock.
+
+Operators confirm plans and readers follow the version in force, from the
+store, from watched roots and from each other. The sequence of roots that the
+store held decides about the invariants.
+"""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable
+
+from chicoryplank.attempts.tests.model import (
+    Gate,
+    GatedStore,
+    InvariantError,
+)
+from chicoryplank.clock import ManualClock
+from chicoryplank.configuration import (
+    PART_PREFIX,
+    ROOT_KEY,
+    Confirmation,
+    ExportedConfiguration,
+    MissingPartsError,
+    Plan,
+    PlanSupersededError,
+    SnapshotReader,
+    collect_parts,
+    confirm,
+    decode_root,
+    plan,
+)
+from chicoryplank.configuration.tests.samples import (
+    CAPACITY,
+    confirm_intent,
+    make_first_intent,
+    make_limit_intent,
+)
+from chicoryplank.errors import ChicoryplankError
+from chicoryplank.fakes import DrivenLoop, MemoryStore
+from chicoryplank.store import StoreError
+from chicoryplank.verdict import Verdict
+
+_ACCOUNTS = 3
+_READERS = 4
+_MAX_PENDING = 8
+
+ACTIONS = {
+    "plan": 10,
+    "confirm": 14,
+    "drop": 2,
+    "collect": 2,
+    "refresh": 8,
+    "ask": 8,
+    "watch": 6,
+    "deliver": 12,
+    "repeat": 2,
+    "store": 40,
+    "progress": 8,
+    "store_fault": 8,
+    "late_write": 6,
+    "store_down": 1,
+    "restart": 1,
+}
+
+
+class _Store(GatedStore):
+    """The gated store; slices of a collection are read at once."""
+
+    async def read_prefix(self, prefix):
+        """Reads the keys with a prefix."""
+        return await self._world.store.read_prefix(prefix)
+
+
+@dataclasses.dataclass(eq=False)
+class Operation:
+    """One confirmation and what its operator was told.
+
+    Attributes:
+        name: Operation id.
+        made: The plan.
+        account: Account that it changes.
+        value: New limit of the account.
+        task: Call in progress, if any.
+        called: Whether confirm was called.
+        not_run: Whether the last call ended with NOT_RUN.
+        may_hold: Whether an earlier call took effect or may have.
+    """
+
+    name: str
+    made: Plan
+    account: str
+    value: float
+    task: asyncio.Task | None = None
+    called: bool = False
+    not_run: bool = False
+    may_hold: bool = False
+
+
+class World:
+    """Operators, readers and a store, driven by actions.
+
+    Args:
+        seed: Seed of the store faults' choices.
+        make_reader: Class of the readers, so that tests can break it.
+        prepare: Changes the world before the first action.
+        strict: Whether NOT_RUN must also be true of earlier calls with the
+            same operation id that took effect or may have.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        make_reader: Callable[[], SnapshotReader] = SnapshotReader,
+        prepare: Callable[["World"], None] = lambda world: None,
+        strict: bool = False,
+    ) -> None:
+        self._strict = strict
+        self.random = random.Random(seed)
+        self.clock = ManualClock()
+        self.loop = DrivenLoop(self.clock)
+        self.store = MemoryStore(self.clock)
+        self.store_down = False
+        self.gates: list[Gate] = []
+        self.readers = [make_reader() for _ in range(_READERS)]
+        self.versions = [0] * _READERS
+        self.operations: list[Operation] = []
+        self.tasks: set[asyncio.Task] = set()
+        self.messages: list[tuple[int, ExportedConfiguration | bytes]] = []
+        self.errors: list[str] = []
+        self.confirmed = 0
+        self._make_reader = make_reader
+        self._gated = _Store(self, self)
+        self.loop.run_until_complete(
+            confirm_intent(self.store, make_first_intent(_ACCOUNTS))
+        )
+        first = SnapshotReader()
+        self.loop.run_until_complete(first.refresh(self.store))
+        # What each version must contain, and who put it in force.
+        self.expected = {0: {}, 1: read_limits(first)}
+        self.winners: dict[int, str] = {}
+        prepare(self)
+
+    def close(self) -> None:
+        """Ends all tasks."""
+        self.loop.stop_all()
+
+    def act(self, name: str, number: int) -> None:
+        """Does one action and checks the invariants."""
+        getattr(self, f"_do_{name}")(number)
+        self.loop.run_ready()
+        self._check_root()
+        self._check_operations()
+        self._check_readers()
+        if self.errors:
+            raise InvariantError(self.errors[0])
+
+    # Checks.
+
+    def _check_root(self) -> None:
+        record = self.store._records[ROOT_KEY]
+        root = decode_root(record.value)
+        current = max(self.expected)
+        for digest in root.parts.values():
+            if PART_PREFIX + digest not in self.store._records:
+                raise InvariantError(f"version {root.version} lacks a part")
+        if root.version == current:
+            if self.winners.get(current, root.operation_id) != (
+                root.operation_id
+            ):
+                raise InvariantError(f"version {current} changed its winner")
+            return
+        if root.version != current + 1:
+            raise InvariantError(f"{current} became {root.version}")
+        found = [
+            item for item in self.operations if item.name == root.operation_id
+        ]
+        if not found or not found[0].called:
+            raise InvariantError(f"{root.operation_id} was never confirmed")
+        operation = found[0]
+        if operation.made.base_version != current:
+            raise InvariantError(f"{operation.name} had an older base")
+        if operation.name in self.winners.values():
+            raise InvariantError(f"{operation.name} took effect twice")
+        self.winners[root.version] = operation.name
+        self.expected[root.version] = {
+            **self.expected[current],
+            operation.account: operation.value,
+        }
+
+    def _check_operations(self) -> None:
+        in_force = set(self.winners.values())
+        for operation in self.operations:
+            if operation.may_hold and not self._strict:
+                continue
+            if operation.not_run and operation.name in in_force:
+                raise InvariantError(f"{operation.name} was told NOT_RUN")
+
+    def _check_readers(self) -> None:
+        for number, reader in enumerate(self.readers):
+            version = reader.snapshot.version
+            if version < self.versions[number]:
+                raise InvariantError(f"reader {number} went back to {version}")
+            self.versions[number] = version
+            if read_limits(reader) != self.expected.get(version):
+                raise InvariantError(f"reader {number} mixes at {version}")
+
+    # Operators.
+
+    def _do_plan(self, number: int) -> None:
+        if len(self.operations) - len(self.winners) > 40:
+            return
+        reader = SnapshotReader()
+        self.loop.run_until_complete(reader.refresh(self.store))
+        account = f"account-{number % _ACCOUNTS}"
+        value = 1 + number % 97
+        if reader.snapshot.accounts[account].tokens_per_s == value:
+            value += 100
+        made = plan(
+            reader.snapshot, make_limit_intent(account, value), CAPACITY
+        )
+        name = f"op-{len(self.operations)}"
+        self.operations.append(Operation(name, made, account, value))
+
+    def _do_confirm(self, number: int) -> None:
+        running = sum(item.task is not None for item in self.operations)
+        # Mostly the latest plans, so that operators race on one base.
+        latest = self.operations[-4:]
+        if not latest or running >= _MAX_PENDING:
+            return
+        operation = latest[number % len(latest)]
+        if operation.task is None:
+            operation.called = True
+            operation.not_run = False
+            operation.task = self.loop.create_task(self._confirm(operation))
+
+    async def _confirm(self, operation: Operation) -> None:
+        base = operation.made.base_version
+        try:
+            done = await confirm(
+                self._gated,
+                operation.made,
+                f"by {operation.name}",
+                operation.name,
+                clock=self.clock,
+            )
+            operation.may_hold = True
+            self._observe_confirmation(operation, done)
+        except PlanSupersededError as error:
+            operation.not_run = error.verdict is Verdict.NOT_RUN
+            winner = error.winner
+            if winner is not None and winner.version != base + 1:
+                self.errors.append(f"{operation.name} got another winner")
+            if winner is not None and (
+                self.winners.get(base + 1, "") != winner.operation_id
+            ):
+                self.errors.append(f"{operation.name} got a false winner")
+        except ChicoryplankError as error:
+            operation.not_run = error.verdict is Verdict.NOT_RUN
+            operation.may_hold |= not operation.not_run
+        except asyncio.CancelledError:
+            operation.may_hold = True
+            raise
+        finally:
+            operation.task = None
+
+    def _observe_confirmation(
+        self, operation: Operation, done: Confirmation
+    ) -> None:
+        # The answer may arrive in the step in which the root changed.
+        self._check_root()
+        self.confirmed += 1
+        base = operation.made.base_version
+        if done.version != base + 1:
+            self.errors.append(f"{operation.name} is at {done.version}")
+        if self.winners.get(base + 1) != operation.name:
+            self.errors.append(f"{operation.name} did not win")
+
+    def _do_drop(self, number: int) -> None:
+        """Ends an operator's process in the middle of a call."""
+        running = [item for item in self.operations if item.task is not None]
+        if running:
+            running[number % len(running)].task.cancel()
+
+    def _do_collect(self, number: int) -> None:
+        del number
+        self._spawn(collect_parts(self._gated))
+
+    def _spawn(self, coroutine) -> None:
+        if len(self.tasks) >= _MAX_PENDING:
+            coroutine.close()
+            return
+        task = self.loop.create_task(self._guard(coroutine))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _guard(self, coroutine) -> None:
+        try:
+            await coroutine
+        except (StoreError, MissingPartsError):
+            return
+        except ChicoryplankError as error:
+            self.errors.append(str(error))
+
+    # Readers.
+
+    def _do_refresh(self, number: int) -> None:
+        reader = self.readers[number % _READERS]
+        self._spawn(reader.refresh(self._gated))
+
+    def _do_ask(self, number: int) -> None:
+        child, parent = number % _READERS, number // _READERS % _READERS
+        have = self.readers[child].get_digests()
+        exported = self.readers[parent].export_parts(have)
+        self.messages.append((child, exported))
+
+    def _do_watch(self, number: int) -> None:
+        value = self.store._records[ROOT_KEY].value
+        self.messages.append((number % _READERS, value))
+
+    def _do_deliver(self, number: int) -> None:
+        """Delivers messages in any order."""
+        if not self.messages:
+            return
+        index = number % len(self.messages)
+        child, message = self.messages.pop(index)
+        reader = self.readers[child]
+        if isinstance(message, bytes):
+            self._spawn(reader.apply_root(self._gated, message))
+            return
+        try:
+            reader.import_parts(message.root, message.parts)
+        except MissingPartsError:
+            return
+        except ChicoryplankError as error:
+            self.errors.append(str(error))
+
+    def _do_repeat(self, number: int) -> None:
+        if self.messages:
+            self.messages.append(self.messages[number % len(self.messages)])
+        del self.messages[:-30]
+
+    def _do_restart(self, number: int) -> None:
+        index = number % _READERS
+        self.readers[index] = self._make_reader()
+        self.versions[index] = 0
+
+    # Store.
+
+    def _open_gates(self) -> list[Gate]:
+        self.gates = [gate for gate in self.gates if not gate.future.done()]
+        return self.gates
+
+    def _do_store(self, number: int) -> None:
+        gates = self._open_gates()
+        if gates:
+            gates[number % len(gates)].future.set_result("")
+
+    def _do_progress(self, number: int) -> None:
+        """Answers all calls that wait, for some rounds."""
+        for _ in range(1 + number % 12):
+            for gate in self._open_gates():
+                gate.future.set_result("")
+            self.loop.run_ready()
+            self._check_root()
+
+    def _do_store_fault(self, number: int) -> None:
+        gates = self._open_gates()
+        if not gates:
+            return
+        gate = gates[number % len(gates)]
+        if gate.is_answer:
+            gate.future.set_result("lost")
+        elif gate.is_write and number // 5 % 2:
+            gate.future.set_result("late")
+        else:
+            gate.future.set_result("down")
+
+    def _do_store_down(self, number: int) -> None:
+        self.store_down = not self.store_down and number % 2 == 0
+
+    def _do_late_write(self, number: int) -> None:
+        if self.store.delayed:
+            self.store.apply_delayed(number % self.store.delayed)
+
+
+def read_limits(reader: SnapshotReader) -> dict[str, float]:
+    """Returns what the operations of the model change, by account."""
+    accounts = reader.snapshot.accounts
+    return {name: item.tokens_per_s for name, item in accounts.items()}
+
+
+def run_seed(seed: int, steps: int, **variant) -> World:
+    """Runs the model with random actions.
+
+    Raises:
+        InvariantError: With seed and step in its message.
+    """
+    source = random.Random(seed)
+    world = World(seed, **variant)
+    names = source.choices(list(ACTIONS), list(ACTIONS.values()), k=steps)
+    try:
+        for step, name in enumerate(names):
+            try:
+                world.act(name, source.randrange(1 << 16))
+            except InvariantError as error:
+                raise InvariantError(
+                    f"seed {seed} step {step}: {error}"
+                ) from error
+    finally:
+        world.close()
+    return world
+
+
+def find_violation(seeds: int = 200, steps: int = 200, **variant) -> str:
+    """Returns the first violation of a broken variant, or "" if none."""
+    for seed in range(seeds):
+        try:
+            run_seed(seed, steps, **variant)
+        except InvariantError as error:
+            return str(error)
+    return ""
