Bound connections, heads and waiting times of callers

Cause: uvicorn bounds neither the head of a request nor the time in which it arrives, the number of connections, pipelined requests nor output that the caller never reads. Its errors are plain text without a code. Faults found by the tests: an error in a pipelined request was written into the response in progress; trailers counted as headers, so that a late Idempotency-Key passed; the body of a request that offers an upgrade to HTTP/2 (as some HTTP clients do by default) was skipped and the request answered with 400.

Ruled out: limit_concurrency of uvicorn, which counts requests together with connections and answers in plain text.

Change: CallerProtocol extends the httptools protocol; new limits max_headers, max_connections, header_timeout_s and write_timeout_s.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -5,9 +5,7 @@
 import random
 import signal
 import uuid
-from collections.abc import Iterator
 
-import uvicorn
 from grpclib.server import Server
 
 from chicoryplank.attempts import AttemptLedger
@@ -21,6 +19,7 @@
 from chicoryplank.membership import MembershipParameters
 from chicoryplank.retry import RetryPolicy
 from chicoryplank_entry.admission import AdmissionGate
+from chicoryplank_entry.caller_server import CallerServer, make_server
 from chicoryplank_entry.configuration import ConfigurationHolder
 from chicoryplank_entry.control import ControlService, DemandExchange
 from chicoryplank_entry.controllers import (
@@ -40,15 +39,6 @@
 from chicoryplank_wire.store import EtcdStore
 
 
-class CallerServer(uvicorn.Server):
-    """HTTP server that leaves signals to the application object."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Installs no signal handlers."""
-        yield
-
-
 class Entry:
     """Parts of the entry daemon and their life cycle.
 
@@ -160,23 +150,7 @@
             self.dispatcher,
             self._choose_addresses,
         )
-        host, port = self._settings.caller_address.rsplit(":", 1)
-        return CallerServer(
-            uvicorn.Config(
-                interface.make_application(),
-                host=host,
-                port=int(port),
-                loop="asyncio",
-                http="httptools",
-                ws="none",
-                lifespan="off",
-                log_config=None,
-                access_log=False,
-                server_header=False,
-                timeout_keep_alive=30,
-                timeout_graceful_shutdown=5,
-            )
-        )
+        return make_server(interface.make_application(), self._settings)
 
     def _choose_addresses(self, caller: str) -> list[str]:
         leaving = set(self.blackboard.snapshot.value.leaving)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -31,6 +31,9 @@
     ErrorCode.KEY_REQUIRED: 400,
     ErrorCode.UNKNOWN_ACCOUNT: 401,
     ErrorCode.UNKNOWN_MODEL: 404,
+    ErrorCode.UNKNOWN_PATH: 404,
+    ErrorCode.METHOD_NOT_ALLOWED: 405,
+    ErrorCode.REQUEST_TIMEOUT: 408,
     ErrorCode.REQUEST_TOO_LARGE: 413,
     ErrorCode.KEY_REUSED: 422,
     ErrorCode.RATE_LIMITED: 429,
@@ -41,6 +44,7 @@
     ErrorCode.OUTCOME_UNKNOWN: 502,
     ErrorCode.ANSWER_TRUNCATED: 502,
     ErrorCode.INVARIANT_VIOLATED: 500,
+    ErrorCode.INTERNAL_ERROR: 500,
 }
 _DEFAULT_STATUS = 503
 _PASSED_HEADERS = frozenset({"content-type", "accept", "idempotency-key"})
@@ -56,15 +60,22 @@
 }
 
 
-def make_error_response(error: ChicoryplankError) -> Response:
-    """Returns the HTTP response of an error."""
+def make_error_response(
+    error: ChicoryplankError, status: int | None = None
+) -> Response:
+    """Returns the HTTP response of an error.
+
+    Args:
+        error: The error.
+        status: HTTP status if it does not follow from the code.
+    """
     headers = {"X-Verdict": error.verdict.value}
     if error.retry_after is not None:
         seconds = max(1, round(error.retry_after.total_seconds()))
         headers["Retry-After"] = str(seconds)
     return Response(
         format_error(error),
-        _STATUS_OF_CODE.get(error.code, _DEFAULT_STATUS),
+        status or _STATUS_OF_CODE.get(error.code, _DEFAULT_STATUS),
         headers,
         "application/json",
     )
@@ -220,7 +231,7 @@
                 pieces.append(data)
     except TimeoutError as error:
         raise ChicoryplankError(
-            ErrorCode.MALFORMED_REQUEST, "the body did not arrive in time"
+            ErrorCode.REQUEST_TIMEOUT, "the body did not arrive in time"
         ) from error
     return b"".join(pieces)
 
--- a/packages/chicoryplank/src/chicoryplank/configuration/_settings.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_settings.py
@@ -44,6 +44,10 @@
         default_timeout: Deadline of a request that names none.
         max_timeout: Longest deadline that a caller may ask for.
         body_timeout: Time in which a caller must have sent its body.
+        max_headers: Largest accepted number of headers.
+        max_connections: Open connections of one process.
+        header_timeout: Time in which a caller must have sent its headers.
+        write_timeout: Longest wait for a caller that reads nothing.
     """
 
     max_body_bytes: int = 1_048_576
@@ -54,6 +58,10 @@
     default_timeout: timedelta = timedelta(seconds=60)
     max_timeout: timedelta = timedelta(seconds=600)
     body_timeout: timedelta = timedelta(seconds=10)
+    max_headers: int = 100
+    max_connections: int = 8_192
+    header_timeout: timedelta = timedelta(seconds=10)
+    write_timeout: timedelta = timedelta(seconds=30)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryplank/src/chicoryplank/configuration/_settings_checks.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_settings_checks.py
@@ -64,6 +64,10 @@
         _duration("default_timeout", "s", 0.1, 86_400),
         _duration("max_timeout", "s", 0.1, 86_400),
         _duration("body_timeout", "s", 0.1, 3_600),
+        Field("max_headers", check_integer(16, 10_000)),
+        Field("max_connections", check_integer(1, 1_000_000)),
+        _duration("header_timeout", "s", 0.1, 3_600),
+        _duration("write_timeout", "s", 0.1, 3_600),
     ),
 )
 _ENTRY = check_record(
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -35,6 +35,16 @@
         logbook.ERROR,
         "a frame of agent {agent} was rejected: {error}",
     )
+    REQUEST_FAILED = (
+        1207,
+        logbook.ERROR,
+        "unexpected fault in {method} {path}: {error}",
+    )
+    BATCH_REJECTED = (
+        1208,
+        logbook.ERROR,
+        "a message of {peer} was rejected: {error}",
+    )
     CLAIM_HELD_ELSEWHERE = (
         1601,
         logbook.WARNING,
