Keep the verdict of a repeated confirm unknown while the store fails

Cause: confirm took each call as the first one. Ruled out: a new operation id for each call of the command line, since a repeat after an unknown outcome would then lose against itself. Two tests expected NOT_RUN of calls that did not say that they were the first; one now says so and also checks the repeat, the other expects may_have_run of confirm, whose default id is the same in each call. Conclusion: NOT_RUN is given only if the caller says that the id is new.

--- a/packages/chicoryplank/src/chicoryplank/configuration/_confirm.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_confirm.py
@@ -128,6 +128,7 @@
     capacity: Capacity | None = None,
     clock: Clock | None = None,
     reader: SnapshotReader | None = None,
+    is_first: bool = False,
 ) -> Confirmation:
     """Puts a plan in force, or changes nothing.
 
@@ -143,6 +144,9 @@
         capacity: Live instances now; the plan is compared with them again.
         clock: Stamps the version; the system's clock by default.
         reader: Reader to use, so that parts it holds are not read again.
+        is_first: Whether the operation id was never used before. Otherwise
+            an earlier call may have taken effect or may do so late, and a
+            store that fails leaves the outcome unknown.
 
     Returns:
         The version in force.
@@ -160,7 +164,7 @@
     time = (clock or SystemClock()).now()
     request = _Request(made, operator, operation_id, time, capacity)
     reader = reader or SnapshotReader()
-    unknown = False
+    unknown = not is_first
     for _ in range(_MAX_ATTEMPTS):
         try:
             result = await _attempt(store, reader, request)
