Take orders of controllers at the agent

Service Orders places an order through the FenceGate in front of the engine's POST /orders. The highest token is read from the store in the background; orders are refused until then. An order without an answer is sent again under its id before the next one goes out, since a late copy of it could otherwise take effect after a newer order.

Controllers record their token under groups/<group>/token before their first order. The map document alone does not cover groups without ranks.

The stand-in engine now reports versions, its place in the group, expert loads and the orders it carried out, and steps together with other engines.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -1,8 +1,10 @@
 """HTTP client of the backend server beside the agent."""
 
+import asyncio
 import dataclasses
 import re
 from collections.abc import AsyncIterator
+from datetime import timedelta
 
 import aiosonic
 from aiosonic.exceptions import ConnectTimeout
@@ -120,6 +122,26 @@
         except HTTP_FAILURES:
             return None
 
+    async def post_json(
+        self, path: str, body: bytes, timeout: timedelta
+    ) -> tuple[int, bytes]:
+        """Sends a JSON document; returns status and body of the answer.
+
+        Raises:
+            ChicoryplankError: With verdict NOT_RUN if no connection was made,
+                otherwise MAY_HAVE_RUN.
+        """
+        headers = {"Content-Type": "application/json", "Connection": "close"}
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                response = await self._open(
+                    self._single_client, "POST", path, headers, body
+                )
+                chunks = [chunk async for chunk in _read_body(response)]
+        except TimeoutError as error:
+            raise _make_failure(error) from error
+        return response.status_code, b"".join(chunks)
+
     async def _open(
         self,
         client: aiosonic.HTTPClient,
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import time
 import uuid
@@ -14,11 +15,12 @@
 from chicoryplank.configuration import AgentSettings
 from chicoryplank.events import Event, emit
 from chicoryplank.idempotency import ClaimRegistry
-from chicoryplank.ids import Incarnation
+from chicoryplank.ids import Incarnation, ModelGroupId
 from chicoryplank.lifecycle import Application
 from chicoryplank.logs import install_logs
 from chicoryplank.store import StoreError
 from chicoryplank_agent.backend import BackendClient
+from chicoryplank_agent.orders import OrderService
 from chicoryplank_agent.relay import RelayService
 from chicoryplank_wire import relay_pb2
 from chicoryplank_wire.store import EtcdStore
@@ -57,7 +59,15 @@
             self.backend,
             registry=self.registry,
         )
-        self._server = Server([self.relay])
+        self.orders = OrderService(
+            ModelGroupId(settings.deployment),
+            incarnation,
+            self._store,
+            self.backend,
+            clock,
+            random_source=random.Random(),
+        )
+        self._server = Server([self.relay, self.orders])
         self._tasks: list[asyncio.Task] = []
         self.application = Application(f"agent {settings.instance}")
         self.application.add_hooks("store", stop=self._store.close)
@@ -84,6 +94,7 @@
             asyncio.create_task(self._poll_load()),
             asyncio.create_task(self._send_reports()),
             asyncio.create_task(self._delete_expired_claims()),
+            asyncio.create_task(self.orders.restore_token()),
         ]
 
     async def _stop_reports(self) -> None:
--- /dev/null
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_orders.py
@@ -0,0 +1,198 @@
+"""Tests of the order service with a fake engine and store."""
+
+import asyncio
+import json
+import random
+
+import testtools
+
+from chicoryplank.clock import ManualClock
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.fakes import MemoryStore
+from chicoryplank.orders import Order, record_token
+from chicoryplank.verdict import Verdict
+from chicoryplank_agent.orders import EngineOrders, OrderService
+from chicoryplank_wire import control_pb2
+
+
+class _Backend:
+    """Answers orders from a script; an error stands for a lost answer."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.bodies = []
+
+    async def post_json(self, path, body, timeout):
+        del path, timeout
+        self.bodies.append(json.loads(body))
+        answer = self.answers.pop(0) if self.answers else (200, b"{}")
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def fetch_json(self, path):
+        if path == "/ranks":
+            return {"step": 7}
+        return {"counts": [1, 2]}
+
+
+class _Stream:
+    """One call of the service."""
+
+    def __init__(self, request):
+        self._request = request
+        self.reply = None
+
+    async def recv_message(self):
+        return self._request
+
+    async def send_message(self, reply):
+        self.reply = reply
+
+
+class _NoWait(ManualClock):
+    """Clock whose sleeps end at once."""
+
+    async def sleep(self, duration):
+        self.advance(duration)
+        await asyncio.sleep(0)
+
+
+def _make_request(token, sequence=1, content=b'{"kind": "set_role"}'):
+    return control_pb2.OrderRequest(
+        fencing_token=token,
+        order_id=f"order-{token}-{sequence}",
+        sequence=sequence,
+        incarnation="agent-a",
+        content=content,
+    )
+
+
+class TestOrderService(testtools.TestCase):
+    """Orders as controllers place them."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = _NoWait()
+        self.store = MemoryStore(self.clock)
+        self.backend = _Backend()
+        self.service = OrderService(
+            "llm",
+            "agent-a",
+            self.store,
+            self.backend,
+            self.clock,
+            random_source=random.Random(1),
+        )
+
+    async def place(self, request):
+        stream = _Stream(request)
+        await self.service.PlaceOrder(stream)
+        return stream.reply
+
+    def test_order_is_refused_before_the_token_is_known(self):
+        """Guards against a restarted agent that takes a stale order."""
+
+        async def run():
+            reply = await self.place(_make_request(5))
+            self.assertFalse(reply.accepted)
+            self.assertEqual(ErrorCode.ORDERS_NOT_READY.value, reply.code)
+            self.assertEqual([], self.backend.bodies)
+
+        asyncio.run(run())
+
+    def test_restart_keeps_an_old_order_out(self):
+        """Guards against an order of a controller that has lost its lease."""
+
+        async def run():
+            await record_token(self.store, "llm", 9)
+            await self.service.restore_token()
+            old = await self.place(_make_request(8))
+            new = await self.place(_make_request(9))
+            self.assertEqual(ErrorCode.STALE_FENCING_TOKEN.value, old.code)
+            self.assertTrue(new.accepted)
+            tokens = [body["fencing_token"] for body in self.backend.bodies]
+            self.assertEqual([9], tokens)
+
+        asyncio.run(run())
+
+    def test_token_is_read_again_after_an_outage(self):
+        """Guards against an agent that never accepts orders again."""
+
+        async def run():
+            self.store.available = False
+            task = asyncio.create_task(self.service.restore_token())
+            for _ in range(20):
+                await asyncio.sleep(0)
+            self.assertFalse(self.service.gate.ready)
+            self.store.available = True
+            await task
+            self.assertTrue(self.service.gate.ready)
+
+        asyncio.run(run())
+
+    def test_malformed_content_is_refused(self):
+        """Guards against an exception that ends the connection."""
+
+        async def run():
+            await self.service.restore_token()
+            for content in (b"", b"[]", b"{}", b"\xff"):
+                reply = await self.place(_make_request(5, content=content))
+                expected = ErrorCode.MALFORMED_REQUEST.value
+                self.assertEqual(expected, reply.code)
+
+        asyncio.run(run())
+
+    def test_engine_state_is_passed_on(self):
+        """Guards against loads that are sent without being asked for."""
+
+        async def run():
+            for with_loads, loads in ((False, []), (True, [1, 2])):
+                stream = _Stream(
+                    control_pb2.EngineRequest(with_loads=with_loads)
+                )
+                await self.service.ReadEngine(stream)
+                self.assertEqual(7, json.loads(stream.reply.ranks)["step"])
+                self.assertEqual(loads, list(stream.reply.expert_loads))
+
+        asyncio.run(run())
+
+
+class TestEngineOrders(testtools.TestCase):
+    """What the engine gets."""
+
+    def setUp(self):
+        super().setUp()
+        self.order = Order("o-1", 3, 1, "agent-a", b'{"kind": "set_role"}')
+
+    def run_order(self, *answers):
+        backend = _Backend(*answers)
+        engine = EngineOrders(backend, _NoWait())
+        try:
+            result = asyncio.run(engine.run(self.order))
+        except ChicoryplankError as error:
+            result = error.verdict
+        return result, [body["order_id"] for body in backend.bodies]
+
+    def make_error(self, verdict):
+        return ChicoryplankError(ErrorCode.BACKEND_FAILED, "lost", verdict)
+
+    def test_lost_answer_is_asked_for_again(self):
+        """Guards against a late copy that overtakes a newer order."""
+        lost = self.make_error(Verdict.MAY_HAVE_RUN)
+        result, ids = self.run_order(lost, lost, (200, b"done"))
+        self.assertEqual((b"done", ["o-1"] * 3), (result, ids))
+
+    def test_verdict_after_a_lost_answer_is_open(self):
+        """Guards against a false "not run" when the engine ends."""
+        lost = self.make_error(Verdict.MAY_HAVE_RUN)
+        refused = self.make_error(Verdict.NOT_RUN)
+        self.assertIs(Verdict.NOT_RUN, self.run_order(refused)[0])
+        self.assertIs(Verdict.MAY_HAVE_RUN, self.run_order(lost, refused)[0])
+
+    def test_refusal_of_the_engine_is_final(self):
+        """Guards against an order that is repeated for ever."""
+        result, ids = self.run_order((409, b"step_passed"))
+        self.assertEqual((Verdict.NOT_RUN, ["o-1"]), (result, ids))
+        result, _ = self.run_order((500, b""))
+        self.assertIs(Verdict.MAY_HAVE_RUN, result)
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_engine.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_engine.py
@@ -10,7 +10,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from chicoryplank_standins._ranks import OrderBook, OrderError, RankGroup
+from chicoryplank_standins._ranks import (
+    Barrier,
+    ExpertLoads,
+    OrderBook,
+    OrderError,
+    RankGroup,
+)
 from chicoryplank_standins._records import BackendFaults, RecordBook
 from chicoryplank_standins._serving import Signal
 from chicoryplank_standins.tokens import expected_tokens, prefix_blocks
@@ -19,6 +25,7 @@
 DETACHED_LIMIT_S = 5.0
 RETENTION_S = 30.0
 MAX_CACHE_EVENTS = 10_000
+MAX_APPLIED = 100_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +47,12 @@
     checks_fencing: bool = False
     ranks: int = 1
     map_digest: str = "initial"
+    experts: int = 0
+    spare_slots: int = 0
+    first_rank: int = 0
+    total_ranks: int = 0
+    members: int = 1
+    leader: str = ""
     seed: int = 0
     record_file: str = ""
 
@@ -170,7 +183,10 @@
         self.options = options
         self.faults = BackendFaults()
         self.records = RecordBook(options.record_file)
-        self.ranks = RankGroup(options.ranks, options.map_digest)
+        self.ranks = RankGroup(options.ranks, options.map_digest, elapsed)
+        self.barrier = Barrier(options.members)
+        self.loads = ExpertLoads(options.experts, options.seed)
+        self.applied: list[dict[str, Any]] = []
         self.models = list(options.models)
         self.version = options.version
         self.role = options.role
@@ -195,6 +211,8 @@
     def has_work(self) -> bool:
         """Tells whether a step would do something."""
         busy = self._batch or self._queued or self.ranks.is_changing
+        # Ranks of several engines run each step together, also without work.
+        busy = busy or self.options.members > 1
         return bool(busy)
 
     @property
@@ -300,9 +318,25 @@
         result = self._carry_out(str(order.get("kind")), arguments)
         answer = {"order_id": order_id, "status": "done", "result": result}
         self._orders.keep(order_id, answer)
+        applied = {"order_id": order_id, "token": number}
+        self.applied.append(
+            applied | {"kind": order.get("kind"), "step": self.ranks.step}
+        )
+        del self.applied[:-MAX_APPLIED]
         self.work.notify()
         return answer
 
+    def read_ranks(self) -> dict[str, Any]:
+        """Returns the state of the ranks and their place in the group."""
+        options = self.options
+        return self.ranks.to_json() | {
+            "version": self.version,
+            "experts": options.experts,
+            "spare_slots": options.spare_slots,
+            "first_rank": options.first_rank,
+            "total_ranks": options.total_ranks or options.ranks,
+        }
+
     def read_load(self) -> dict[str, Any]:
         """Returns the newest load report that is older than the lag."""
         limit_s = self._elapsed() - self.options.report_lag_ms / 1_000
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_ranks.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_ranks.py
@@ -1,11 +1,21 @@
 """Ranks of an engine: expert maps, steps and the orders to change them."""
 
+import asyncio
 import dataclasses
+import itertools
+import random
+import time
+import uuid
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any
 
 MAX_ORDERS = 10_000
 MAX_SEGMENTS = 10_000
+# Steps of one interval of expert loads, and tokens counted in it.
+LOAD_STEPS = 100
+LOAD_TOKENS = 20_000
+BARRIER_LIMIT_S = 2.0
 
 
 class OrderError(Exception):
@@ -59,17 +69,31 @@
     Args:
         count: Number of ranks.
         digest: Map in force at the start.
+        elapsed: Returns the time in seconds.
 
     Attributes:
         step: Number of the next step.
         mixed_steps: Steps in which ranks used different maps.
+        incarnation: Differs for each process.
+        stops: Steps that were waited for or that began a new map, with the
+            time since the step before.
     """
 
-    def __init__(self, count: int, digest: str = "initial") -> None:
+    def __init__(
+        self,
+        count: int,
+        digest: str = "initial",
+        elapsed: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.step = 0
         self.mixed_steps = 0
+        self.incarnation = uuid.uuid4().hex
+        self.stops: list[dict[str, Any]] = []
         self.ranks = [Rank(digest) for _ in range(count)]
         self._segments: list[dict[str, Any]] = []
+        self._elapsed = elapsed
+        self._ended_s = elapsed()
+        self._has_waited = False
 
     @property
     def is_changing(self) -> bool:
@@ -78,11 +102,15 @@
 
     def is_waiting(self) -> bool:
         """Tells whether a rank waits; then the whole group waits."""
-        return any(rank.is_waiting(self.step) for rank in self.ranks)
+        waiting = any(rank.is_waiting(self.step) for rank in self.ranks)
+        self._has_waited = self._has_waited or waiting
+        return waiting
 
     def run_step(self) -> str:
         """Runs a step and returns the map of the first rank."""
+        before = [rank.digest for rank in self.ranks]
         digests = [rank.begin_step(self.step) for rank in self.ranks]
+        self._record_stop(before != digests)
         if len(set(digests)) > 1:
             self.mixed_steps += 1
         if self._segments and self._segments[-1]["digests"] == digests:
@@ -98,6 +126,20 @@
         self.step += 1
         return digests[0]
 
+    def _record_stop(self, switches: bool) -> None:
+        now_s = self._elapsed()
+        if switches or self._has_waited:
+            stop = {
+                "step": self.step,
+                "gap_s": now_s - self._ended_s,
+                "switches": switches,
+                "waited": self._has_waited,
+            }
+            self.stops.append(stop)
+            del self.stops[:-MAX_SEGMENTS]
+        self._ended_s = now_s
+        self._has_waited = False
+
     def prepare(self, arguments: dict[str, Any]) -> dict[str, Any]:
         """Prepares ranks for a map."""
         digest = _read_digest(arguments)
@@ -159,7 +201,11 @@
             | {"rank": index, "waiting": rank.is_waiting(self.step)}
             for index, rank in enumerate(self.ranks)
         ]
-        return {"step": self.step, "ranks": ranks}
+        return {
+            "step": self.step,
+            "incarnation": self.incarnation,
+            "ranks": ranks,
+        }
 
     def read_segments(self) -> list[dict[str, Any]]:
         """Returns the maps per rank for each range of equal steps."""
@@ -174,6 +220,77 @@
         return [self.ranks[index]]
 
 
+class Barrier:
+    """Lets the members of a group begin each step together.
+
+    Args:
+        members: Number of engines.
+    """
+
+    def __init__(self, members: int) -> None:
+        self._members = members
+        self._arrived: dict[int, set[int]] = {}
+        self._passed = -1
+        self._changed = asyncio.Event()
+
+    async def arrive(self, member: int, step: int) -> bool:
+        """Waits for the others; returns False if they did not come in time.
+
+        A member that arrives again after a lost answer is let through.
+        """
+        if step <= self._passed:
+            return True
+        arrived = self._arrived.setdefault(step, set())
+        arrived.add(member)
+        if len(arrived) >= self._members:
+            self._passed = step
+            self._arrived = {
+                key: kept for key, kept in self._arrived.items() if key > step
+            }
+            changed, self._changed = self._changed, asyncio.Event()
+            changed.set()
+        deadline_s = time.monotonic() + BARRIER_LIMIT_S
+        while self._passed < step:
+            try:
+                async with asyncio.timeout(deadline_s - time.monotonic()):
+                    await self._changed.wait()
+            except TimeoutError:
+                return False
+        return True
+
+
+class ExpertLoads:
+    """Counts of tokens by expert, whose popularity drifts with the steps.
+
+    Args:
+        experts: Number of experts.
+        seed: Decides popularity and drift.
+    """
+
+    def __init__(self, experts: int, seed: int) -> None:
+        self._experts = experts
+        self._seed = seed
+
+    def read(self, step: int) -> list[int]:
+        """Returns the counts of the last whole interval before a step."""
+        interval = step // LOAD_STEPS
+        source = random.Random(f"{self._seed}-popularity")
+        weights = [source.paretovariate(1.2) for _ in range(self._experts)]
+        # Every fourth interval two experts exchange their popularity.
+        for _ in range(interval // 4):
+            one, other = source.sample(range(self._experts), 2)
+            weights[one], weights[other] = weights[other], weights[one]
+        chosen = random.Random(f"{self._seed}-{interval}").choices(
+            range(self._experts),
+            cum_weights=list(itertools.accumulate(weights)),
+            k=LOAD_TOKENS,
+        )
+        counts = [0] * self._experts
+        for expert in chosen:
+            counts[expert] += 1
+        return counts
+
+
 class OrderBook:
     """Orders by id and the highest fencing token.
 
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/engine.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/engine.py
@@ -9,12 +9,15 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
+import aiosonic
 import click
+from aiosonic.exceptions import AiosonicError
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from chicoryplank_standins._client import make_client
 from chicoryplank_standins._engine import (
     Engine,
     EngineOptions,
@@ -22,7 +25,7 @@
     RunState,
     make_run,
 )
-from chicoryplank_standins._ranks import OrderError
+from chicoryplank_standins._ranks import BARRIER_LIMIT_S, OrderError
 from chicoryplank_standins._serving import (
     abort_connection,
     answer_error,
@@ -39,6 +42,7 @@
 __all__ = ["expected_tokens", "main", "make_application"]
 
 EXPIRY_INTERVAL_S = 0.25
+HTTP_FAILURES = (OSError, EOFError, ValueError, TimeoutError, AiosonicError)
 
 
 def _format_choice(run: Run, text: str, reason: str | None) -> dict[str, Any]:
@@ -254,13 +258,19 @@
         return JSONResponse({"events": events})
 
     async def ranks(_: Request) -> Response:
-        return JSONResponse(engine.ranks.to_json())
+        return JSONResponse(engine.read_ranks())
+
+    async def expert_loads(_: Request) -> Response:
+        counts = engine.loads.read(engine.ranks.step)
+        return JSONResponse({"step": engine.ranks.step, "counts": counts})
 
     async def records(_: Request) -> Response:
         answer = {
             "records": engine.records.to_json(),
             "map_steps": engine.ranks.read_segments(),
             "mixed_steps": engine.ranks.mixed_steps,
+            "stops": engine.ranks.stops,
+            "orders": engine.applied,
             "version": engine.version,
             "role": engine.role,
         }
@@ -271,6 +281,7 @@
         Route("/load", load),
         Route("/cache-events", cache_events),
         Route("/ranks", ranks),
+        Route("/expert-loads", expert_loads),
         Route("/records", records),
     ]
 
@@ -292,14 +303,44 @@
             return answer_error(400, "invalid", str(error))
         return JSONResponse({})
 
+    async def barrier(request: Request) -> Response:
+        body = await read_json(request) or {}
+        passed = await engine.barrier.arrive(body["member"], body["step"])
+        return JSONResponse({"passed": passed})
+
     return [
+        Route("/barrier", barrier, methods=["POST"]),
         Route("/orders", orders, methods=["POST"]),
         Route("/faults", faults, methods=["POST"]),
     ]
 
 
+async def _begin_together(engine: Engine, client: aiosonic.HTTPClient) -> None:
+    """Waits until every engine of the group begins this step.
+
+    A rank that waits for a decision does not begin it, so that all wait.
+    """
+    options = engine.options
+    while not engine.ranks.is_waiting():
+        place = {"member": options.first_rank, "step": engine.ranks.step}
+        if not options.leader:
+            if await engine.barrier.arrive(**place):
+                return
+            continue
+        try:
+            async with asyncio.timeout(2 * BARRIER_LIMIT_S):
+                response = await client.post(
+                    f"http://{options.leader}/barrier", json=place
+                )
+                if (await response.json())["passed"]:
+                    return
+        except HTTP_FAILURES:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+
+
 async def run_steps(engine: Engine) -> None:
     """Runs the steps of an engine until cancelled."""
+    client = make_client(1)
     due_s = time.monotonic()
     while True:
         if not engine.has_work:
@@ -311,6 +352,8 @@
         due_s = max(due_s + step_s, time.monotonic()) + stall_s
         engine.begin_step()
         await asyncio.sleep(due_s - time.monotonic())
+        if engine.options.members > 1:
+            await _begin_together(engine, client)
         engine.end_step()
 
 
@@ -359,6 +402,12 @@
         click.option("--checks-fencing", is_flag=True, help="Check tokens."),
         click.option("--ranks", default=1, help="Ranks in lock-step."),
         click.option("--map-digest", default="initial", help="First map."),
+        click.option("--experts", default=0, help="Experts of the group."),
+        click.option("--spare-slots", default=0, help="Slots for replicas."),
+        click.option("--first-rank", default=0, help="Of this engine."),
+        click.option("--total-ranks", default=0, help="Of the group."),
+        click.option("--members", default=1, help="Engines of the group."),
+        click.option("--leader", default="", help="Engine to step with."),
         click.option("--seed", default=0, help="Seed of lost events."),
         click.option("--record-file", default="", help="For the records."),
     ]
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/control_grpc.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/control_grpc.py
@@ -62,6 +62,10 @@
     async def PlaceOrder(self, stream: 'grpclib.server.Stream[chicoryplank_wire.control_pb2.OrderRequest, chicoryplank_wire.control_pb2.OrderReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ReadEngine(self, stream: 'grpclib.server.Stream[chicoryplank_wire.control_pb2.EngineRequest, chicoryplank_wire.control_pb2.EngineReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/chicoryplank.v1.Orders/PlaceOrder': grpclib.const.Handler(
@@ -70,6 +74,12 @@
                 chicoryplank_wire.control_pb2.OrderRequest,
                 chicoryplank_wire.control_pb2.OrderReply,
             ),
+            '/chicoryplank.v1.Orders/ReadEngine': grpclib.const.Handler(
+                self.ReadEngine,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                chicoryplank_wire.control_pb2.EngineRequest,
+                chicoryplank_wire.control_pb2.EngineReply,
+            ),
         }
 
 
@@ -82,3 +92,9 @@
             chicoryplank_wire.control_pb2.OrderRequest,
             chicoryplank_wire.control_pb2.OrderReply,
         )
+        self.ReadEngine = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/chicoryplank.v1.Orders/ReadEngine',
+            chicoryplank_wire.control_pb2.EngineRequest,
+            chicoryplank_wire.control_pb2.EngineReply,
+        )
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -77,6 +77,41 @@
         "group {group} keeps its expert map, change {change} is aborted",
     )
     ORDER_REFUSED = (1505, logbook.WARNING, "order {order} refused: {detail}")
+    TOKEN_UNAVAILABLE = (
+        1506,
+        logbook.WARNING,
+        "the highest fencing token is unknown: {error}",
+    )
+    ORDER_FAILED = (
+        1507,
+        logbook.WARNING,
+        "order {kind} failed at agent {agent}: {error}",
+    )
+    VERSION_ORDERED = (
+        1508,
+        logbook.INFO,
+        "agent {agent} of group {group} changes to version {version}",
+    )
+    CONTROL_ROUND_FAILED = (
+        1901,
+        logbook.WARNING,
+        "control of group {group} is delayed: {error}",
+    )
+    MAP_CHANGE_BEGUN = (
+        1902,
+        logbook.INFO,
+        "group {group} begins change {change}: {moves} moves, skew {skew}",
+    )
+    MAP_CHANGE_FINISHED = (
+        1903,
+        logbook.INFO,
+        "every rank of group {group} runs the map of change {change}",
+    )
+    GROUP_INCOMPLETE = (
+        1904,
+        logbook.WARNING,
+        "group {group} has no expert map yet: {detail}",
+    )
 
     @property
     def number(self) -> int:
--- a/packages/chicoryplank/src/chicoryplank/orders/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/__init__.py
@@ -19,6 +19,7 @@
     join_group,
     read_document,
     read_highest_token,
+    record_token,
 )
 from chicoryplank.orders._rank import RankMap
 
@@ -41,4 +42,5 @@
     "join_group",
     "read_document",
     "read_highest_token",
+    "record_token",
 ]
--- a/packages/chicoryplank/src/chicoryplank/orders/_documents.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/_documents.py
@@ -127,6 +127,11 @@
     return f"groups/{group}/lease"
 
 
+def get_token_key(group: ModelGroupId) -> str:
+    """Returns the key that holds the highest token of the controllers."""
+    return f"groups/{group}/token"
+
+
 def begin_change(
     document: MapDocument, expert_map: ExpertMap, stop_step: int
 ) -> MapDocument:
--- a/packages/chicoryplank/src/chicoryplank/orders/_map_change.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/_map_change.py
@@ -24,6 +24,7 @@
     finish_change,
     get_lease_key,
     get_map_key,
+    get_token_key,
     join_rank,
     record_prepared,
 )
@@ -66,13 +67,51 @@
 async def read_highest_token(store: Store, group: ModelGroupId) -> FencingToken:
     """Returns a token not below any under which an order was placed.
 
-    A controller records its token in the map document before its first
-    order, so the document covers controllers whose lease has lapsed.
+    A controller records its token before its first order, so the record
+    covers controllers whose lease has lapsed. Groups without ranks have no
+    map document.
+
+    Raises:
+        StoreError: If the store does not answer.
     """
-    document, _ = await read_document(store, group)
+    recorded = await store.read(get_token_key(group))
+    mapped = await store.read(get_map_key(group))
     lease = await store.read(get_lease_key(group))
-    held = 0 if lease is None else lease.revision
-    return FencingToken(max(document.token, held))
+    return FencingToken(
+        max(
+            0 if recorded is None else int(recorded.value),
+            0 if mapped is None else decode_document(mapped.value).token,
+            0 if lease is None else lease.revision,
+        )
+    )
+
+
+async def record_token(
+    store: Store, group: ModelGroupId, token: FencingToken
+) -> None:
+    """Records a controller's token; it places no order before.
+
+    Raises:
+        ChicoryplankError: With STALE_FENCING_TOKEN if a newer controller has
+            recorded its token, or MAP_CHANGE_CONFLICT if others write.
+        StoreError: If the store does not answer.
+    """
+    key = get_token_key(group)
+    record = await store.read(key)
+    recorded = 0 if record is None else int(record.value)
+    if recorded > token:
+        raise ChicoryplankError(
+            ErrorCode.STALE_FENCING_TOKEN, f"token {token} is below {recorded}"
+        )
+    if recorded == token:
+        return
+    revision = 0 if record is None else record.revision
+    outcome, _ = await store.swap(key, str(token).encode(), revision)
+    if outcome is SwapOutcome.CONFLICT:
+        raise ChicoryplankError(
+            ErrorCode.MAP_CHANGE_CONFLICT,
+            f"the token of group {group} has changed since revision {revision}",
+        )
 
 
 async def create_document(
