Control model groups from the entries

An entry per zone may hold a group's controller lease. The holder reads ranks and expert loads through the agents, decides between other tasks and makes one recorded transition of a map change in each round, so a successor goes on from the document alone.

tools/soak_maps.py runs one group on four engine processes that step together.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
 
-.PHONY: setup test check format unit demo generate soak soak-quick
+.PHONY: setup test check format unit demo generate soak soak-quick soak-maps
 
 setup: $(VENV)/.installed
 
@@ -51,3 +51,7 @@
 
 soak-quick: setup
 	$(PYTHON) tools/soak.py --seed 1 --seconds 15
+
+# One group on four engines whose expert map changes under seeded faults.
+soak-maps: setup
+	$(PYTHON) tools/soak_maps.py --seed $(SEED) --seconds $(SECONDS)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -14,7 +14,7 @@
 from chicoryplank.blackboard import Blackboard, Instance
 from chicoryplank.clock import Clock, SystemClock
 from chicoryplank.configuration import EntrySettings
-from chicoryplank.ids import Incarnation
+from chicoryplank.ids import Incarnation, ModelGroupId
 from chicoryplank.lifecycle import Application
 from chicoryplank.limits import Limiter
 from chicoryplank.logs import install_logs
@@ -32,6 +32,7 @@
 )
 from chicoryplank_entry.dispatch import Dispatcher
 from chicoryplank_entry.exchange import AttemptRunner
+from chicoryplank_entry.group_controller import GroupController, follow_groups
 from chicoryplank_entry.http import CallerInterface
 from chicoryplank_entry.pacing import OutputPacer
 from chicoryplank_entry.relays import Relay, RelayPool
@@ -149,6 +150,16 @@
             demand=DemandExchange(self.gate.limiter, parameters),
         )
 
+    def _make_group_controller(self, group: ModelGroupId) -> GroupController:
+        return GroupController(
+            group,
+            self._settings,
+            self._store,
+            self.blackboard,
+            self._clock,
+            random_source=self._random,
+        )
+
     def count_entries(self) -> int:
         """Returns the number of entries that the instance list shows."""
         return count_entries(self.blackboard.instances.value)
@@ -218,6 +229,7 @@
                 configure_limits(
                     self.gate.limiter, self.blackboard, self._clock
                 ),
+                follow_groups(self.blackboard, self._make_group_controller),
             )
         ]
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/metrics.py
@@ -55,6 +55,27 @@
     "Requests in progress.",
 )
 
+STEP_SKEW = prometheus_client.Gauge(
+    "chicoryplank_step_skew",
+    "Load of the slowest rank over the mean, at the group's controller.",
+    ["group"],
+)
+MOVED_BYTES = prometheus_client.Counter(
+    "chicoryplank_moved_bytes_total",
+    "Bytes of expert weights moved by finished changes.",
+    ["group"],
+)
+MAP_CHANGES = prometheus_client.Counter(
+    "chicoryplank_map_changes_total",
+    "Changes of an expert map by outcome.",
+    ["group", "outcome"],
+)
+ORDERS_FAILED = prometheus_client.Counter(
+    "chicoryplank_orders_failed_total",
+    "Orders that an agent refused or did not answer, by error code.",
+    ["code"],
+)
+
 _accounts: set[AccountId] = set()
 
 
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_ranks.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_ranks.py
@@ -156,7 +156,7 @@
             if rank.first_step is None:
                 rank.prepared = digest
                 rank.stop_step = stop_step
-        return {"step": self.step}
+        return {"step": self.step, "incarnation": self.incarnation}
 
     def decide(self, arguments: dict[str, Any]) -> dict[str, Any]:
         """Tells prepared ranks the first step under the new map."""
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_records.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_records.py
@@ -108,12 +108,15 @@
             this many tokens; a service closes it after the call ran. None for
             no cut.
         slow_factor: Multiplies the time of a step or call.
+        prepare_delay_ms: Time in which weights load before a rank is prepared
+            for a map.
     """
 
     stall_ms: float = 0
     fail_next: int = 0
     cut_after_tokens: int | None = None
     slow_factor: float = 1
+    prepare_delay_ms: float = 0
 
     def change(self, fields: dict[str, Any]) -> None:
         """Sets the fields that a request names.
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/engine.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/engine.py
@@ -291,6 +291,8 @@
         body = await read_json(request)
         if body is None:
             return answer_error(400, "invalid", "the body is not JSON")
+        if body.get("kind") == "prepare_map":
+            await asyncio.sleep(engine.faults.prepare_delay_ms / 1_000)
         try:
             return JSONResponse(engine.place_order(body))
         except OrderError as error:
--- a/packages/chicoryplank/src/chicoryplank/configuration/_settings.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_settings.py
@@ -73,6 +73,7 @@
         max_isolation: Time without store and peers after which new requests
             are rejected.
         max_clock_skew: Assumed bound on clock differences.
+        controller_lease: Duration of the lease of a group's controller.
     """
 
     instance: InstanceId
@@ -86,6 +87,7 @@
     drain_timeout: timedelta = timedelta(seconds=600)
     max_isolation: timedelta = timedelta(seconds=60)
     max_clock_skew: timedelta = timedelta(milliseconds=500)
+    controller_lease: timedelta = timedelta(seconds=10)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryplank/src/chicoryplank/configuration/_settings_checks.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_settings_checks.py
@@ -80,6 +80,7 @@
         _duration("drain_timeout", "s", 0, 86_400),
         _duration("max_isolation", "s", 1, 86_400),
         _duration("max_clock_skew", "s", 0, 60),
+        _duration("controller_lease", "s", 3, 300),
     ),
 )
 _AGENT = check_record(
--- a/packages/chicoryplank/src/chicoryplank/orders/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/__init__.py
@@ -15,6 +15,7 @@
 from chicoryplank.orders._lease import ControllerLease
 from chicoryplank.orders._map_change import (
     MapChange,
+    TokenSource,
     create_document,
     join_group,
     read_document,
@@ -34,6 +35,7 @@
     "Prepared",
     "RankMap",
     "SwitchDecision",
+    "TokenSource",
     "create_document",
     "decode_document",
     "encode_document",
--- a/tools/layout.py
+++ b/tools/layout.py
@@ -29,6 +29,8 @@
         keeps_records: Whether engines and services keep their records in
             files, so that they outlast a killed process.
         engine_arguments: Further arguments of each engine.
+        ranks_per_engine: Ranks of each engine, if all engines are one group
+            that steps together; 0 for engines of their own.
         service_arguments: Further arguments of each service.
         entry_settings: Further settings of each entry.
         agent_settings: Further settings of each agent.
@@ -45,6 +47,7 @@
     has_links: bool = False
     keeps_records: bool = False
     engine_arguments: tuple[str, ...] = ()
+    ranks_per_engine: int = 0
     service_arguments: tuple[str, ...] = ()
     entry_settings: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     agent_settings: Mapping[str, Any] = dataclasses.field(default_factory=dict)
@@ -123,6 +126,7 @@
         for number in range(1, self.options.engines + 1):
             arguments = ("--models", self.options.model)
             arguments += self.options.engine_arguments
+            arguments += self._place_ranks(number)
             self._start_backend(f"engine-{number}", "engine", *arguments)
         for number in range(1, self.options.services + 1):
             arguments = self.options.service_arguments
@@ -137,6 +141,18 @@
         for address in self.entries:
             await wait_for_http(address, "/healthz", limit_s)
 
+    def _place_ranks(self, number: int) -> tuple[str, ...]:
+        """Returns the arguments that place an engine in the group."""
+        ranks, engines = self.options.ranks_per_engine, self.options.engines
+        if not ranks:
+            return ()
+        arguments = ("--ranks", str(ranks), "--members", str(engines))
+        arguments += ("--first-rank", str((number - 1) * ranks))
+        arguments += ("--total-ranks", str(engines * ranks))
+        if number > 1:
+            arguments += ("--leader", self.addresses["engine-1"])
+        return arguments
+
     async def wait_until_ready(self, limit_s: float = 20) -> None:
         """Waits until every entry serves."""
         for address in self.entries:
