--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_group_control.py
@@ -0,0 +1,298 @@
+"""Tests of a group's controller with fake engines and a fake store."""
+
+import asyncio
+import dataclasses
+from datetime import timedelta
+
+import testtools
+
+from chicoryplank.blackboard import Instance
+from chicoryplank.clock import ManualClock
+from chicoryplank.configuration import GroupConfiguration
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.fakes import MemoryStore
+from chicoryplank.ids import InstanceId, ZoneId
+from chicoryplank.orders import ControllerLease, Phase, read_document
+from chicoryplank.rebalance import Decision, Reason, list_moves, make_map
+from chicoryplank_entry.engines import EngineReport, RankState, read_report
+from chicoryplank_entry.group_controller import (
+    choose_candidates,
+    choose_replica,
+)
+from chicoryplank_entry.map_control import MapController
+from chicoryplank_wire import control_pb2
+
+_GROUP = "llm"
+_EXPERTS = 4
+_FIRST = make_map(_EXPERTS, 2, 0)
+_NEXT = dataclasses.replace(_FIRST, slots=((0, 2), (1, 3)))
+_SECOND = timedelta(seconds=1)
+
+
+class _Policy:
+    """Asks for one fixed map."""
+
+    def observe(self, loads, now):
+        del now
+        self.loads = loads
+
+    def choose_in_steps(self, expert_map, now):
+        del now
+        yield
+        moves = list_moves(expert_map, _NEXT, 10)
+        return Decision(_NEXT, moves, 1.5, 1.1, Reason.GAIN)
+
+
+class _Engine:
+    """One engine with one rank."""
+
+    def __init__(self, rank):
+        self.rank = rank
+        self.incarnation = f"engine-{rank}-a"
+        self.step = 100
+        self.state = RankState(_FIRST.digest, "", None)
+        self.stop_step = 0
+        self.refuses = False
+        self.orders = []
+
+    def report(self):
+        return EngineReport(
+            agent=InstanceId(f"agent-{self.rank}"),
+            incarnation=f"agent-{self.rank}-a",
+            ready=True,
+            engine_incarnation=self.incarnation,
+            step=self.step,
+            version="v1",
+            experts=_EXPERTS,
+            spare_slots=0,
+            total_ranks=2,
+            ranks={self.rank: self.state},
+            loads=(1, 2, 3, 4),
+        )
+
+    def order(self, kind, arguments):
+        if self.refuses:
+            raise ChicoryplankError(ErrorCode.MEMBER_UNREACHABLE, "no answer")
+        self.orders.append(kind)
+        digest, state = arguments["digest"], self.state
+        if kind == "prepare_map":
+            self.state = dataclasses.replace(state, prepared=digest)
+            self.stop_step = arguments["stop_step"]
+        elif kind == "decide_map":
+            first = arguments["first_step"]
+            self.state = dataclasses.replace(state, first_step=first)
+        elif state.prepared == digest:
+            self.state = dataclasses.replace(state, prepared="")
+        return self.incarnation
+
+    def run_until(self, step):
+        """Runs steps and stops where a promise forbids to go on."""
+        while self.step < step:
+            state = self.state
+            undecided = state.prepared and state.first_step is None
+            if undecided and self.step >= self.stop_step:
+                return
+            if state.first_step is not None and self.step >= state.first_step:
+                self.state = RankState(state.prepared, "", None)
+            self.step += 1
+
+
+class _Calls:
+    """Stands for the agents."""
+
+    def __init__(self, engines):
+        self.engines = {f"agent-{item.rank}": item for item in engines}
+
+    async def place(self, report, kind, arguments):
+        return self.engines[report.agent].order(kind, arguments)
+
+
+class TestMapController(testtools.TestCase):
+    """A change of the expert map, round by round."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.engines = [_Engine(0), _Engine(1)]
+
+    async def make_controller(self, owner="entry-1"):
+        lease = ControllerLease(self.store, self.clock, _GROUP, owner)
+        self.assertTrue(await lease.acquire())
+        calls = _Calls(self.engines)
+        return MapController(
+            _GROUP, self.store, lease, calls, self.clock, policy=_Policy()
+        )
+
+    async def run_round(self, controller, engines=None):
+        reports = [item.report() for item in engines or self.engines]
+        await controller.run_round(2, {item.agent: item for item in reports})
+        return (await read_document(self.store, _GROUP))[0]
+
+    async def begin(self):
+        controller = await self.make_controller()
+        await self.run_round(controller)
+        return controller, await self.run_round(controller)
+
+    def test_whole_change(self):
+        """Guards against a change that stops half-way."""
+
+        async def run():
+            controller, document = await self.begin()
+            self.assertIs(Phase.DECIDED, document.phase)
+            first = document.decision.first_step
+            for engine in self.engines:
+                engine.run_until(first)
+            document = await self.run_round(controller)
+            self.assertIs(Phase.DECIDED, document.phase)
+            for engine in self.engines:
+                engine.run_until(first + 1)
+                self.assertEqual(_NEXT.digest, engine.state.digest)
+            document = await self.run_round(controller)
+            self.assertIs(Phase.IDLE, document.phase)
+            self.assertEqual(_NEXT.digest, document.in_force.digest)
+
+        asyncio.run(run())
+
+    def test_silent_rank_leads_to_an_abort(self):
+        """Guards against a group that waits for ever for a dead rank."""
+
+        async def run():
+            self.engines[1].refuses = True
+            controller, document = await self.begin()
+            self.assertIs(Phase.PREPARING, document.phase)
+            self.clock.advance(5 * _SECOND)
+            document = await self.run_round(controller)
+            self.assertIs(Phase.IDLE, document.phase)
+            self.assertEqual("", self.engines[0].state.prepared)
+            self.assertNotIn("decide_map", self.engines[0].orders)
+
+        asyncio.run(run())
+
+    def test_successor_continues_a_change(self):
+        """Guards against a change lost with its controller."""
+
+        async def run():
+            self.engines[1].refuses = True
+            await self.begin()
+            self.engines[1].refuses = False
+            self.clock.advance(20 * _SECOND)
+            successor = await self.make_controller("entry-2")
+            document = await self.run_round(successor)
+            self.assertIs(Phase.DECIDED, document.phase)
+            self.assertEqual(1, document.last_change)
+
+        asyncio.run(run())
+
+    def test_promise_of_a_new_engine_does_not_count(self):
+        """Guards against a decision on a promise that ended with an engine."""
+
+        async def run():
+            controller = await self.make_controller()
+            await self.run_round(controller)
+            reports = [item.report() for item in self.engines]
+            self.engines[1].incarnation = "engine-1-b"
+            await controller.run_round(
+                2, {item.agent: item for item in reports}
+            )
+            document, _ = await read_document(self.store, _GROUP)
+            self.assertIs(Phase.PREPARING, document.phase)
+
+        asyncio.run(run())
+
+    def test_lapsed_lease_ends_control(self):
+        """Guards against a write by a controller that was paused."""
+
+        async def run():
+            controller, document = await self.begin()
+            self.clock.advance(20 * _SECOND)
+            for engine in self.engines:
+                engine.run_until(document.decision.first_step + 1)
+            error = await self._get_error(controller)
+            self.assertIs(ErrorCode.LEASE_LOST, error.code)
+
+        asyncio.run(run())
+
+    async def _get_error(self, controller):
+        try:
+            await self.run_round(controller)
+        except ChicoryplankError as error:
+            return error
+        raise AssertionError("no error")
+
+    def test_no_change_while_a_rank_is_missing(self):
+        """Guards against a change that cannot be prepared everywhere."""
+
+        async def run():
+            controller = await self.make_controller()
+            await self.run_round(controller)
+            document = await self.run_round(controller, self.engines[:1])
+            self.assertEqual(0, document.last_change)
+
+        asyncio.run(run())
+
+    def test_forgotten_promise_is_dropped(self):
+        """Guards against a rank that stops for a change aborted elsewhere."""
+
+        async def run():
+            controller = await self.make_controller()
+            await self.run_round(controller)
+            self.engines[0].order(
+                "prepare_map", {"digest": "old", "stop_step": 500}
+            )
+            await self.run_round(controller, self.engines[:1])
+            self.assertEqual("", self.engines[0].state.prepared)
+
+        asyncio.run(run())
+
+
+class TestChoices(testtools.TestCase):
+    """Who controls a group, and which replica changes its version."""
+
+    def make_entry(self, name, zone, leaving=False):
+        return Instance(
+            InstanceId(name), "entry", ZoneId(zone), "", leaving=leaving
+        )
+
+    def test_one_candidate_in_each_zone(self):
+        """Guards against store calls that grow with the entries."""
+        entries = tuple(
+            self.make_entry(f"entry-{number}", f"zone-{number % 3}")
+            for number in range(9)
+        )
+        chosen = choose_candidates(_GROUP, entries)
+        zones = {item.zone for item in entries if item.instance in chosen}
+        self.assertEqual((3, 3), (len(chosen), len(zones)))
+        leaving = tuple(
+            dataclasses.replace(item, leaving=item.instance in chosen)
+            for item in entries
+        )
+        self.assertEqual(set(), chosen & choose_candidates(_GROUP, leaving))
+
+    def choose(self, versions, agents, replicas):
+        reports = {
+            f"agent-{index}": dataclasses.replace(
+                _Engine(index).report(), version=version
+            )
+            for index, version in enumerate(versions)
+        }
+        wanted = GroupConfiguration(("model",), "v2", replicas, 100)
+        chosen = choose_replica(wanted, agents, reports)
+        return chosen and next(iter(chosen.ranks))
+
+    def test_one_replica_changes_at_a_time(self):
+        """Guards against a version change that takes too much capacity."""
+        self.assertEqual(1, self.choose(["v2", "v1", "v1"], 3, 3))
+        self.assertIsNone(self.choose(["v2", "v2", "v2"], 3, 3))
+        self.assertIsNone(self.choose(["v2", "v1"], 3, 2))
+        self.assertEqual(1, self.choose(["v2", "v1"], 3, 1))
+
+
+class TestReports(testtools.TestCase):
+    """Answers of agents."""
+
+    def test_malformed_answers(self):
+        """Guards against an engine whose answer ends the controller."""
+        for ranks in (b"", b"[]", b"{}", b'{"ranks": [{}]}', b"\xff"):
+            reply = control_pb2.EngineReply(incarnation="a", ranks=ranks)
+            self.assertIsNone(read_report("agent-1", reply))
