Connect an entry to a bounded set of agents

Cause: every entry connected to every agent of the instance list, which would be 12,000 connections for each of 560 entries. Ruled out: the library's subset over all entries and replicas for agents of other zones, since 560 by 11,455 comparisons take seconds. Sites of today are connected whole.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/controllers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/controllers.py
@@ -16,10 +16,12 @@
 from chicoryplank.limits import Limiter, QueueParameters
 from chicoryplank.membership import choose_sources
 from chicoryplank_entry.relays import RelayPool
+from chicoryplank_entry.selection import choose_agents
 from chicoryplank_wire.instance_list import fetch_instances
 
 # Two, so that an agent hears of a version if one of them has failed.
 _SOURCES = 2
+_MAX_WAIT_S = 1.0
 _SILENCE_INTERVAL = timedelta(seconds=1)
 # Batches of about this size keep an engine busy; the limit adapts from here.
 _REQUESTS_PER_REPLICA = 64
@@ -29,7 +31,6 @@
     settings: InstanceListSettings,
     client: aiosonic.HTTPClient,
     blackboard: Blackboard,
-    pool: RelayPool,
     clock: Clock,
 ) -> None:
     """Reads the instance list again and again; keeps the last one."""
@@ -43,10 +44,24 @@
         else:
             if instances != blackboard.instances.value:
                 blackboard.instances.write(instances)
-                await pool.observe(instances)
         await clock.sleep(settings.poll_interval)
 
 
+async def choose_relays(
+    blackboard: Blackboard, pool: RelayPool, own: Instance
+) -> None:
+    """Connects to the agents that fall to this entry after each change."""
+    seen: tuple[object, object] = (None, None)
+    while True:
+        instances = blackboard.instances.value
+        snapshot = blackboard.snapshot.value
+        if seen[0] is not instances or seen[1] is not snapshot:
+            seen = (instances, snapshot)
+            wanted = choose_agents(own, instances, snapshot)
+            await pool.observe(instances, wanted)
+        await _wait_any_change(blackboard.snapshot, blackboard.instances)
+
+
 async def announce_configuration(
     blackboard: Blackboard, pool: RelayPool, own: InstanceId
 ) -> None:
@@ -114,11 +129,16 @@
 
 
 async def _wait_any_change(*sections: Section) -> None:
+    """Waits for a write, or a second, as one may come before the wait."""
     changes = [
         asyncio.create_task(section.wait_change()) for section in sections
     ]
     try:
-        await asyncio.wait(changes, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait(
+            changes,
+            timeout=_MAX_WAIT_S,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
     finally:
         for change in changes:
             change.cancel()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import random
 import signal
 import uuid
@@ -24,6 +25,7 @@
 from chicoryplank_entry.control import ControlService, DemandExchange
 from chicoryplank_entry.controllers import (
     announce_configuration,
+    choose_relays,
     configure_limits,
     count_entries,
     follow_instances,
@@ -62,6 +64,13 @@
             settings.instance,
             Incarnation(f"{settings.instance}-{uuid.uuid4().hex}"),
         )
+        self._own = Instance(
+            settings.instance,
+            "entry",
+            settings.zone,
+            settings.control_address,
+            settings.caller_address,
+        )
         self.blackboard = Blackboard()
         pacer = OutputPacer(lambda: len(self.ledger))
         self.ledger = AttemptLedger(
@@ -120,19 +129,12 @@
 
     def _make_control(self) -> ControlService:
         settings = self._settings
-        own = Instance(
-            settings.instance,
-            "entry",
-            settings.zone,
-            settings.control_address,
-            settings.caller_address,
-        )
         parameters = MembershipParameters(address_ttl=settings.address_ttl)
         holder = ConfigurationHolder(
             self._store, self.blackboard, self._clock, settings.max_isolation
         )
         return ControlService(
-            own,
+            self._own,
             parameters,
             self._clock,
             blackboard=self.blackboard,
@@ -190,9 +192,9 @@
                     self._settings.instance_list,
                     self._client,
                     self.blackboard,
-                    self.pool,
                     self._clock,
                 ),
+                choose_relays(self.blackboard, self.pool, self._own),
                 announce_configuration(
                     self.blackboard, self.pool, self._settings.instance
                 ),
@@ -247,6 +249,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     await entry.application.start()
+    # Collections would walk everything loaded at the start again and again,
+    # which blocks the event loop for about 10 ms.
+    gc.freeze()
     await stopped.wait()
     await entry.application.stop()
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
@@ -329,14 +329,20 @@
             if relay.instance.deployment == deployment
         ]
 
-    async def observe(self, instances: tuple[Instance, ...]) -> None:
+    async def observe(
+        self, instances: tuple[Instance, ...], wanted: frozenset[InstanceId]
+    ) -> None:
         """Opens and closes relays after a change of the instance list.
 
         A relay with attempts in progress stays open until they have ended,
         because the list may lag or lose an instance that still works.
+
+        Args:
+            instances: The instance list.
+            wanted: Agents to connect to.
         """
         listed = {
-            item.instance: item for item in instances if item.role == "backend"
+            item.instance: item for item in instances if item.instance in wanted
         }
         for instance_id, instance in listed.items():
             relay = self.relays.get(instance_id)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
@@ -1,9 +1,12 @@
 """Choice of an agent for each attempt, by a routing policy a deployment."""
 
 import random
+from collections.abc import Iterable
 from datetime import datetime, timedelta
 
+from chicoryplank.blackboard import Instance
 from chicoryplank.clock import Clock
+from chicoryplank.configuration import Snapshot
 from chicoryplank.ids import InstanceId, ZoneId
 from chicoryplank.routing import (
     Candidate,
@@ -12,12 +15,79 @@
     Progress,
     RoutingParameters,
     RoutingRequest,
+    choose_subset,
     make_balanced,
 )
 from chicoryplank_entry.relays import Relay, RelayPool
 
 # Replicas that were found while the entry started are not new.
 _STARTUP = timedelta(seconds=10)
+# At 25 entries and 545 replicas of a zone an entry has 131 near relays.
+_ENTRIES_PER_AGENT = 6
+_MIN_AGENTS = 32
+
+
+def choose_agents(
+    own: Instance, instances: Iterable[Instance], snapshot: Snapshot
+) -> frozenset[InstanceId]:
+    """Returns the agents that an entry connects to.
+
+    Small deployments are connected to whole. In large ones each agent serves
+    a few entries of its zone, and each entry has some agents elsewhere, so
+    that connections do not grow with entries times replicas. Plain services
+    are connected to whole, since all entries must send one idempotency key to
+    the same agent.
+
+    Args:
+        own: This entry.
+        instances: The instance list.
+        snapshot: Configuration in force; tells model groups from services.
+    """
+    listed = tuple(instances)
+    entries = [item for item in listed if item.role == "entry"]
+    services = {item.deployment for item in snapshot.services.values()}
+    deployments: dict[str, list[Instance]] = {}
+    for item in listed:
+        if item.role == "backend":
+            deployments.setdefault(item.deployment, []).append(item)
+    chosen: set[InstanceId] = set()
+    for deployment, agents in deployments.items():
+        if deployment in services:
+            chosen.update(agent.instance for agent in agents)
+        else:
+            chosen.update(_choose_near(own, entries, agents))
+            chosen.update(_choose_far(own, agents))
+    return frozenset(chosen)
+
+
+def _choose_near(
+    own: Instance, entries: list[Instance], agents: list[Instance]
+) -> Iterable[InstanceId]:
+    subset = choose_subset(
+        own.instance,
+        [item.instance for item in entries if item.zone == own.zone],
+        [_make_plain(agent) for agent in agents if agent.zone == own.zone],
+        _ENTRIES_PER_AGENT,
+        _MIN_AGENTS,
+    )
+    return (candidate.instance for candidate in subset)
+
+
+def _choose_far(own: Instance, agents: list[Instance]) -> Iterable[InstanceId]:
+    # Comparing all entries with all replicas would take seconds at 560 by
+    # 12,000, so the entry takes those that it prefers itself.
+    subset = choose_subset(
+        own.instance,
+        (),
+        [_make_plain(agent) for agent in agents if agent.zone != own.zone],
+        0,
+        _MIN_AGENTS,
+    )
+    return (candidate.instance for candidate in subset)
+
+
+def _make_plain(agent: Instance) -> Candidate:
+    return Candidate(agent.instance, agent.zone)
 
 
 class Selector:
