Answer unknown paths and methods with coded errors

Cause: starlette answers them in plain text without code and verdict, and redirects a path with a trailing slash, which callers follow by repeating the request.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -10,6 +10,7 @@
 
 import prometheus_client
 from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
@@ -47,6 +48,7 @@
     ErrorCode.INTERNAL_ERROR: 500,
 }
 _DEFAULT_STATUS = 503
+_METHOD_NOT_ALLOWED = 405
 _PASSED_HEADERS = frozenset({"content-type", "accept", "idempotency-key"})
 _MAX_KEY_LENGTH = 255
 _MAX_TOKENS = 1_000_000
@@ -300,6 +302,22 @@
     )
 
 
+async def _answer_unrouted(request: Request, error: HTTPException) -> Response:
+    """Returns the error of a path or method that has no handler."""
+    shown = f"{request.method} {request.url.path[:100]}"
+    if error.status_code == _METHOD_NOT_ALLOWED:
+        code = ErrorCode.METHOD_NOT_ALLOWED
+        message = f"the path does not take the method: {shown}"
+    else:
+        code = ErrorCode.UNKNOWN_PATH
+        message = f"the path is unknown: {shown}"
+    failure = ChicoryplankError(code, message)
+    metrics.count_refusal(failure.code, failure.verdict.value)
+    response = make_error_response(failure)
+    response.headers.update(error.headers or {})
+    return response
+
+
 Handler = Callable[[Request], Awaitable[Response]]
 
 
@@ -329,7 +347,7 @@
         """Returns the ASGI application."""
         post = ["POST"]
         methods = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
-        return Starlette(
+        application = Starlette(
             routes=[
                 self._route("/v1/chat/completions", self._complete, post),
                 self._route("/v1/completions", self._complete, post),
@@ -343,8 +361,12 @@
                 self._route("/healthz", self._check_health),
                 self._route("/readyz", self._check_ready),
                 self._route("/metrics", self._show_metrics),
-            ]
+            ],
+            exception_handlers={HTTPException: _answer_unrouted},
         )
+        # A redirect would make callers repeat non-idempotent requests.
+        application.router.redirect_slashes = False
+        return application
 
     def _route(
         self, path: str, handler: Handler, methods: list[str] | None = None
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
@@ -0,0 +1,155 @@
+"""Tests of the HTTP interface against wrong requests."""
+
+import asyncio
+
+import testtools
+
+from chicoryplank_entry.tests.site import (
+    MODEL_BODY,
+    make_call,
+    make_completion,
+    run_site,
+)
+
+_SEND = "/v1/services/quotes/send"
+
+
+def _ask(*calls, method="POST", fault=None, **limits):
+    """Returns the responses and the requests that were dispatched."""
+
+    async def work(site):
+        site.dispatcher.fault = fault
+        answers = []
+        for data in calls:
+            caller = await site.connect()
+            answers.append(await caller.ask(data, method))
+        return answers, site.dispatcher.requests
+
+    return run_site(work, **limits)
+
+
+class _RejectionTest(testtools.TestCase):
+    def assert_rejected(self, status, code, *calls, **options):
+        """Every call gets the code and none is dispatched."""
+        answers, requests = _ask(*calls, **options)
+        found = [(item.status, item.error) for item in answers]
+        self.assertEqual([(status, code)] * len(calls), found)
+        self.assertEqual([], requests)
+        verdicts = {item.headers["x-verdict"] for item in answers}
+        self.assertEqual({"not_run"}, verdicts)
+
+
+class TestBodies(_RejectionTest):
+    """Bodies that are malformed or too large."""
+
+    def test_half_a_character_names_no_model(self):
+        """Guards against a name that cannot be written as UTF-8."""
+        self.assert_rejected(
+            404, "CP1204", make_completion(b'{"model": "\\ud800"}')
+        )
+
+
+class TestHeaders(_RejectionTest):
+    """Headers with noise."""
+
+    def test_deadline_in_the_past_is_rejected(self):
+        """Guards against work for a caller that no longer waits."""
+        self.assert_rejected(
+            504, "CP1205", make_completion(X_Request_Timeout_Ms="0")
+        )
+
+    def test_long_deadline_is_cut(self):
+        """Guards against requests that stay for years."""
+        _, requests = _ask(make_completion(X_Request_Timeout_Ms="9" * 12))
+        self.assertEqual(600, requests[0].timeout.total_seconds())
+
+    def test_non_idempotent_call_needs_a_key(self):
+        """Guards against an empty key that all callers would share."""
+        self.assert_rejected(
+            400,
+            "CP1215",
+            make_call(_SEND),
+            make_call(_SEND, Idempotency_Key=""),
+            make_call(_SEND, Idempotency_Key=" "),
+        )
+
+    def test_unknown_accounts_are_rejected(self):
+        """Guards against access without a valid token."""
+        call = make_completion()
+        self.assert_rejected(
+            401,
+            "CP1203",
+            make_call("/v1/completions", MODEL_BODY, token="guess"),
+            make_call("/v1/completions", MODEL_BODY, token="\xff"),
+            make_call("/v1/models", method="GET", token=""),
+            call.replace(b"Bearer", b"Basic"),
+        )
+
+
+class TestPaths(_RejectionTest):
+    """Paths and methods."""
+
+    def test_unknown_paths_get_a_code(self):
+        """Guards against errors without a code, and against redirects."""
+        self.assert_rejected(
+            404,
+            "CP1216",
+            make_call("/"),
+            make_call("/v1/nothing"),
+            make_call("/v1/models/", method="GET"),
+            make_call("/v1/services/quotes", method="GET"),
+        )
+
+    def test_unknown_methods_get_a_code(self):
+        """Guards against errors without a code."""
+        self.assert_rejected(
+            405,
+            "CP1217",
+            make_call("/v1/completions", method="GET"),
+            make_call("/healthz", method="DELETE"),
+            make_call("/v1/services/quotes/send", method="OPTIONS"),
+        )
+        answers, _ = _ask(make_call("/v1/completions", method="GET"))
+        self.assertEqual("post", answers[0].headers["allow"])
+
+    def test_unknown_names_are_rejected(self):
+        """Guards against access without a grant."""
+        self.assert_rejected(
+            404,
+            "CP1204",
+            make_completion(b'{"model": "other"}'),
+            make_call("/v1/services/bids/send", Idempotency_Key="k"),
+        )
+
+    def test_head_gets_no_body(self):
+        """Guards against a body that the next response would begin with."""
+
+        async def work(site):
+            caller = await site.connect()
+            found = []
+            for path in ("/healthz", "/v1/nothing", "/v1/services/quotes/a"):
+                data = make_call(path, method="HEAD")
+                found.append((await caller.ask(data, "HEAD")).status)
+            return found
+
+        self.assertEqual([200, 404, 200], run_site(work))
+
+
+class TestFaults(testtools.TestCase):
+    """Faults in the entry itself."""
+
+    def test_caller_that_goes_away_ends_its_request(self):
+        """Guards against requests that stay in progress for nobody."""
+
+        async def work(site):
+            site.dispatcher.release.clear()
+            caller = await site.connect()
+            caller.send(make_completion())
+            while not site.dispatcher.requests:
+                await asyncio.sleep(0.01)
+            caller.writer.transport.abort()
+            while not site.dispatcher.cancelled:
+                await asyncio.sleep(0.01)
+            return site.dispatcher.cancelled
+
+        self.assertEqual(1, run_site(work))
