Reject encoded separators before the path of a service

Cause: the route and the check for idempotency use the decoded path, the call uses the raw one. In /v1/services/quotes%2Fx/send the check saw /x/send, which needs no key, and the service got /send, which does: a call without claim that may run twice.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import json
+import urllib.parse
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -188,19 +189,28 @@
     """Returns the path and query as the caller sent them, and decoded.
 
     Raises:
-        ChicoryplankError: If the path has empty or dot segments. The service
-            might resolve them to another path than the one that decides
-            whether the call is idempotent.
+        ChicoryplankError: If the path has empty or dot segments, or encoded
+            separators before it. The service might resolve them to another
+            path than the one that decides whether the call is idempotent.
     """
     decoded = "/" + request.path_params["path"]
+    raw = request.scope["raw_path"].decode("ascii", "replace")
+    # The route was found by the decoded path, so that an encoded separator
+    # moves the start of the service's path.
+    parts = raw.split("/", 4)
+    if len(parts) < 5 or "/" + urllib.parse.unquote(parts[4]) != decoded:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST,
+            "the path must not contain encoded separators before the path "
+            "of the service",
+        )
     segments = decoded.split("/")[1:]
     if "" in segments[:-1] or {".", ".."} & set(segments):
         raise ChicoryplankError(
             ErrorCode.MALFORMED_REQUEST,
             "the path must not contain empty, . or .. segments",
         )
-    raw = request.scope["raw_path"].decode("ascii", "replace")
-    path = "/" + raw.split("/", 4)[4]
+    path = "/" + parts[4]
     query = request.scope["query_string"].decode("ascii", "replace")
     return (f"{path}?{query}" if query else path), decoded
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
@@ -121,6 +121,22 @@
             make_call("/v1/services/bids/send", Idempotency_Key="k"),
         )
 
+    def test_encoded_separators_are_rejected(self):
+        """Guards against a path that the service reads differently.
+
+        `quotes%2Fx/send` was checked as `/x/send`, which needs no key, and
+        sent as `/send`, which does.
+        """
+        self.assert_rejected(
+            400,
+            "CP1201",
+            make_call("/v1/services/quotes%2Fx/send"),
+            make_call("/v1%2Fservices/quotes/send"),
+            make_call("/v1/services/quotes/a%2F..%2Fsend"),
+            make_call("/v1/services/quotes/x/%2e%2e/send"),
+            make_call("/v1/services/quotes//send"),
+        )
+
     def test_head_gets_no_body(self):
         """Guards against a body that the next response would begin with."""
 
