Reject JSON that a backend server may read differently

Cause: the entry accepted NaN and Infinity, UTF-16 and repeated names, of which parsers take the first or the last, so that the model that was checked and the one that runs may differ. Nesting was bounded by the recursion limit of the interpreter only, which the digest of the prompt could exceed. A body beyond the limit was read up to the limit although its length was announced.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -52,6 +52,8 @@
 _METHOD_NOT_ALLOWED = 405
 _PASSED_HEADERS = frozenset({"content-type", "accept", "idempotency-key"})
 _MAX_KEY_LENGTH = 255
+# Backend servers may parse recursively.
+_MAX_DEPTH = 100
 _MAX_TOKENS = 1_000_000
 # Assumed where the request states no bound.
 _DEFAULT_TOKENS = 256
@@ -225,8 +227,17 @@
     return key
 
 
+def _make_size_error(limit: int) -> ChicoryplankError:
+    return ChicoryplankError(
+        ErrorCode.REQUEST_TOO_LARGE, f"the body is larger than {limit} bytes"
+    )
+
+
 async def _read_body(request: Request, settings: EntrySettings) -> bytes:
     limit = settings.limits.max_body_bytes
+    announced = request.headers.get("content-length", "0")
+    if int(announced) > limit:
+        raise _make_size_error(limit)
     pieces = []
     size = 0
     try:
@@ -236,10 +247,7 @@
             async for data in request.stream():
                 size += len(data)
                 if size > limit:
-                    raise ChicoryplankError(
-                        ErrorCode.REQUEST_TOO_LARGE,
-                        f"the body is larger than {limit} bytes",
-                    )
+                    raise _make_size_error(limit)
                 pieces.append(data)
     except TimeoutError as error:
         raise ChicoryplankError(
@@ -284,13 +292,59 @@
     ).digest()
 
 
-def _parse_model_body(body: bytes) -> _ModelBody:
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is not JSON")
+
+
+def _parse_json(body: bytes) -> object:
+    """Parses a body that the backend server must read in the same way."""
+    repeated = False
+
+    def collect(pairs: list[tuple[str, object]]) -> dict[str, object]:
+        # The outermost object is the last one.
+        nonlocal repeated
+        collected = dict(pairs)
+        repeated = len(collected) != len(pairs)
+        return collected
+
     try:
-        document = json.loads(body)
+        document = json.loads(
+            body.decode(),
+            parse_constant=_refuse_constant,
+            object_pairs_hook=collect,
+        )
     except (ValueError, RecursionError) as error:
         raise ChicoryplankError(
-            ErrorCode.MALFORMED_REQUEST, "the body is not JSON"
+            ErrorCode.MALFORMED_REQUEST, "the body is not JSON in UTF-8"
         ) from error
+    if repeated:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST, "the body repeats a name"
+        )
+    _check_depth(document)
+    return document
+
+
+def _check_depth(document: object) -> None:
+    level = [document] if isinstance(document, dict | list) else []
+    depth = 0
+    while level:
+        depth += 1
+        if depth > _MAX_DEPTH:
+            raise ChicoryplankError(
+                ErrorCode.MALFORMED_REQUEST,
+                f"the body is nested deeper than {_MAX_DEPTH}",
+            )
+        level = [
+            child
+            for item in level
+            for child in (item.values() if isinstance(item, dict) else item)
+            if isinstance(child, dict | list)
+        ]
+
+
+def _parse_model_body(body: bytes) -> _ModelBody:
+    document = _parse_json(body)
     if not isinstance(document, dict):
         raise ChicoryplankError(
             ErrorCode.MALFORMED_REQUEST, "the body is not a JSON object"
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
@@ -42,16 +42,103 @@
 class TestBodies(_RejectionTest):
     """Bodies that are malformed or too large."""
 
+    def test_malformed_bodies_are_rejected(self):
+        """Guards against faults inside the parser and behind it."""
+        deep = [
+            b'{"model": "drawing", "%s": %s%s}' % (name, b"[" * n, b"]" * n)
+            for name in (b"prompt", b"messages")
+            for n in (100, 900, 990, 50_000)
+        ]
+        self.assert_rejected(
+            400,
+            "CP1201",
+            *(
+                make_completion(body)
+                for body in (
+                    b"",
+                    b"{",
+                    b"[]",
+                    b"null",
+                    b'{"model": "drawing", "top_p": NaN}',
+                    b'{"model": "drawing", "top_p": -Infinity}',
+                    b'{"model": "drawing", "seed": ' + b"9" * 5000 + b"}",
+                    b'{"model": "\xff"}',
+                    '{"model": "drawing"}'.encode("utf-16"),
+                    b"\xef\xbb\xbf" + MODEL_BODY,
+                    *deep,
+                )
+            ),
+        )
+
+    def test_wrong_types_are_rejected(self):
+        """Guards against values that the backend server reads differently."""
+        self.assert_rejected(
+            400,
+            "CP1201",
+            *(
+                make_completion(b'{"model": "drawing", ' + rest + b"}")
+                for rest in (
+                    b'"model": 1',
+                    b'"model": ""',
+                    b'"stream": "yes"',
+                    b'"stream": 1',
+                    b'"max_tokens": "9"',
+                    b'"max_tokens": 0',
+                    b'"max_tokens": 1.5',
+                    b'"max_tokens": true',
+                    b'"model": "drawing"',
+                    b'"stream": true, "stream": false',
+                )
+            ),
+        )
+
     def test_half_a_character_names_no_model(self):
         """Guards against a name that cannot be written as UTF-8."""
         self.assert_rejected(
             404, "CP1204", make_completion(b'{"model": "\\ud800"}')
         )
 
+    def test_large_bodies_are_rejected(self):
+        """Guards against bodies beyond the limit, announced or not."""
+        large = make_completion(b"x" * 3000)
+        chunked = large.replace(
+            b"Content-Length: 3000", b"Transfer-Encoding: chunked"
+        )
+        head, _, body = chunked.partition(b"\r\n\r\n")
+        announced = make_completion().replace(
+            b"Content-Length: 20", b"Content-Length: 99999999999"
+        )
+        self.assert_rejected(
+            413,
+            "CP1202",
+            large,
+            head + b"\r\n\r\nbb8\r\n" + body + b"\r\n0\r\n\r\n",
+            announced,
+            max_body_bytes=2048,
+        )
+
 
 class TestHeaders(_RejectionTest):
     """Headers with noise."""
 
+    def test_noise_is_rejected(self):
+        """Guards against headers that are silently taken for something."""
+        self.assert_rejected(
+            400,
+            "CP1201",
+            make_completion(X_Priority="highest"),
+            make_completion(X_Priority=""),
+            make_completion(X_Priority="\xff"),
+            make_completion(X_Request_Timeout_Ms="-1"),
+            make_completion(X_Request_Timeout_Ms="1e3"),
+            make_completion(X_Request_Timeout_Ms="\xb2"),
+            make_completion(X_Request_Timeout_Ms="9" * 400),
+            make_completion(X_Request_Timeout_Ms=""),
+            make_call(_SEND, Idempotency_Key="k" * 256),
+            make_call(_SEND, Idempotency_Key="k\xe9"),
+            make_call(_SEND, Idempotency_Key="a\tb"),
+        )
+
     def test_deadline_in_the_past_is_rejected(self):
         """Guards against work for a caller that no longer waits."""
         self.assert_rejected(
@@ -73,6 +160,18 @@
             make_call(_SEND, Idempotency_Key=" "),
         )
 
+    def test_repeated_headers_are_rejected(self):
+        """Guards against a claim of one key and a call with another."""
+        again = [
+            make_call(_SEND, Idempotency_Key="a", idempotency_key="b"),
+            make_completion(authorization="Bearer secret"),
+            make_completion(X_Priority="bulk", x_priority="urgent"),
+            make_completion(
+                X_Request_Timeout_Ms="1", x_request_timeout_ms="9000"
+            ),
+        ]
+        self.assert_rejected(400, "CP1201", *again)
+
     def test_unknown_accounts_are_rejected(self):
         """Guards against access without a valid token."""
         call = make_completion()
@@ -154,6 +253,13 @@
 class TestFaults(testtools.TestCase):
     """Faults in the entry itself."""
 
+    def test_unexpected_fault_gets_a_code(self):
+        """Guards against an answer that says nothing of the verdict."""
+        answers, _ = _ask(make_completion(), fault=KeyError("x"))
+        self.assertEqual(500, answers[0].status)
+        self.assertEqual("CP1219", answers[0].error)
+        self.assertEqual("may_have_run", answers[0].headers["x-verdict"])
+
     def test_caller_that_goes_away_ends_its_request(self):
         """Guards against requests that stay in progress for nobody."""
 
