Reject repeated headers and keys that are not printable

Cause: of two Idempotency-Key headers the first was claimed and the last was sent to the service, so that the service could see a new key for a repeated call. Keys with control or non-ASCII characters were re-encoded on the way.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -50,7 +50,7 @@
 }
 _DEFAULT_STATUS = 503
 _METHOD_NOT_ALLOWED = 405
-_PASSED_HEADERS = frozenset({"content-type", "accept", "idempotency-key"})
+_PASSED_HEADERS = ("content-type", "accept", "idempotency-key")
 _MAX_KEY_LENGTH = 255
 # Backend servers may parse recursively.
 _MAX_DEPTH = 100
@@ -146,8 +146,24 @@
             return
 
 
+def _read_single(request: Request, name: str) -> str | None:
+    """Returns a header that must not be repeated; None if it is absent.
+
+    Raises:
+        ChicoryplankError: If there are several. The backend server might use
+            another one than the one that was checked.
+    """
+    values = request.headers.getlist(name)
+    if len(values) > 1:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST, f"the header {name} is repeated"
+        )
+    return values[0] if values else None
+
+
 def _read_token(request: Request) -> str:
-    scheme, _, token = request.headers.get("authorization", "").partition(" ")
+    header = _read_single(request, "authorization") or ""
+    scheme, _, token = header.partition(" ")
     if scheme.lower() != "bearer" or not token:
         raise ChicoryplankError(
             ErrorCode.UNKNOWN_ACCOUNT,
@@ -157,7 +173,7 @@
 
 
 def _read_timeout(request: Request, settings: EntrySettings) -> timedelta:
-    text = request.headers.get("x-request-timeout-ms")
+    text = _read_single(request, "x-request-timeout-ms")
     if text is None:
         return settings.limits.default_timeout
     max_ms = int(settings.limits.max_timeout.total_seconds() * 1000)
@@ -175,7 +191,7 @@
 
 
 def _read_priority(request: Request) -> Priority | None:
-    text = request.headers.get("x-priority")
+    text = _read_single(request, "x-priority")
     if text is None:
         return None
     if text not in _PRIORITIES:
@@ -218,11 +234,13 @@
 
 
 def _read_key(request: Request) -> str:
-    key = request.headers.get("idempotency-key", "")
-    if len(key) > _MAX_KEY_LENGTH:
+    key = _read_single(request, "idempotency-key") or ""
+    printable = key.isascii() and (not key or key.isprintable())
+    if not printable or len(key) > _MAX_KEY_LENGTH:
         raise ChicoryplankError(
             ErrorCode.MALFORMED_REQUEST,
-            f"Idempotency-Key is longer than {_MAX_KEY_LENGTH} characters",
+            f"Idempotency-Key must be up to {_MAX_KEY_LENGTH} printable ASCII "
+            "characters",
         )
     return key
 
@@ -507,8 +525,8 @@
         path, decoded_path = _read_service_path(request)
         headers = tuple(
             (name, value)
-            for name, value in request.headers.items()
-            if name in _PASSED_HEADERS
+            for name in _PASSED_HEADERS
+            if (value := _read_single(request, name)) is not None
         )
         return await self._dispatch(
             request,
