Answer unexpected faults with a code and a verdict

Cause: an exception in a handler ended in the plain text of starlette's error page, from which a caller cannot learn whether the request may have run.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -19,6 +19,8 @@
 from chicoryplank.blackboard import Blackboard
 from chicoryplank.configuration import EntrySettings, Priority
 from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.events import Event, emit
+from chicoryplank.verdict import Verdict
 from chicoryplank_entry import metrics
 from chicoryplank_entry.dispatch import Dispatcher
 from chicoryplank_entry.requests import CallerRequest, Kind, find_account
@@ -384,6 +386,23 @@
     )
 
 
+def _answer_fault(request: Request, error: Exception) -> Response:
+    """Returns the error of an unexpected fault, after which all goes on."""
+    emit(
+        Event.REQUEST_FAILED,
+        method=request.method,
+        path=request.url.path[:100],
+        error=repr(error),
+    )
+    failure = ChicoryplankError(
+        ErrorCode.INTERNAL_ERROR,
+        "the entry failed to serve the request",
+        Verdict.MAY_HAVE_RUN,
+    )
+    metrics.count_refusal(failure.code, failure.verdict.value)
+    return make_error_response(failure)
+
+
 async def _answer_unrouted(request: Request, error: HTTPException) -> Response:
     """Returns the error of a path or method that has no handler."""
     shown = f"{request.method} {request.url.path[:100]}"
@@ -461,6 +480,8 @@
                 return make_error_response(error)
             except ClientDisconnect:
                 return Response(status_code=400)
+            except Exception as error:
+                return _answer_fault(request, error)
 
         return Route(path, handle, methods=methods or ["GET"])
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
@@ -253,6 +253,13 @@
 class TestFaults(testtools.TestCase):
     """Faults in the entry itself."""
 
+    def test_unexpected_fault_gets_a_code(self):
+        """Guards against an answer that says nothing of the verdict."""
+        answers, _ = _ask(make_completion(), fault=KeyError("x"))
+        self.assertEqual(500, answers[0].status)
+        self.assertEqual("CP1219", answers[0].error)
+        self.assertEqual("may_have_run", answers[0].headers["x-verdict"])
+
     def test_caller_that_goes_away_ends_its_request(self):
         """Guards against requests that stay in progress for nobody."""
 
