Let the agent itself refuse malformed requests and messages

Causes, each with a test in test_noise.py that failed before: - Method, path and headers went to the HTTP client unchecked. A path such as "@host/" named another host, line breaks in a path or in the incarnation added headers, and Content-Length could contradict the body. - A path with ";" lost what follows it in the HTTP client. - A deadline beyond the year 9999 raised in the frame handler and ended the stream of all requests of its entry. - A budget of 49 days kept an attempt for as long. - grpclib bounds neither the size of a message nor streams, nor the wait for the first message.

Ruled out: flow control as a bound on messages, since grpclib acknowledges what it collects.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
@@ -7,8 +7,6 @@
 import uuid
 from datetime import timedelta
 
-from grpclib.server import Server
-
 from chicoryplank.attempts import AttemptTable
 from chicoryplank.clock import Clock, SystemClock
 from chicoryplank.configuration import AgentSettings
@@ -19,8 +17,9 @@
 from chicoryplank.logs import install_logs
 from chicoryplank.store import StoreError
 from chicoryplank_agent.backend import BackendClient
-from chicoryplank_agent.relay import RelayService
+from chicoryplank_agent.relay import MAX_BATCH_BODIES, RelayService
 from chicoryplank_wire import relay_pb2
+from chicoryplank_wire.peers import make_server
 from chicoryplank_wire.store import EtcdStore
 
 # An entry with 64 agents receives 32 idle reports a second, which fits the
@@ -57,7 +56,10 @@
             self.backend,
             registry=self.registry,
         )
-        self._server = Server([self.relay])
+        self._server = make_server(
+            [self.relay],
+            MAX_BATCH_BODIES * settings.limits.max_body_bytes,
+        )
         self._tasks: list[asyncio.Task] = []
         self.application = Application(f"agent {settings.instance}")
         self.application.add_hooks("store", stop=self._store.close)
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
@@ -3,9 +3,10 @@
 import asyncio
 import dataclasses
 import itertools
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 
-from grpclib.exceptions import StreamTerminatedError
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from chicoryplank.attempts import (
     AttemptKey,
@@ -21,11 +22,15 @@
 from chicoryplank.ids import Incarnation
 from chicoryplank.verdict import Verdict
 from chicoryplank_agent.backend import BackendClient, BackendRequest
+from chicoryplank_agent.checks import check_start, read_budget, read_deadline
 from chicoryplank_agent.claims import ClaimedRuns
 from chicoryplank_agent.outbox import Outbox
 from chicoryplank_wire import relay_pb2
+from chicoryplank_wire.peers import is_name
 from chicoryplank_wire.relay_grpc import RelayBase
 
+# An entry sends all requests that wait in one message.
+MAX_BATCH_BODIES = 64
 _BROKEN = (OSError, StreamTerminatedError)
 
 
@@ -98,14 +103,43 @@
         self._tasks: dict[AttemptKey, asyncio.Task] = {}
         self._abandon_timers: dict[Incarnation, asyncio.TimerHandle] = {}
         self._run_numbers = itertools.count(1)
+        self.stream_count = 0
         self.drain = Drain()
         self.load = relay_pb2.Load()
 
     async def Exchange(self, stream) -> None:  # noqa: N802
         """Serves one entry until its connection breaks."""
-        first = await stream.recv_message()
-        if first is None or not first.incarnation:
-            return
+        if self.stream_count >= self._settings.limits.max_connections:
+            raise GRPCError(
+                Status.RESOURCE_EXHAUSTED,
+                f"{self.stream_count} streams are open",
+            )
+        self.stream_count += 1
+        try:
+            await self._serve(stream, await self._receive_hello(stream))
+        finally:
+            self.stream_count -= 1
+
+    async def _receive_hello(self, stream) -> relay_pb2.EntryBatch:
+        """Returns the first message, which names the entry."""
+        limit_s = self._settings.limits.header_timeout.total_seconds()
+        try:
+            async with asyncio.timeout(limit_s):
+                first = await stream.recv_message()
+        except TimeoutError as error:
+            raise GRPCError(
+                Status.DEADLINE_EXCEEDED, "no first message in time"
+            ) from error
+        # The incarnation becomes part of a header and a path.
+        if first is None or not (
+            is_name(first.entry) and is_name(first.incarnation)
+        ):
+            raise GRPCError(
+                Status.INVALID_ARGUMENT, "no name of entry and incarnation"
+            )
+        return first
+
+    async def _serve(self, stream, first: relay_pb2.EntryBatch) -> None:
         incarnation = Incarnation(first.incarnation)
         outbox = Outbox(self._settings.flush_interval)
         self._outboxes[incarnation] = outbox
@@ -120,6 +154,13 @@
                 self._handle_batch(incarnation, outbox, batch)
         except _BROKEN as error:
             emit(Event.ENTRY_DISCONNECTED, entry=first.entry, error=error)
+        except GRPCError:
+            raise
+        except Exception as error:
+            emit(Event.BATCH_REJECTED, peer=first.entry, error=repr(error))
+            raise GRPCError(
+                Status.INVALID_ARGUMENT, "a message was rejected"
+            ) from error
         finally:
             writer.cancel()
             self._disconnect(incarnation, outbox)
@@ -207,12 +248,14 @@
         start: relay_pb2.Start,
     ) -> None:
         key = AttemptKey(incarnation, start.attempt)
+        limits = self._settings.limits
         try:
+            check_start(start, limits)
             record = self._table.admit(
                 key,
                 start.repeatable,
-                timedelta(milliseconds=start.budget_ms),
-                datetime.fromtimestamp(start.deadline_unix_ms / 1000, UTC),
+                read_budget(start, limits),
+                read_deadline(start),
             )
         except ChicoryplankError as error:
             outbox.add_refused(start.attempt, error)
