Reject malformed heartbeats before they have an effect

Cause: the sender of a heartbeat became a member before its address was looked at. An address without a port raised in the heartbeats of the entry that chose it as its parent, and their task ended for good: the entry no longer told or learnt versions and demand. A demand that is infinite made the sums of the fleet infinite.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/control.py
@@ -6,9 +6,13 @@
 from datetime import timedelta
 
 from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 
 from chicoryplank.blackboard import Blackboard, Instance
 from chicoryplank.clock import Clock
+from chicoryplank.configuration import is_address
+from chicoryplank.events import Event, emit
 from chicoryplank.ids import AccountId, ConfigVersion, InstanceId, ZoneId
 from chicoryplank.limits import Demand, Limiter, PeerDemand
 from chicoryplank.membership import (
@@ -26,13 +30,47 @@
 )
 from chicoryplank_wire import control_pb2
 from chicoryplank_wire.control_grpc import ControlBase, ControlStub
+from chicoryplank_wire.peers import is_name
 
 # A parent, a parent tried instead, and children that announce a version.
 _MAX_CHANNELS = 16
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+# Requests or tokens a second of one account; also excludes values that are
+# not finite.
+_MAX_DEMAND = 1e12
+_MAX_DEMANDS = 10_000
 # An entry without news from its parent reads the store itself.
 _MAX_PARENT_SILENCE = timedelta(seconds=3)
 
 
+def _check_heartbeat(request: control_pb2.HeartbeatRequest) -> None:
+    """Rejects what would end the heartbeats of this entry or spread.
+
+    Raises:
+        GRPCError: With INVALID_ARGUMENT.
+    """
+    sender = request.sender
+    problem = ""
+    if not is_name(sender.instance) or not is_name(sender.zone):
+        problem = "the names of the sender"
+    elif not is_address(sender.address) or (
+        sender.caller_address and not is_address(sender.caller_address)
+    ):
+        problem = "the addresses of the sender"
+    for update in (request.requests, request.tokens):
+        if len(update.changes) > _MAX_DEMANDS:
+            problem = f"{len(update.changes)} accounts"
+        # The sums of several entries are differences, and so may be slightly
+        # negative.
+        elif not all(abs(item.value) < _MAX_DEMAND for item in update.changes):
+            problem = "a demand"
+    if problem:
+        emit(
+            Event.BATCH_REJECTED, peer=repr(sender.instance[:64]), error=problem
+        )
+        raise GRPCError(Status.INVALID_ARGUMENT, f"rejected: {problem}")
+
+
 def _write_update(update: DemandUpdate) -> control_pb2.DemandUpdate:
     return control_pb2.DemandUpdate(
         number=update.number,
@@ -159,6 +197,7 @@
         request = await stream.recv_message()
         if request is None:
             return
+        _check_heartbeat(request)
         sender = request.sender
         peer = InstanceId(sender.instance)
         self._observe_member(sender)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -6,8 +6,6 @@
 import signal
 import uuid
 
-from grpclib.server import Server
-
 from chicoryplank.attempts import AttemptLedger
 from chicoryplank.blackboard import Blackboard, Instance
 from chicoryplank.clock import Clock, SystemClock
@@ -21,7 +19,11 @@
 from chicoryplank_entry.admission import AdmissionGate
 from chicoryplank_entry.caller_server import CallerServer, make_server
 from chicoryplank_entry.configuration import ConfigurationHolder
-from chicoryplank_entry.control import ControlService, DemandExchange
+from chicoryplank_entry.control import (
+    MAX_MESSAGE_BYTES,
+    ControlService,
+    DemandExchange,
+)
 from chicoryplank_entry.controllers import (
     announce_configuration,
     configure_limits,
@@ -36,6 +38,7 @@
 from chicoryplank_entry.relays import Relay, RelayPool
 from chicoryplank_entry.selection import Selector
 from chicoryplank_wire.http import make_client
+from chicoryplank_wire.peers import make_server as make_peer_server
 from chicoryplank_wire.store import EtcdStore
 
 
@@ -85,7 +88,9 @@
         self._client = make_client(1)
         self._tasks: list[asyncio.Task] = []
         self.control = self._make_control()
-        self._control_server = Server([self.control])
+        self._control_server = make_peer_server(
+            [self.control], MAX_MESSAGE_BYTES
+        )
         self._server = self._make_server()
         self.application = Application(f"entry {settings.instance}")
         self._add_hooks()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_control.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 
 import testtools
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 
 from chicoryplank.blackboard import Blackboard, Instance
@@ -21,6 +23,8 @@
 from chicoryplank.membership import MembershipParameters
 from chicoryplank_entry.configuration import ConfigurationHolder
 from chicoryplank_entry.control import ControlService, DemandExchange
+from chicoryplank_wire import control_pb2
+from chicoryplank_wire.control_grpc import ControlStub
 
 _PARAMETERS = MembershipParameters(
     heartbeat_interval=timedelta(milliseconds=20), watchers_per_zone=1
@@ -55,6 +59,7 @@
             self.store, self.blackboard, self.clock, timedelta(seconds=60)
         )
         limiter = Limiter(self.clock.now())
+        self.demand = DemandExchange(limiter, _PARAMETERS)
         port = await _find_port()
         self.instance = Instance(
             InstanceId(self.name), "entry", ZoneId("a"), f"127.0.0.1:{port}"
@@ -65,7 +70,7 @@
             self.clock,
             blackboard=self.blackboard,
             holder=holder,
-            demand=DemandExchange(limiter, _PARAMETERS),
+            demand=self.demand,
         )
         self.server = Server([self.service])
         await self.server.start("127.0.0.1", port)
@@ -155,3 +160,78 @@
 
         expected = [frozenset({"agent-2"})] * 2
         self.assertEqual(expected, self._run(work))
+
+
+class TestNoise(testtools.TestCase):
+    """Messages that no entry of ours would send."""
+
+    def _send(self, **changes):
+        """Returns the status of a heartbeat and the state after it."""
+        sender = {
+            "instance": "entry-9",
+            "zone": "a",
+            "address": "127.0.0.1:9",
+            "caller_address": "127.0.0.1:8",
+        }
+        message = {"sender": sender | changes.pop("sender", {})} | changes
+
+        async def run():
+            entry = _Entry("entry-1", MemoryStore(SystemClock()))
+            await entry.listen()
+            entry.run((entry.instance,))
+            host, port = entry.instance.address.rsplit(":", 1)
+            channel = Channel(host, int(port))
+            try:
+                await ControlStub(channel).Heartbeat(
+                    control_pb2.HeartbeatRequest(**message), timeout=5
+                )
+                status = "OK"
+            except GRPCError as error:
+                status = error.status.name
+            # Some heartbeats to a parent that was learnt from the message.
+            await asyncio.sleep(0.1)
+            members = entry.service.membership.get_members(entry.clock.now())
+            fleet = entry.demand._sums[0].sum_fleet()
+            ended = [task for task in entry.tasks if task.done()]
+            channel.close()
+            await entry.close()
+            return status, len(members), fleet, ended
+
+        return asyncio.run(run())
+
+    def test_malformed_senders_are_rejected(self):
+        """Guards against an address that ends the heartbeats of an entry."""
+        for field, value in (
+            ("address", "nowhere"),
+            ("address", "127.0.0.1:port"),
+            ("address", ""),
+            ("caller_address", "x"),
+            ("instance", ""),
+            ("instance", "a\nb"),
+            ("instance", "a" * 5000),
+            ("zone", ""),
+        ):
+            found = self._send(sender={field: value})
+            self.assertEqual(("INVALID_ARGUMENT", 1, {}, []), found)
+
+    def test_absurd_demand_is_rejected(self):
+        """Guards against limits that become infinite or no number."""
+        for value in (float("nan"), float("inf"), 1e300):
+            update = control_pb2.DemandUpdate(
+                number=1,
+                is_full=True,
+                changes=[control_pb2.Demand(account="a", value=value)],
+            )
+            found = self._send(requests=update)
+            self.assertEqual(("INVALID_ARGUMENT", 1, {}, []), found)
+
+    def test_excessive_demand_is_rejected(self):
+        """Guards against sums of accounts without bound."""
+        changes = [
+            control_pb2.Demand(account=f"a{number}", value=1)
+            for number in range(10_001)
+        ]
+        update = control_pb2.DemandUpdate(
+            number=1, is_full=True, changes=changes
+        )
+        self.assertEqual("INVALID_ARGUMENT", self._send(tokens=update)[0])
