--- a/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
@@ -8,8 +8,6 @@
 import uuid
 from datetime import timedelta
 
-from grpclib.server import Server
-
 from chicoryplank.attempts import AttemptTable
 from chicoryplank.clock import Clock, SystemClock
 from chicoryplank.configuration import AgentSettings
@@ -21,8 +19,9 @@
 from chicoryplank.store import StoreError
 from chicoryplank_agent.backend import BackendClient
 from chicoryplank_agent.orders import OrderService
-from chicoryplank_agent.relay import RelayService
+from chicoryplank_agent.relay import MAX_BATCH_BODIES, RelayService
 from chicoryplank_wire import relay_pb2
+from chicoryplank_wire.peers import make_server
 from chicoryplank_wire.store import EtcdStore
 
 # An entry with 64 agents receives 32 idle reports a second, which fits the
@@ -67,7 +66,10 @@
             clock,
             random_source=random.Random(),
         )
-        self._server = Server([self.relay, self.orders])
+        self._server = make_server(
+            [self.relay, self.orders],
+            MAX_BATCH_BODIES * settings.limits.max_body_bytes,
+        )
         self._tasks: list[asyncio.Task] = []
         self.application = Application(f"agent {settings.instance}")
         self.application.add_hooks("store", stop=self._store.close)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
@@ -8,6 +8,7 @@
 from chicoryplank.clock import Clock
 from chicoryplank.configuration import Snapshot
 from chicoryplank.ids import InstanceId, ZoneId
+from chicoryplank.rendezvous import rank
 from chicoryplank.routing import (
     Candidate,
     LoadReport,
@@ -73,17 +74,11 @@
     return (candidate.instance for candidate in subset)
 
 
-def _choose_far(own: Instance, agents: list[Instance]) -> Iterable[InstanceId]:
+def _choose_far(own: Instance, agents: list[Instance]) -> list[InstanceId]:
     # Comparing all entries with all replicas would take seconds at 560 by
     # 12,000, so the entry takes those that it prefers itself.
-    subset = choose_subset(
-        own.instance,
-        (),
-        [_make_plain(agent) for agent in agents if agent.zone != own.zone],
-        0,
-        _MIN_AGENTS,
-    )
-    return (candidate.instance for candidate in subset)
+    far = [agent.instance for agent in agents if agent.zone != own.zone]
+    return rank(own.instance, far)[:_MIN_AGENTS]
 
 
 def _make_plain(agent: Instance) -> Candidate:
