Let concurrent deletions of claim segments agree

Two deletions of one shard, or one that overlaps a reload, failed with a KeyError when the first had dropped the segment from the view while the second waited for the store. A deletion that another agent had made was counted, and a failure between two deletions left the claims of the first in the index.

--- a/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
@@ -114,9 +114,7 @@
         if known is not None:
             if known.revision >= stored.revision:
                 return
-            for claim in known.segment.claims:
-                if self._claims.get(claim.key) == claim:
-                    del self._claims[claim.key]
+            self._drop_claims(known.segment)
         self._segments[number] = stored
         for claim in stored.segment.claims:
             held = self._claims.get(claim.key)
@@ -227,9 +225,14 @@
             if expiry_s > now.timestamp():
                 break
             key = self._make_key(number)
-            await store.delete(key, stored.revision)
-            del self._segments[number]
-            deleted += 1
-        if deleted:
-            self._index()
+            outcome = await store.delete(key, stored.revision)
+            deleted += outcome is SwapOutcome.SWAPPED
+            # Another call may have dropped it during the wait.
+            if self._segments.pop(number, None) is not None:
+                self._drop_claims(stored.segment)
         return deleted
+
+    def _drop_claims(self, segment: Segment) -> None:
+        for claim in segment.claims:
+            if self._claims.get(claim.key) == claim:
+                del self._claims[claim.key]
--- a/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
@@ -284,6 +284,27 @@
         self.assertEqual("admitted", again)
         self.assertNotEqual("admitted", twice)
 
+    def test_concurrent_deletions_of_segments(self):
+        """Guards against a failure when two calls delete one segment."""
+
+        async def run():
+            registry = self._make_registry()
+            for number in range(4):
+                key = f"00000000{number:024x}"
+                await registry.admit(key, _BODY, f"a{number}")
+            self.clock.advance(self.settings.retention * 2)
+            inner = self.store.delete
+
+            async def delete_late(*arguments):
+                await asyncio.sleep(0)
+                return await inner(*arguments)
+
+            self.store.delete = delete_late
+            calls = (registry.delete_expired() for _ in range(2))
+            return sum(await asyncio.gather(*calls))
+
+        self.assertEqual(1, asyncio.run(run()))
+
     def test_expired_segments_are_deleted(self):
         """Guards against claims that fill the store for ever."""
 
