Check the bound on waiting claims at the second submission

A claim that is submitted again after a refresh passed over the bound on waiting claims, so each request in that stage could add one more.

--- a/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
@@ -246,6 +246,7 @@
         # The view may be old; another agent may have released the claim.
         await writer.shard.refresh(self._store)
         if writer.shard.find(claim.key, self._clock.now()) is None:
+            self._check_bounds(writer)
             held = await writer.submit(claim)
         return held
 
--- a/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
@@ -284,6 +284,53 @@
         self.assertEqual("admitted", again)
         self.assertNotEqual("admitted", twice)
 
+    def test_repeated_submission_keeps_the_bound(self):
+        """Guards against more waiting claims than the limit."""
+
+        async def run():
+            self.settings = ClaimSettings(
+                write_interval=timedelta(), max_waiting=1
+            )
+            first, second = self._make_registry(), self._make_registry()
+            await first.admit(_KEY, _BODY, "a")
+            await self._try_admit(second, "b")
+            await first.release(_KEY, "a")
+            gate, inner = asyncio.Event(), self.store.read
+
+            async def read_late(key):
+                await gate.wait()
+                return await inner(key)
+
+            self.store.read = read_late
+            again = asyncio.create_task(self._try_admit(second, "c"))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            swap, lock = self.store.swap, asyncio.Event()
+
+            async def swap_late(*arguments):
+                await lock.wait()
+                return await swap(*arguments)
+
+            self.store.swap = swap_late
+            others = []
+            for number in range(2):
+                key = f"00000000{number:024x}"
+                others.append(
+                    asyncio.create_task(
+                        self._try_admit(second, f"d{number}", key)
+                    )
+                )
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+            gate.set()
+            result = await asyncio.wait_for(again, 1)
+            lock.set()
+            return result, await asyncio.gather(*others)
+
+        again, others = asyncio.run(run())
+        self.assertEqual((ErrorCode.TOO_MANY_CLAIMS, Verdict.NOT_RUN), again)
+        self.assertEqual(["admitted", "admitted"], others)
+
     def test_concurrent_deletions_of_segments(self):
         """Guards against a failure when two calls delete one segment."""
 
