--- a/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
@@ -116,12 +116,14 @@
             )
         self.stream_count += 1
         try:
-            await self._serve(stream, await self._receive_hello(stream))
+            first = await self._receive_hello(stream)
+            if first is not None:
+                await self._serve(stream, first)
         finally:
             self.stream_count -= 1
 
-    async def _receive_hello(self, stream) -> relay_pb2.EntryBatch:
-        """Returns the first message, which names the entry."""
+    async def _receive_hello(self, stream) -> relay_pb2.EntryBatch | None:
+        """Returns the first message, which names the entry, if one comes."""
         limit_s = self._settings.limits.header_timeout.total_seconds()
         try:
             async with asyncio.timeout(limit_s):
@@ -131,9 +133,9 @@
                 Status.DEADLINE_EXCEEDED, "no first message in time"
             ) from error
         # The incarnation becomes part of a header and a path.
-        if first is None or not (
-            is_name(first.entry) and is_name(first.incarnation)
-        ):
+        if first is None:
+            return None
+        if not (is_name(first.entry) and is_name(first.incarnation)):
             raise GRPCError(
                 Status.INVALID_ARGUMENT, "no name of entry and incarnation"
             )
--- a/packages/chicoryplank/src/chicoryplank/configuration/tests/test_model.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/tests/test_model.py
@@ -145,7 +145,7 @@
     def test_missing_read_back_is_caught(self):
         """Guards against a model without lost answers."""
         with mock.patch.object(_confirm, "_find_operation", _find_nothing):
-            self.assertIn("NOT_RUN", find_violation())
+            self.assertIn("NOT_RUN", find_violation(strict=True))
 
     def test_collection_without_comparison_is_caught(self):
         """Guards against a model whose collections never race."""
