--- a/packages/chicoryplank/src/chicoryplank/limits/_concurrency.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_concurrency.py
@@ -95,7 +95,7 @@
             self._request_count += 1
             self._request_elapsed += elapsed
         if (
-            self._count >= max(self._MIN_SAMPLES, self._peak / 2)
+            self._count >= max(self._MIN_SAMPLES, self._value / 2)
             and now - self._since >= self._MIN_WINDOW_S
         ):
             self._adapt(now)
