--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -210,7 +210,7 @@
 
 
 def run_load(make_entry, sources, options, service=False):
-    """Runs a load and returns the calls that arrived after the warm-up.
+    """Runs a load and returns all calls.
 
     Args:
         make_entry: Class of the entries.
@@ -245,10 +245,29 @@
     # Calls are judged by their arrival, so the load goes on until the last
     # of them has ended.
     simulation.run(end + max(DEADLINES_S.values()))
-    calls = [call for entry in entries for call in entry.calls]
+    return [call for entry in entries for call in entry.calls]
+
+
+def choose_arrived(calls, options):
+    """Returns the calls that arrived in the measured time."""
+    end = WARM_UP_S + options.duration
     return [call for call in calls if WARM_UP_S <= call.arrived < end]
 
 
+def choose_ended(calls, options):
+    """Returns the calls that were answered in the measured time.
+
+    Goodput counts these, because a queue that grows while it is measured
+    would count as served if calls were chosen by their arrival.
+    """
+    end = WARM_UP_S + options.duration
+    return [
+        call
+        for call in calls
+        if call.ended is not None and WARM_UP_S <= call.ended < end
+    ]
+
+
 def draw_mixed(rng):
     """Draws an account and a class."""
     priority = rng.choices(list(PARTS), list(PARTS.values()))[0]
@@ -296,9 +315,13 @@
     ):
         sources = [(load * rate, draw_mixed)]
         calls = run_load(policy, sources, options, service)
-        good = [call for call in calls if call.ended is not None]
+        good = choose_ended(calls, options)
         tokens = sum(call.tokens for call in good) / options.duration
-        urgent = [call for call in calls if call.priority is Priority.URGENT]
+        urgent = [
+            call
+            for call in choose_arrived(calls, options)
+            if call.priority is Priority.URGENT
+        ]
         in_time = sum(call.ended is not None for call in urgent)
         print(
             f"| {load} | {name} | {len(good) / options.duration / rate:.3f} "
@@ -320,7 +343,9 @@
         for label, sources in (("no", [urgent]), ("yes", [urgent, bulk])):
             calls = [
                 call
-                for call in run_load(policy, sources, options)
+                for call in choose_arrived(
+                    run_load(policy, sources, options), options
+                )
                 if call.priority is Priority.URGENT
             ]
             in_time = sum(call.ended is not None for call in calls) / len(calls)
@@ -352,9 +377,8 @@
     for name, policy in POLICIES.items():
         calls = run_load(policy, sources, options)
         served = collections.Counter()
-        for call in calls:
-            if call.ended is not None:
-                served[call.account] += call.tokens
+        for call in choose_ended(calls, options):
+            served[call.account] += call.tokens
         ratios = [
             served[f"account-{number}"] / (part * capacity * options.duration)
             for number, part in enumerate(fair)
