Shorten the report decay to 200 ms

Cause: with the load of requests just sent in place, older reports do more harm than good at their former weight.

--- a/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
@@ -52,7 +52,7 @@
 
     choices: int = 2
     deciding_entries: int = 1
-    report_decay: timedelta = timedelta(milliseconds=300)
+    report_decay: timedelta = timedelta(milliseconds=200)
     recent_weight: float = 5.0
     recent_time: timedelta = timedelta(milliseconds=100)
     zone_penalty: float = 10.0
