Ignore late demand of a former parent

Cause: any peer but the parent counted as a child, so a late response of a former parent added the whole fleet to the subtree for 4 s.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -330,9 +330,9 @@
         began = time.perf_counter()
         membership.choose_links(_EPOCH + elapsed)
         update = sums["child"].choose(names["parent"])
-        sums["parent"].observe(names["child"], update, elapsed)
+        sums["parent"].observe_child(names["child"], update, elapsed)
         update = sums["parent"].choose(names["child"])
-        sums["child"].observe(names["parent"], update, elapsed)
+        sums["child"].observe_parent(names["parent"], update, elapsed)
         spent += time.perf_counter() - began
     return spent * 1e6 / rounds
 
--- a/packages/chicoryplank/src/chicoryplank/membership/_demand.py
+++ b/packages/chicoryplank/src/chicoryplank/membership/_demand.py
@@ -161,21 +161,30 @@
         if parent is None:
             self._fleet = {}
 
-    def observe(
-        self, peer: InstanceId, update: DemandUpdate, elapsed: timedelta
+    def observe_child(
+        self, child: InstanceId, update: DemandUpdate, elapsed: timedelta
     ) -> None:
-        """Takes an update of the parent or of a child.
+        """Takes the update of a child's heartbeat.
 
         Args:
-            peer: Who sent it; any peer but the parent is a child.
-            update: The update.
+            child: Who sent the heartbeat.
+            update: The demand of its subtree.
             elapsed: Time since boot.
         """
+        if child != self.parent:
+            self._children.setdefault(child, _Link()).observe(update, elapsed)
+
+    def observe_parent(
+        self, peer: InstanceId, update: DemandUpdate, elapsed: timedelta
+    ) -> None:
+        """Takes the update of a response to a heartbeat.
+
+        A late response of a former parent is ignored; counted as demand of a
+        child, it would add the whole fleet to the subtree.
+        """
         if peer == self.parent:
             self._up.observe(update, elapsed)
             self._fleet = self._up.received
-            return
-        self._children.setdefault(peer, _Link()).observe(update, elapsed)
 
     def drop_silent(self, elapsed: timedelta) -> None:
         """Drops children that sent nothing for max_silence."""
--- a/packages/chicoryplank/src/chicoryplank/membership/tests/test_membership.py
+++ b/packages/chicoryplank/src/chicoryplank/membership/tests/test_membership.py
@@ -330,10 +330,11 @@
         update = self.sums[child].choose(InstanceId("r"))
         if lose_request:
             return update
-        self.sums["r"].observe(child, update, self.elapsed)
+        self.sums["r"].observe_child(child, update, self.elapsed)
         response = self.sums["r"].choose(child)
         if not lose_response:
-            self.sums[child].observe(InstanceId("r"), response, self.elapsed)
+            parent = InstanceId("r")
+            self.sums[child].observe_parent(parent, response, self.elapsed)
         return update
 
     def test_all_learn_the_total(self):
@@ -407,3 +408,14 @@
         self.assertNotEqual({}, self.sums["r"].sum_fleet())
         self.sums["r"].drop_silent(self.elapsed + timedelta(seconds=5))
         self.assertEqual({}, self.sums["r"].sum_fleet())
+
+    def test_late_response_of_a_former_parent(self):
+        """Guards against counting the fleet as demand of a child."""
+        self.sums["r"].observe_own({AccountId("x"): 50.0})
+        self.sums["a"].observe_own({AccountId("x"): 5.0})
+        self._beat("a", lose_response=True)
+        late = self.sums["r"].choose(InstanceId("a"))
+        self.sums["a"].replace_parent(InstanceId("b"))
+        self.sums["a"].observe_parent(InstanceId("r"), late, self.elapsed)
+        subtree = self.sums["a"].sum_subtree()
+        self.assertEqual({AccountId("x"): 5.0}, subtree)
