Take reported progress at the time of receipt

Conclusion: a stall is noticed later by the age of the reports, if the entry has no output of its own.

--- a/packages/chicoryplank/src/chicoryplank/routing/_replica.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_replica.py
@@ -114,7 +114,9 @@
             self._pending -= changes.popleft()[1]
         if report.output_count != self._output_count:
             self._output_count = report.output_count
-            self.observe_progress(measured_at)
+            # With the time of measurement, reports older than the stall
+            # timeout would make every busy replica look stalled.
+            self.observe_progress(received)
 
     def observe_progress(self, now: float) -> None:
         """Records that the replica produces output; it ends a stall."""
--- a/packages/chicoryplank/src/chicoryplank/routing/tests/test_routing.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/tests/test_routing.py
@@ -283,6 +283,19 @@
         policy.observe(LoadReport(InstanceId("r1"), 9, 0, _after(2.5)))
         self.assertIn("r0", _count_choices(policy, candidates, _after(2.5)))
 
+    def test_old_reports_do_not_eject(self):
+        """Guards against ejecting the fleet when reports lag by seconds."""
+        policy = _make_policy()
+        candidates = _make_candidates(4)
+        self._stall(policy, candidates, [item.instance for item in candidates])
+        age = timedelta(seconds=3)
+        for tenth in range(1, 60):
+            now = _after(tenth / 10)
+            for item in candidates:
+                policy.observe(LoadReport(item.instance, 1, 0, now, age, tenth))
+            policy.choose(RoutingRequest(), candidates, now)
+        self.assertEqual([], self.log.records)
+
     def test_floor(self):
         """Guards against ejecting the whole fleet for one network fault."""
         policy = _make_policy(min_in_service=0.75)
