--- a/packages/chicoryplank/src/chicoryplank/routing/_fleet.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_fleet.py
@@ -43,6 +43,8 @@
         self._replicas: dict[InstanceId, Replica] = {}
         self._pools: dict[tuple[str, str], Pool] = {}
         self._swept_at = float("-inf")
+        self._sweepable: list[Replica] = []
+        self._ejected: set[InstanceId] | None = None
 
     def get(self, instance: InstanceId) -> Replica | None:
         """Returns the state of a replica, if it is known."""
@@ -66,6 +68,13 @@
                 self._replicas[candidate.instance] = replica
             replica.candidate = candidate
             replica.local = candidate.zone == self._zone
+        self._sweepable = [
+            self._replicas[candidate.instance]
+            for candidate in candidates
+            if not candidate.leaving
+        ]
+        # The next sweep compares with the state of each replica.
+        self._ejected = None
         names = {candidate.instance for candidate in candidates}
         gone = [
             name
@@ -86,20 +95,23 @@
             return
         self._swept_at = now
         faults = []
-        members = 0
-        for candidate in self._candidates:
-            replica = self._replicas[candidate.instance]
-            members += not candidate.leaving
+        for replica in self._sweepable:
+            # Most replicas of a large deployment are idle for this entry.
+            if replica.in_flight == 0 and replica.fault_since is None:
+                continue
             since = replica.find_fault_time(now)
-            if since is not None and not candidate.leaving:
-                faults.append((since, replica.name, replica))
+            if since is not None:
+                faults.append((since, replica.name))
         faults.sort()
-        allowed = int(members * (1 - self._parameters.min_in_service))
-        self._apply({item[2].name for item in faults[:allowed]}, now)
+        share = 1 - self._parameters.min_in_service
+        allowed = int(len(self._sweepable) * share)
+        ejected = {name for _, name in faults[:allowed]}
+        if ejected != self._ejected:
+            self._ejected = ejected
+            self._apply(ejected, now)
 
     def _apply(self, ejected: set[InstanceId], now: float) -> None:
-        for candidate in self._candidates:
-            replica = self._replicas[candidate.instance]
+        for replica in self._sweepable:
             if replica.ejected == (replica.name in ejected):
                 continue
             self._pools.clear()
--- a/packages/chicoryplank/src/chicoryplank/routing/_replica.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_replica.py
@@ -36,13 +36,13 @@
         key: Digest of the id for rendezvous hashing.
         in_flight: Own requests in flight.
         ejected: Whether it is out of service.
+        fault_since: When it was last known to work, if it has a fault.
     """
 
     __slots__ = (
         "_begun_at",
         "_changes",
         "_decay_s",
-        "_fault_since",
         "_failures",
         "_in_flight_cost",
         "_is_stall",
@@ -60,6 +60,7 @@
         "_waiting_since",
         "candidate",
         "ejected",
+        "fault_since",
         "in_flight",
         "key",
         "local",
@@ -91,7 +92,7 @@
         self._waiting_since = 0.0
         self._failures = 0
         self._strikes = 0
-        self._fault_since: float | None = None
+        self.fault_since: float | None = None
         self._is_stall = False
         self._retry_at = float("-inf")
         self._ramp_time = parameters.slow_start.total_seconds()
@@ -123,7 +124,7 @@
         if now > self._waiting_since:
             self._waiting_since = now
             if self._is_stall and self.in_flight:
-                self._fault_since = None
+                self.fault_since = None
 
     def begin(self, cost: float, now: float) -> None:
         """Counts a request that was sent to the replica."""
@@ -160,11 +161,11 @@
             self._reported = (self._reported or 0.0) + folded
 
     def _begin_fault(self, since: float, now: float, is_stall: bool) -> None:
-        if self._fault_since is not None:
+        if self.fault_since is not None:
             return
         doublings = min(self._strikes, _MAX_BACKOFF_DOUBLINGS)
         ejection = self._parameters.ejection.total_seconds()
-        self._fault_since = since
+        self.fault_since = since
         self._is_stall = is_stall
         self._retry_at = now + ejection * 2**doublings
         self._strikes += 1
@@ -179,9 +180,9 @@
         timeout = self._parameters.stall_timeout.total_seconds()
         if self.in_flight and now - self._waiting_since > timeout:
             self._begin_fault(self._waiting_since, now, is_stall=True)
-        elif self._fault_since is not None and now >= self._retry_at:
-            self._fault_since = None
-        return self._fault_since
+        elif self.fault_since is not None and now >= self._retry_at:
+            self.fault_since = None
+        return self.fault_since
 
     def return_to_service(self, now: float) -> None:
         """Ends an ejection; the share grows again as for a new replica."""
--- a/packages/chicoryplank/src/chicoryplank/routing/tests/test_routing.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/tests/test_routing.py
@@ -296,6 +296,17 @@
             policy.choose(RoutingRequest(), candidates, now)
         self.assertEqual([], self.log.records)
 
+    def test_return_after_a_change_of_candidates(self):
+        """Guards against a replica that stays ejected for ever."""
+        policy = _make_policy(slow_start=timedelta(milliseconds=1))
+        candidates = _make_candidates(4)
+        self._stall(policy, candidates, ["r0"])
+        policy.choose(RoutingRequest(), candidates, _after(2))
+        policy.end(InstanceId("r0"), 1.0, _after(3), True)
+        changed = _make_candidates(5)
+        counts = _count_choices(policy, changed, _after(20))
+        self.assertIn("r0", counts)
+
     def test_floor(self):
         """Guards against ejecting the whole fleet for one network fault."""
         policy = _make_policy(min_in_service=0.75)
