--- a/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_parameters.py
@@ -23,7 +23,9 @@
     Attributes:
         choices: Replicas that are compared for each request.
         deciding_entries: Entries that send to the same replicas.
-        report_decay: Age at which the weight of a report has fallen to 37 %.
+        report_decay: Age at which the weight of a report has fallen to 37 %,
+            if one entry decides; it grows with the fourth root of the number
+            of deciding entries.
         recent_weight: Load that a request adds at the moment it is sent.
         recent_time: Time in which that load falls to 37 %.
         zone_penalty: Load by which a replica in another zone must be better.
@@ -52,7 +54,7 @@
 
     choices: int = 2
     deciding_entries: int = 1
-    report_decay: timedelta = timedelta(milliseconds=200)
+    report_decay: timedelta = timedelta(milliseconds=120)
     recent_weight: float = 5.0
     recent_time: timedelta = timedelta(milliseconds=100)
     zone_penalty: float = 10.0
--- a/packages/chicoryplank/src/chicoryplank/routing/_replica.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_replica.py
@@ -77,7 +77,12 @@
         self.in_flight = 0
         self.ejected = False
         self._parameters = parameters
-        self._decay_s = parameters.report_decay.total_seconds()
+        # The more entries decide, the less the own requests say about the
+        # load of a replica, so an old report keeps more of its weight.
+        self._decay_s = (
+            parameters.report_decay.total_seconds()
+            * parameters.deciding_entries**0.25
+        )
         self._recent_s = parameters.recent_time.total_seconds()
         self._begun_at = float("-inf")
         self._own_weight = math.sqrt(parameters.deciding_entries)
