--- a/packages/chicoryplank-entry/src/chicoryplank_entry/control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/control.py
@@ -134,16 +134,27 @@
             _write_update(tokens.choose(peer)),
         )
 
-    def observe(
+    def observe_child(
         self,
-        peer: InstanceId,
+        child: InstanceId,
         requests: control_pb2.DemandUpdate,
         tokens: control_pb2.DemandUpdate,
         elapsed: timedelta,
     ) -> None:
-        """Takes the updates of a peer."""
+        """Takes the updates of a child's heartbeat."""
         for sums, message in zip(self._sums, (requests, tokens), strict=True):
-            sums.observe(peer, _read_update(message), elapsed)
+            sums.observe_child(child, _read_update(message), elapsed)
+
+    def observe_parent(
+        self,
+        parent: InstanceId,
+        requests: control_pb2.DemandUpdate,
+        tokens: control_pb2.DemandUpdate,
+        elapsed: timedelta,
+    ) -> None:
+        """Takes the updates of the response to a heartbeat."""
+        for sums, message in zip(self._sums, (requests, tokens), strict=True):
+            sums.observe_parent(parent, _read_update(message), elapsed)
 
     def publish(self, clock: Clock, heard: int) -> None:
         """Tells the limiter the sums over the fleet."""
@@ -201,7 +212,7 @@
         sender = request.sender
         peer = InstanceId(sender.instance)
         self._observe_member(sender)
-        self._demand.observe(
+        self._demand.observe_child(
             peer, request.requests, request.tokens, self._clock.elapsed()
         )
         self._holder.observe_contact()
@@ -295,7 +306,7 @@
         self._heard_at = self._clock.elapsed()
         self._holder.observe_contact()
         self.membership.observe(Heard(parent, now, reply.leaving))
-        self._demand.observe(
+        self._demand.observe_parent(
             parent, reply.requests, reply.tokens, self._clock.elapsed()
         )
         await self._holder.observe_version(
