--- a/packages/chicoryplank/src/chicoryplank/attempts/_table.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/_table.py
@@ -13,6 +13,8 @@
 from chicoryplank.verdict import Verdict
 
 _RETRY_SOON = timedelta(seconds=1)
+# A look through 4,096 attempts takes 0.5 ms.
+_BURY_INTERVAL = timedelta(seconds=1)
 
 
 class RunState(enum.Enum):
@@ -44,6 +46,8 @@
         key: Name of the attempt.
         repeatable: Whether the request is idempotent.
         deadline: Boot time at which the attempt is abandoned.
+        last_start: Boot time after which a repeated start message of the
+            attempt is rejected as late.
         state: Progress.
         status: HTTP status of the backend server; 0 before it answered.
         headers: Response headers as (name, value).
@@ -56,6 +60,7 @@
     key: AttemptKey
     repeatable: bool
     deadline: timedelta
+    last_start: timedelta
     state: RunState = RunState.QUEUED
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
@@ -78,6 +83,19 @@
     started: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refusal:
+    """Refused attempts of one entry incarnation.
+
+    Attributes:
+        sequence: Highest number that was refused.
+        end: Boot time after which a start message would be too late.
+    """
+
+    sequence: int
+    end: timedelta
+
+
 class AttemptTable:
     """Attempts of one agent incarnation.
 
@@ -110,6 +128,8 @@
         self._tombstones: collections.OrderedDict[AttemptKey, _Tombstone] = (
             collections.OrderedDict()
         )
+        self._refusals: dict[Incarnation, _Refusal] = {}
+        self._buried_at = clock.elapsed()
         self.draining = False
 
     def __len__(self) -> int:
@@ -150,11 +170,28 @@
             message is a duplicate.
 
         Raises:
-            ChicoryplankError: If the attempt must not start; it has not run.
+            ChicoryplankError: If the attempt must not start; the verdict says
+                whether it may have run before.
         """
         if key in self._records:
             return None
         self._forget_expired()
+        try:
+            self._check_start(key, deadline)
+        except ChicoryplankError:
+            self._remember_refusal(key)
+            raise
+        elapsed = self._clock.elapsed()
+        # Until then this clock may go back by the skew, beside the skew that
+        # a start message is allowed.
+        left = deadline - self._clock.now() + 2 * self._max_clock_skew
+        record = AttemptRecord(
+            key, repeatable, elapsed + budget, elapsed + left
+        )
+        self._records[key] = record
+        return record
+
+    def _check_start(self, key: AttemptKey, deadline: datetime) -> None:
         tombstone = self._tombstones.get(key)
         if tombstone is not None:
             raise ChicoryplankError(
@@ -162,6 +199,12 @@
                 f"attempt {key.sequence} was abandoned before it arrived",
                 Verdict.MAY_HAVE_RUN if tombstone.started else Verdict.NOT_RUN,
             )
+        refusal = self._refusals.get(key.incarnation)
+        if refusal is not None and key.sequence <= refusal.sequence:
+            raise ChicoryplankError(
+                ErrorCode.ATTEMPT_ABANDONED,
+                f"attempt {key.sequence} was refused before",
+            )
         if self.draining:
             raise ChicoryplankError(
                 ErrorCode.SHUTTING_DOWN,
@@ -173,15 +216,31 @@
                 ErrorCode.DEADLINE_EXCEEDED,
                 "the attempt arrived after its deadline",
             )
+        self._bury_ended()
         if len(self._records) >= self._limits.max_requests or self._is_full():
             raise ChicoryplankError(
                 ErrorCode.TOO_MANY_REQUESTS,
                 f"{len(self._records)} attempts are in progress",
                 retry_after=_RETRY_SOON,
             )
-        record = AttemptRecord(key, repeatable, self._clock.elapsed() + budget)
-        self._records[key] = record
-        return record
+
+    def _remember_refusal(self, key: AttemptKey) -> None:
+        """Keeps a refused attempt from starting by a repeated message.
+
+        An entry sends its attempts in the order of their numbers, so the
+        highest refused number stands for all below it that are unknown.
+        """
+        elapsed = self._clock.elapsed()
+        for incarnation in list(self._refusals):
+            if self._refusals[incarnation].end > elapsed:
+                break
+            del self._refusals[incarnation]
+        known = self._refusals.pop(key.incarnation, None)
+        sequence = key.sequence
+        if known is not None:
+            sequence = max(sequence, known.sequence)
+        duration = self._limits.max_timeout + 2 * self._max_clock_skew
+        self._refusals[key.incarnation] = _Refusal(sequence, elapsed + duration)
 
     def start(self, record: AttemptRecord) -> None:
         """Marks an attempt as sent to the backend server.
@@ -261,7 +320,10 @@
                 "too many attempts to settle",
                 Verdict.MAY_HAVE_RUN,
             )
-        self._remember(key, self._limits.max_timeout, started=False)
+        # The entry sent the attempt before, with at most this time left; its
+        # clock and this one may be off by the skew.
+        duration = self._limits.max_timeout + 2 * self._max_clock_skew
+        self._remember(key, duration, started=False)
         return False
 
     def read_from(self, record: AttemptRecord, offset: int) -> bytes:
@@ -300,13 +362,12 @@
 
     def _bury(self, record: AttemptRecord) -> None:
         self._records.pop(record.key, None)
-        left = record.deadline - self._clock.elapsed()
+        left = record.last_start - self._clock.elapsed()
         error = record.error
         started = record.state is not RunState.QUEUED and (
             error is None or error.verdict is not Verdict.NOT_RUN
         )
-        # Both clocks may be off by the skew, in opposite directions.
-        self._remember(record.key, left + 2 * self._max_clock_skew, started)
+        self._remember(record.key, left, started)
 
     def _remember(
         self, key: AttemptKey, duration: timedelta, started: bool
@@ -317,6 +378,22 @@
         self._tombstones[key] = _Tombstone(end, started)
         self._tombstones.move_to_end(key)
 
+    def _bury_ended(self) -> None:
+        """Makes room in a full table.
+
+        The acknowledgement of an attempt is lost if the connection breaks
+        after the entry has read the end. After its deadline the entry asks
+        for it no more.
+        """
+        elapsed = self._clock.elapsed()
+        is_due = elapsed - self._buried_at >= _BURY_INTERVAL
+        if len(self._records) < self._limits.max_requests or not is_due:
+            return
+        self._buried_at = elapsed
+        for record in self.list_records():
+            if record.state is RunState.ENDED and record.last_start < elapsed:
+                self._bury(record)
+
     def _is_full(self) -> bool:
         count = len(self._tombstones) + len(self._records)
         return count >= self._limits.max_tombstones
--- a/packages/chicoryplank/src/chicoryplank/attempts/tests/test_table.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/tests/test_table.py
@@ -87,6 +87,47 @@
             ErrorCode.DEADLINE_EXCEEDED, self.table.start, record
         )
 
+    def test_tombstones_outlast_skewed_clocks(self):
+        """Guards against a run after "not run" where the clock is behind."""
+        limits = RequestLimits()
+        skew = 0.5 * _SECOND
+        deadline = self.clock.now() + limits.max_timeout + skew
+        late = limits.max_timeout + skew
+        self.table.settle(_KEY)
+        self.clock.advance(late)
+        self._assert_rejected(
+            ErrorCode.ATTEMPT_ABANDONED,
+            self.table.admit,
+            _KEY,
+            True,
+            _SECOND,
+            deadline,
+        )
+
+    def test_short_budget_does_not_shorten_a_tombstone(self):
+        """Guards against a second start after a budget below the deadline."""
+        deadline = self.clock.now() + 100 * _SECOND
+        record = self.table.admit(_KEY, True, 70 * _SECOND, deadline)
+        self.table.start(record)
+        self.table.discard(_KEY)
+        self.clock.advance(90 * _SECOND)
+        self._assert_rejected(
+            ErrorCode.ATTEMPT_ABANDONED,
+            self.table.admit,
+            _KEY,
+            True,
+            70 * _SECOND,
+            deadline,
+        )
+
+    def test_rejected_start_stays_rejected(self):
+        """Guards against a repeated message that runs after "not run"."""
+        self.table.draining = True
+        self._assert_rejected(ErrorCode.SHUTTING_DOWN, self._admit)
+        self.table.draining = False
+        self._assert_rejected(ErrorCode.ATTEMPT_ABANDONED, self._admit)
+        self.assertIsNotNone(self._admit(AttemptKey(_KEY.incarnation, 8)))
+
     def test_draining_rejects_new_work_only(self):
         """Guards against new work at a leaving backend server."""
         record = self._admit()
@@ -104,6 +145,31 @@
             ErrorCode.OUTCOME_UNKNOWN, self.table.settle, _KEY
         )
 
+    def test_unacknowledged_attempts_make_room_after_their_deadline(self):
+        """Guards against a table that lost acknowledgements fill for ever."""
+        limits = RequestLimits(max_requests=2)
+        self.table = AttemptTable(self.clock, limits, 0.5 * _SECOND)
+        for sequence in range(2):
+            key = AttemptKey(_KEY.incarnation, sequence)
+            record = self._admit(key)
+            self.table.start(record)
+            self.table.append(record, b"abc")
+        self.table.finish(record)
+        self.clock.advance(9 * _SECOND)
+        self._assert_rejected(
+            ErrorCode.TOO_MANY_REQUESTS,
+            self._admit,
+            AttemptKey(_KEY.incarnation, 2),
+        )
+        self.clock.advance(3 * _SECOND)
+        self.assertIsNotNone(self._admit())
+        self.assertTrue(self.table.settle(key))
+        self._assert_rejected(
+            ErrorCode.TOO_MANY_REQUESTS,
+            self._admit,
+            AttemptKey(_KEY.incarnation, 8),
+        )
+
     def test_finished_attempt_is_not_started_again(self):
         """Guards against a duplicate that arrives after the response."""
         record = self._admit()
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -35,6 +35,16 @@
         logbook.ERROR,
         "a frame of agent {agent} was rejected: {error}",
     )
+    REQUEST_FAILED = (
+        1207,
+        logbook.ERROR,
+        "unexpected fault in {method} {path}: {error}",
+    )
+    BATCH_REJECTED = (
+        1208,
+        logbook.ERROR,
+        "a message of {peer} was rejected: {error}",
+    )
     CLAIM_HELD_ELSEWHERE = (
         1601,
         logbook.WARNING,
@@ -78,6 +88,13 @@
     )
     ORDER_REFUSED = (1505, logbook.WARNING, "order {order} refused: {detail}")
 
+    REPLICA_EJECTED = (
+        1801,
+        logbook.WARNING,
+        "replica {replica} takes no new requests: stalled or failing",
+    )
+    REPLICA_RETURNED = (1802, logbook.INFO, "replica {replica} is in service")
+
     @property
     def number(self) -> int:
         """Stable number of the event."""
--- a/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
@@ -163,7 +163,8 @@
 
         Args:
             store: The key-value service.
-            claims: Claims whose keys are not in the view.
+            claims: Claims whose keys are not in the view, or that replace
+                removable claims.
 
         Returns:
             False if another writer changed the shard; reload and try again.
@@ -177,7 +178,11 @@
             "claims_go_to_open_segment",
             f"segment {number} of {self._prefix}",
         )
-        combined = stored.segment.claims + claims
+        keys = {claim.key for claim in claims}
+        kept = (
+            claim for claim in stored.segment.claims if claim.key not in keys
+        )
+        combined = (*kept, *claims)
         segment = Segment(combined, len(combined) >= self._max_claims)
         return await self._swap(store, number, stored, segment)
 
--- a/packages/chicoryplank/src/chicoryplank/limits/_concurrency.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_concurrency.py
@@ -27,7 +27,8 @@
         now: Time in seconds.
     """
 
-    _MIN_SAMPLES = 10
+    # A window of few answers says more about their sizes than about the load.
+    _MIN_SAMPLES = 20
     _MIN_WINDOW_S = 0.25
     _BASELINE_WINDOWS = 200
 
@@ -81,6 +82,8 @@
         priority = request.priority
         self._mean_work_s += (work_s - self._mean_work_s) * weight
         self._work_s[priority] += (work_s - self._work_s[priority]) * weight
+        if now < self._since:
+            self._reset(now)
         if started < self._since:
             return
         self._count += 1
@@ -92,7 +95,7 @@
             self._request_count += 1
             self._request_elapsed += elapsed
         if (
-            self._count >= self._MIN_SAMPLES
+            self._count >= max(self._MIN_SAMPLES, self._value / 2)
             and now - self._since >= self._MIN_WINDOW_S
         ):
             self._adapt(now)
