--- a/tools/soak_operators.py
+++ b/tools/soak_operators.py
@@ -61,6 +61,7 @@
         self._site = site
         self._folder = folder
         self._numbers = itertools.count(1)
+        self._lock = asyncio.Lock()
 
     async def change(self, intent: dict[str, Any], *names: str) -> bool:
         """Plans an intent and lets one or more operators confirm it.
@@ -68,12 +69,14 @@
         Returns:
             Whether the change is in force.
         """
-        plans = await asyncio.gather(
-            *(self._plan(intent, number) for number in range(len(names)))
-        )
-        if None in plans:
-            return False
-        codes = await asyncio.gather(*map(self._confirm, plans, names))
+        # A further operator could win against all racing ones.
+        async with self._lock:
+            plans = await asyncio.gather(
+                *(self._plan(intent, number) for number in range(len(names)))
+            )
+            if None in plans:
+                return False
+            codes = await asyncio.gather(*map(self._confirm, plans, names))
         if len(codes) > 1 and _UNAVAILABLE not in codes:
             self.races.append(codes)
         return 0 in codes
