--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -2,17 +2,16 @@
 
 import asyncio
 import contextlib
+import gc
 import random
 import signal
 import uuid
 
-from grpclib.server import Server
-
 from chicoryplank.attempts import AttemptLedger
 from chicoryplank.blackboard import Blackboard, Instance
 from chicoryplank.clock import Clock, SystemClock
 from chicoryplank.configuration import EntrySettings
-from chicoryplank.ids import Incarnation
+from chicoryplank.ids import Incarnation, ModelGroupId
 from chicoryplank.lifecycle import Application
 from chicoryplank.limits import Limiter
 from chicoryplank.logs import install_logs
@@ -21,9 +20,14 @@
 from chicoryplank_entry.admission import AdmissionGate
 from chicoryplank_entry.caller_server import CallerServer, make_server
 from chicoryplank_entry.configuration import ConfigurationHolder
-from chicoryplank_entry.control import ControlService, DemandExchange
+from chicoryplank_entry.control import (
+    MAX_MESSAGE_BYTES,
+    ControlService,
+    DemandExchange,
+)
 from chicoryplank_entry.controllers import (
     announce_configuration,
+    choose_relays,
     configure_limits,
     count_entries,
     follow_instances,
@@ -31,11 +35,13 @@
 )
 from chicoryplank_entry.dispatch import Dispatcher
 from chicoryplank_entry.exchange import AttemptRunner
+from chicoryplank_entry.group_controller import GroupController, follow_groups
 from chicoryplank_entry.http import CallerInterface
 from chicoryplank_entry.pacing import OutputPacer
 from chicoryplank_entry.relays import Relay, RelayPool
 from chicoryplank_entry.selection import Selector
 from chicoryplank_wire.http import make_client
+from chicoryplank_wire.peers import make_server as make_peer_server
 from chicoryplank_wire.store import EtcdStore
 
 
@@ -61,6 +67,13 @@
             settings.instance,
             Incarnation(f"{settings.instance}-{uuid.uuid4().hex}"),
         )
+        self._own = Instance(
+            settings.instance,
+            "entry",
+            settings.zone,
+            settings.control_address,
+            settings.caller_address,
+        )
         self.blackboard = Blackboard()
         pacer = OutputPacer(lambda: len(self.ledger))
         self.ledger = AttemptLedger(
@@ -85,7 +98,9 @@
         self._client = make_client(1)
         self._tasks: list[asyncio.Task] = []
         self.control = self._make_control()
-        self._control_server = Server([self.control])
+        self._control_server = make_peer_server(
+            [self.control], MAX_MESSAGE_BYTES
+        )
         self._server = self._make_server()
         self.application = Application(f"entry {settings.instance}")
         self._add_hooks()
@@ -119,19 +134,12 @@
 
     def _make_control(self) -> ControlService:
         settings = self._settings
-        own = Instance(
-            settings.instance,
-            "entry",
-            settings.zone,
-            settings.control_address,
-            settings.caller_address,
-        )
         parameters = MembershipParameters(address_ttl=settings.address_ttl)
         holder = ConfigurationHolder(
             self._store, self.blackboard, self._clock, settings.max_isolation
         )
         return ControlService(
-            own,
+            self._own,
             parameters,
             self._clock,
             blackboard=self.blackboard,
@@ -139,6 +147,16 @@
             demand=DemandExchange(self.gate.limiter, parameters),
         )
 
+    def _make_group_controller(self, group: ModelGroupId) -> GroupController:
+        return GroupController(
+            group,
+            self._settings,
+            self._store,
+            self.blackboard,
+            self._clock,
+            random_source=self._random,
+        )
+
     def count_entries(self) -> int:
         """Returns the number of entries that the instance list shows."""
         return count_entries(self.blackboard.instances.value)
@@ -179,9 +197,9 @@
                     self._settings.instance_list,
                     self._client,
                     self.blackboard,
-                    self.pool,
                     self._clock,
                 ),
+                choose_relays(self.blackboard, self.pool, self._own),
                 announce_configuration(
                     self.blackboard, self.pool, self._settings.instance
                 ),
@@ -192,6 +210,7 @@
                 configure_limits(
                     self.gate.limiter, self.blackboard, self._clock
                 ),
+                follow_groups(self.blackboard, self._make_group_controller),
             )
         ]
 
@@ -235,6 +254,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     await entry.application.start()
+    # Collections would walk everything loaded at the start again and again,
+    # which blocks the event loop for about 10 ms.
+    gc.freeze()
     await stopped.wait()
     await entry.application.stop()
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -5,11 +5,13 @@
 import dataclasses
 import hashlib
 import json
+import urllib.parse
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import prometheus_client
 from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
@@ -17,6 +19,8 @@
 from chicoryplank.blackboard import Blackboard
 from chicoryplank.configuration import EntrySettings, Priority
 from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.events import Event, emit
+from chicoryplank.verdict import Verdict
 from chicoryplank_entry import metrics
 from chicoryplank_entry.dispatch import Dispatcher
 from chicoryplank_entry.requests import CallerRequest, Kind, find_account
@@ -47,8 +51,11 @@
     ErrorCode.INTERNAL_ERROR: 500,
 }
 _DEFAULT_STATUS = 503
-_PASSED_HEADERS = frozenset({"content-type", "accept", "idempotency-key"})
+_METHOD_NOT_ALLOWED = 405
+_PASSED_HEADERS = ("content-type", "accept", "idempotency-key")
 _MAX_KEY_LENGTH = 255
+# Backend servers may parse recursively.
+_MAX_DEPTH = 100
 _MAX_TOKENS = 1_000_000
 # Assumed where the request states no bound.
 _DEFAULT_TOKENS = 256
@@ -141,8 +148,24 @@
             return
 
 
+def _read_single(request: Request, name: str) -> str | None:
+    """Returns a header that must not be repeated; None if it is absent.
+
+    Raises:
+        ChicoryplankError: If there are several. The backend server might use
+            another one than the one that was checked.
+    """
+    values = request.headers.getlist(name)
+    if len(values) > 1:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST, f"the header {name} is repeated"
+        )
+    return values[0] if values else None
+
+
 def _read_token(request: Request) -> str:
-    scheme, _, token = request.headers.get("authorization", "").partition(" ")
+    header = _read_single(request, "authorization") or ""
+    scheme, _, token = header.partition(" ")
     if scheme.lower() != "bearer" or not token:
         raise ChicoryplankError(
             ErrorCode.UNKNOWN_ACCOUNT,
@@ -152,7 +175,7 @@
 
 
 def _read_timeout(request: Request, settings: EntrySettings) -> timedelta:
-    text = request.headers.get("x-request-timeout-ms")
+    text = _read_single(request, "x-request-timeout-ms")
     if text is None:
         return settings.limits.default_timeout
     max_ms = int(settings.limits.max_timeout.total_seconds() * 1000)
@@ -170,7 +193,7 @@
 
 
 def _read_priority(request: Request) -> Priority | None:
-    text = request.headers.get("x-priority")
+    text = _read_single(request, "x-priority")
     if text is None:
         return None
     if text not in _PRIORITIES:
@@ -186,35 +209,55 @@
     """Returns the path and query as the caller sent them, and decoded.
 
     Raises:
-        ChicoryplankError: If the path has empty or dot segments. The service
-            might resolve them to another path than the one that decides
-            whether the call is idempotent.
+        ChicoryplankError: If the path has empty or dot segments, or encoded
+            separators before it. The service might resolve them to another
+            path than the one that decides whether the call is idempotent.
     """
     decoded = "/" + request.path_params["path"]
+    raw = request.scope["raw_path"].decode("ascii", "replace")
+    # The route was found by the decoded path, so that an encoded separator
+    # moves the start of the service's path.
+    parts = raw.split("/", 4)
+    if len(parts) < 5 or "/" + urllib.parse.unquote(parts[4]) != decoded:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST,
+            "the path must not contain encoded separators before the path "
+            "of the service",
+        )
     segments = decoded.split("/")[1:]
     if "" in segments[:-1] or {".", ".."} & set(segments):
         raise ChicoryplankError(
             ErrorCode.MALFORMED_REQUEST,
             "the path must not contain empty, . or .. segments",
         )
-    raw = request.scope["raw_path"].decode("ascii", "replace")
-    path = "/" + raw.split("/", 4)[4]
+    path = "/" + parts[4]
     query = request.scope["query_string"].decode("ascii", "replace")
     return (f"{path}?{query}" if query else path), decoded
 
 
 def _read_key(request: Request) -> str:
-    key = request.headers.get("idempotency-key", "")
-    if len(key) > _MAX_KEY_LENGTH:
+    key = _read_single(request, "idempotency-key") or ""
+    printable = key.isascii() and (not key or key.isprintable())
+    if not printable or len(key) > _MAX_KEY_LENGTH:
         raise ChicoryplankError(
             ErrorCode.MALFORMED_REQUEST,
-            f"Idempotency-Key is longer than {_MAX_KEY_LENGTH} characters",
+            f"Idempotency-Key must be up to {_MAX_KEY_LENGTH} printable ASCII "
+            "characters",
         )
     return key
 
 
+def _make_size_error(limit: int) -> ChicoryplankError:
+    return ChicoryplankError(
+        ErrorCode.REQUEST_TOO_LARGE, f"the body is larger than {limit} bytes"
+    )
+
+
 async def _read_body(request: Request, settings: EntrySettings) -> bytes:
     limit = settings.limits.max_body_bytes
+    announced = request.headers.get("content-length", "0")
+    if int(announced) > limit:
+        raise _make_size_error(limit)
     pieces = []
     size = 0
     try:
@@ -224,10 +267,7 @@
             async for data in request.stream():
                 size += len(data)
                 if size > limit:
-                    raise ChicoryplankError(
-                        ErrorCode.REQUEST_TOO_LARGE,
-                        f"the body is larger than {limit} bytes",
-                    )
+                    raise _make_size_error(limit)
                 pieces.append(data)
     except TimeoutError as error:
         raise ChicoryplankError(
@@ -272,13 +312,59 @@
     ).digest()
 
 
-def _parse_model_body(body: bytes) -> _ModelBody:
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is not JSON")
+
+
+def _parse_json(body: bytes) -> object:
+    """Parses a body that the backend server must read in the same way."""
+    repeated = False
+
+    def collect(pairs: list[tuple[str, object]]) -> dict[str, object]:
+        # The outermost object is the last one.
+        nonlocal repeated
+        collected = dict(pairs)
+        repeated = len(collected) != len(pairs)
+        return collected
+
     try:
-        document = json.loads(body)
+        document = json.loads(
+            body.decode(),
+            parse_constant=_refuse_constant,
+            object_pairs_hook=collect,
+        )
     except (ValueError, RecursionError) as error:
         raise ChicoryplankError(
-            ErrorCode.MALFORMED_REQUEST, "the body is not JSON"
+            ErrorCode.MALFORMED_REQUEST, "the body is not JSON in UTF-8"
         ) from error
+    if repeated:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST, "the body repeats a name"
+        )
+    _check_depth(document)
+    return document
+
+
+def _check_depth(document: object) -> None:
+    level = [document] if isinstance(document, dict | list) else []
+    depth = 0
+    while level:
+        depth += 1
+        if depth > _MAX_DEPTH:
+            raise ChicoryplankError(
+                ErrorCode.MALFORMED_REQUEST,
+                f"the body is nested deeper than {_MAX_DEPTH}",
+            )
+        level = [
+            child
+            for item in level
+            for child in (item.values() if isinstance(item, dict) else item)
+            if isinstance(child, dict | list)
+        ]
+
+
+def _parse_model_body(body: bytes) -> _ModelBody:
+    document = _parse_json(body)
     if not isinstance(document, dict):
         raise ChicoryplankError(
             ErrorCode.MALFORMED_REQUEST, "the body is not a JSON object"
@@ -300,6 +386,39 @@
     )
 
 
+def _answer_fault(request: Request, error: Exception) -> Response:
+    """Returns the error of an unexpected fault, after which all goes on."""
+    emit(
+        Event.REQUEST_FAILED,
+        method=request.method,
+        path=request.url.path[:100],
+        error=repr(error),
+    )
+    failure = ChicoryplankError(
+        ErrorCode.INTERNAL_ERROR,
+        "the entry failed to serve the request",
+        Verdict.MAY_HAVE_RUN,
+    )
+    metrics.count_refusal(failure.code, failure.verdict.value)
+    return make_error_response(failure)
+
+
+async def _answer_unrouted(request: Request, error: HTTPException) -> Response:
+    """Returns the error of a path or method that has no handler."""
+    shown = f"{request.method} {request.url.path[:100]}"
+    if error.status_code == _METHOD_NOT_ALLOWED:
+        code = ErrorCode.METHOD_NOT_ALLOWED
+        message = f"the path does not take the method: {shown}"
+    else:
+        code = ErrorCode.UNKNOWN_PATH
+        message = f"the path is unknown: {shown}"
+    failure = ChicoryplankError(code, message)
+    metrics.count_refusal(failure.code, failure.verdict.value)
+    response = make_error_response(failure)
+    response.headers.update(error.headers or {})
+    return response
+
+
 Handler = Callable[[Request], Awaitable[Response]]
 
 
@@ -329,7 +448,7 @@
         """Returns the ASGI application."""
         post = ["POST"]
         methods = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
-        return Starlette(
+        application = Starlette(
             routes=[
                 self._route("/v1/chat/completions", self._complete, post),
                 self._route("/v1/completions", self._complete, post),
@@ -343,8 +462,12 @@
                 self._route("/healthz", self._check_health),
                 self._route("/readyz", self._check_ready),
                 self._route("/metrics", self._show_metrics),
-            ]
+            ],
+            exception_handlers={HTTPException: _answer_unrouted},
         )
+        # A redirect would make callers repeat non-idempotent requests.
+        application.router.redirect_slashes = False
+        return application
 
     def _route(
         self, path: str, handler: Handler, methods: list[str] | None = None
@@ -357,6 +480,8 @@
                 return make_error_response(error)
             except ClientDisconnect:
                 return Response(status_code=400)
+            except Exception as error:
+                return _answer_fault(request, error)
 
         return Route(path, handle, methods=methods or ["GET"])
 
@@ -421,8 +546,8 @@
         path, decoded_path = _read_service_path(request)
         headers = tuple(
             (name, value)
-            for name, value in request.headers.items()
-            if name in _PASSED_HEADERS
+            for name in _PASSED_HEADERS
+            if (value := _read_single(request, name)) is not None
         )
         return await self._dispatch(
             request,
--- a/packages/chicoryplank/src/chicoryplank/configuration/tests/model.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/tests/model.py
@@ -14,6 +14,7 @@
     Gate,
     GatedStore,
     InvariantError,
+    vary_weights,
 )
 from chicoryplank.clock import ManualClock
 from chicoryplank.configuration import (
@@ -230,11 +231,14 @@
             return
         operation = latest[number % len(latest)]
         if operation.task is None:
+            is_first = not operation.called
             operation.called = True
             operation.not_run = False
-            operation.task = self.loop.create_task(self._confirm(operation))
+            operation.task = self.loop.create_task(
+                self._confirm(operation, is_first)
+            )
 
-    async def _confirm(self, operation: Operation) -> None:
+    async def _confirm(self, operation: Operation, is_first: bool) -> None:
         base = operation.made.base_version
         try:
             done = await confirm(
@@ -243,6 +247,7 @@
                 f"by {operation.name}",
                 operation.name,
                 clock=self.clock,
+                is_first=is_first,
             )
             operation.may_hold = True
             self._observe_confirmation(operation, done)
@@ -398,7 +403,8 @@
     """
     source = random.Random(seed)
     world = World(seed, **variant)
-    names = source.choices(list(ACTIONS), list(ACTIONS.values()), k=steps)
+    weights = vary_weights(ACTIONS, source)
+    names = source.choices(list(weights), list(weights.values()), k=steps)
     try:
         for step, name in enumerate(names):
             try:
--- a/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
@@ -380,3 +380,71 @@
         again, twice = asyncio.run(run())
         self.assertEqual("admitted", again)
         self.assertNotEqual("admitted", twice)
+
+    def test_repeated_submission_keeps_the_bound(self):
+        """Guards against more waiting claims than the limit."""
+
+        async def run():
+            self.settings = ClaimSettings(
+                write_interval=timedelta(), max_waiting=1
+            )
+            first, second = self._make_registry(), self._make_registry()
+            await first.admit(_KEY, _BODY, "a")
+            await self._try_admit(second, "b")
+            await first.release(_KEY, "a")
+            gate, inner = asyncio.Event(), self.store.read
+
+            async def read_late(key):
+                await gate.wait()
+                return await inner(key)
+
+            self.store.read = read_late
+            again = asyncio.create_task(self._try_admit(second, "c"))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            swap, lock = self.store.swap, asyncio.Event()
+
+            async def swap_late(*arguments):
+                await lock.wait()
+                return await swap(*arguments)
+
+            self.store.swap = swap_late
+            others = []
+            for number in range(2):
+                key = f"00000000{number:024x}"
+                others.append(
+                    asyncio.create_task(
+                        self._try_admit(second, f"d{number}", key)
+                    )
+                )
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+            gate.set()
+            result = await asyncio.wait_for(again, 1)
+            lock.set()
+            return result, await asyncio.gather(*others)
+
+        again, others = asyncio.run(run())
+        self.assertEqual((ErrorCode.TOO_MANY_CLAIMS, Verdict.NOT_RUN), again)
+        self.assertEqual(["admitted", "admitted"], others)
+
+    def test_concurrent_deletions_of_segments(self):
+        """Guards against a failure when two calls delete one segment."""
+
+        async def run():
+            registry = self._make_registry()
+            for number in range(4):
+                key = f"00000000{number:024x}"
+                await registry.admit(key, _BODY, f"a{number}")
+            self.clock.advance(self.settings.retention * 2)
+            inner = self.store.delete
+
+            async def delete_late(*arguments):
+                await asyncio.sleep(0)
+                return await inner(*arguments)
+
+            self.store.delete = delete_late
+            calls = (registry.delete_expired() for _ in range(2))
+            return sum(await asyncio.gather(*calls))
+
+        self.assertEqual(1, asyncio.run(run()))
--- a/packages/chicoryplank/src/chicoryplank/orders/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/__init__.py
@@ -15,10 +15,12 @@
 from chicoryplank.orders._lease import ControllerLease
 from chicoryplank.orders._map_change import (
     MapChange,
+    TokenSource,
     create_document,
     join_group,
     read_document,
     read_highest_token,
+    record_token,
 )
 from chicoryplank.orders._rank import RankMap
 
@@ -33,6 +35,7 @@
     "Prepared",
     "RankMap",
     "SwitchDecision",
+    "TokenSource",
     "create_document",
     "decode_document",
     "encode_document",
@@ -41,4 +44,5 @@
     "join_group",
     "read_document",
     "read_highest_token",
+    "record_token",
 ]
