Let a replaced agent work while a list still shows it leaving

Once an entry had told an agent that the platform was about to stop it, the agent rejected new work until it was restarted.

The agent now remembers which entries say so. One is enough, an entry takes it back with its next message, and an entry that stays away is forgotten after the grace period. Ruled out: the latest message decides, since the lists of the entries lag differently.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
@@ -41,26 +41,32 @@
     Attributes:
         config_version: Newest configuration version heard of.
         leaving: Whether the instance is leaving at that version.
-        stopping: Whether the platform is about to stop the instance.
+        stopping: Entries whose instance list says that the platform is about
+            to stop the instance. The lists lag differently: a single entry
+            that knows is enough, and one that still shows an instance whose
+            successor runs already must not keep the successor out.
         shutting_down: Whether the agent itself is shutting down.
     """
 
     config_version: int = 0
     leaving: bool = False
-    stopping: bool = False
+    stopping: set[Incarnation] = dataclasses.field(default_factory=set)
     shutting_down: bool = False
 
     @property
     def is_active(self) -> bool:
         """Whether new work is rejected."""
-        return self.leaving or self.stopping or self.shutting_down
+        return self.leaving or bool(self.stopping) or self.shutting_down
 
-    def observe(self, batch: relay_pb2.EntryBatch) -> None:
+    def observe(self, entry: Incarnation, batch: relay_pb2.EntryBatch) -> None:
         """Takes over what an entry knows; older versions are ignored."""
         if batch.config_version >= self.config_version:
             self.config_version = batch.config_version
             self.leaving = batch.leaving
-        self.stopping = self.stopping or batch.stopping
+        if batch.stopping:
+            self.stopping.add(entry)
+        else:
+            self.stopping.discard(entry)
 
 
 class RelayService(RelayBase):
@@ -203,6 +209,9 @@
     def _abandon(self, incarnation: Incarnation) -> None:
         """Cancels repeatable attempts of an entry that did not come back."""
         self._abandon_timers.pop(incarnation, None)
+        self.drain.stopping.discard(incarnation)
+        self._table.draining = self.drain.is_active
+        self.wake_all()
         for record in self._table.list_records():
             if record.key.incarnation != incarnation:
                 continue
@@ -228,7 +237,7 @@
         outbox: Outbox,
         batch: relay_pb2.EntryBatch,
     ) -> None:
-        self.drain.observe(batch)
+        self.drain.observe(incarnation, batch)
         self._table.draining = self.drain.is_active
         for start in batch.starts:
             self._handle_start(incarnation, outbox, start)
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_relay.py
@@ -14,7 +14,7 @@
 )
 from chicoryplank.ids import Incarnation, InstanceId, ZoneId
 from chicoryplank_agent.backend import BackendResponse
-from chicoryplank_agent.relay import RelayService
+from chicoryplank_agent.relay import Drain, RelayService
 from chicoryplank_wire import relay_pb2
 
 _SETTINGS = AgentSettings(
@@ -158,3 +158,31 @@
             ]
 
         self.assertEqual([("CP1208", "not_run")], asyncio.run(run()))
+
+
+class TestDrain(testtools.TestCase):
+    """When an agent rejects new work."""
+
+    def _observe(self, drain, entry, stopping):
+        batch = relay_pb2.EntryBatch(entry=entry, stopping=stopping)
+        drain.observe(Incarnation(entry), batch)
+        return drain.is_active
+
+    def test_lagging_list_does_not_keep_a_successor_out(self):
+        """Guards against a replaced agent that rejects work for ever."""
+        drain = Drain()
+        states = [
+            self._observe(drain, "entry-1", True),
+            self._observe(drain, "entry-1", False),
+        ]
+        self.assertEqual([True, False], states)
+
+    def test_one_entry_that_knows_is_enough(self):
+        """Guards against new work through entries with an older list."""
+        drain = Drain()
+        states = [
+            self._observe(drain, "entry-1", True),
+            self._observe(drain, "entry-2", False),
+            self._observe(drain, "entry-1", False),
+        ]
+        self.assertEqual([True, True, False], states)
