Leave malformed instances out of the instance list

Cause: an instance whose address has no port raised in the task that connects to it, which then ended for good: the relay of an agent, or the heartbeats of an entry.

Ruled out: rejecting the whole list, since one wrong instance would hide every later change.

--- a/packages/chicoryplank-wire/src/chicoryplank_wire/instance_list.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/instance_list.py
@@ -6,9 +6,12 @@
 import aiosonic
 
 from chicoryplank.blackboard import Instance
+from chicoryplank.configuration import is_address
 from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId, ZoneId
 from chicoryplank_wire.http import HTTP_FAILURES, make_client
+from chicoryplank_wire.peers import is_name
 
 _HTTP_OK = 200
 
@@ -16,11 +19,14 @@
 def parse_instances(document: object) -> tuple[Instance, ...]:
     """Reads the JSON document of the instance list.
 
+    Instances whose name or addresses are malformed are left out, so that they
+    do not hide the others.
+
     Raises:
         ValueError: If the document does not have the expected form.
     """
     try:
-        return tuple(
+        instances = [
             Instance(
                 InstanceId(item["instance"]),
                 item["role"],
@@ -31,9 +37,25 @@
                 bool(item.get("leaving", False)),
             )
             for item in document["instances"]
-        )
+        ]
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"malformed instance list: {error!r}") from error
+    usable = tuple(item for item in instances if _is_usable(item))
+    if len(usable) < len(instances):
+        emit(
+            Event.INSTANCE_LIST_UNAVAILABLE,
+            error=f"{len(instances) - len(usable)} malformed instances",
+        )
+    return usable
+
+
+def _is_usable(instance: Instance) -> bool:
+    return (
+        isinstance(instance.instance, str)
+        and is_name(instance.instance)
+        and is_address(instance.address)
+        and (not instance.caller_address or is_address(instance.caller_address))
+    )
 
 
 async def fetch_instances(
