Add an optional shared secret for the internal ports

Cause: whoever can connect to an agent or to the control port of an entry could send requests and announce members, and some backend servers do not check who gives them work.

Considered: a list of allowed addresses, which would have to follow every replaced instance and says nothing on hosts that several parties share; TLS with client certificates, which needs keys to be issued and renewed. Chosen: one secret in the settings, sent as gRPC metadata and compared in constant time, off by default.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
@@ -59,6 +59,7 @@
         self._server = make_server(
             [self.relay],
             MAX_BATCH_BODIES * settings.limits.max_body_bytes,
+            settings.shared_secret,
         )
         self._tasks: list[asyncio.Task] = []
         self.application = Application(f"agent {settings.instance}")
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/control.py
@@ -30,7 +30,7 @@
 )
 from chicoryplank_wire import control_pb2
 from chicoryplank_wire.control_grpc import ControlBase, ControlStub
-from chicoryplank_wire.peers import is_name
+from chicoryplank_wire.peers import is_name, present_secret
 
 # A parent, a parent tried instead, and children that announce a version.
 _MAX_CHANNELS = 16
@@ -167,6 +167,7 @@
         blackboard: Source of the instance list and of the own state.
         holder: The configuration.
         demand: Demand of the accounts.
+        secret: What to present to other entries; empty for nothing.
     """
 
     def __init__(
@@ -178,6 +179,7 @@
         blackboard: Blackboard,
         holder: ConfigurationHolder,
         demand: DemandExchange,
+        secret: str = "",
     ) -> None:
         self._own = own
         self._parameters = parameters
@@ -185,6 +187,7 @@
         self._blackboard = blackboard
         self._holder = holder
         self._demand = demand
+        self._secret = secret
         self.membership = Membership(own, parameters)
         self._channels: collections.OrderedDict[str, Channel] = (
             collections.OrderedDict()
@@ -335,6 +338,7 @@
         if channel is None:
             host, port = address.rsplit(":", 1)
             channel = Channel(host, int(port))
+            present_secret(channel, self._secret)
         self._channels[address] = channel
         if len(self._channels) > _MAX_CHANNELS:
             _, oldest = self._channels.popitem(last=False)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -89,7 +89,7 @@
         self._tasks: list[asyncio.Task] = []
         self.control = self._make_control()
         self._control_server = make_peer_server(
-            [self.control], MAX_MESSAGE_BYTES
+            [self.control], MAX_MESSAGE_BYTES, settings.shared_secret
         )
         self._server = self._make_server()
         self.application = Application(f"entry {settings.instance}")
@@ -117,6 +117,7 @@
             blackboard=self.blackboard,
             clock=self._clock,
             random_source=self._random,
+            secret=self._settings.shared_secret,
         )
         relay.on_report = self._selector.observe_report
         relay.on_progress = self._selector.observe_progress
@@ -142,6 +143,7 @@
             blackboard=self.blackboard,
             holder=holder,
             demand=DemandExchange(self.gate.limiter, parameters),
+            secret=settings.shared_secret,
         )
 
     def count_entries(self) -> int:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
@@ -19,6 +19,7 @@
 from chicoryplank.ids import Incarnation, InstanceId
 from chicoryplank.verdict import Verdict
 from chicoryplank_wire import relay_pb2
+from chicoryplank_wire.peers import present_secret
 from chicoryplank_wire.relay_grpc import RelayStub
 
 _BROKEN = (OSError, StreamTerminatedError, GRPCError, asyncio.TimeoutError)
@@ -70,6 +71,7 @@
         blackboard: Source of configuration version and leaving instances.
         clock: Measures silence.
         random_source: Jitter of the reconnect delay.
+        secret: What to present to the agent; empty for nothing.
 
     Attributes:
         state: Progress of the connection.
@@ -87,6 +89,7 @@
         blackboard: Blackboard,
         clock: Clock,
         random_source: random.Random,
+        secret: str = "",
     ) -> None:
         self.instance = instance
         self.state = RelayState.CONNECTING
@@ -99,6 +102,7 @@
         self._blackboard = blackboard
         self._clock = clock
         self._random = random_source
+        self._secret = secret
         self._incarnation: Incarnation | None = None
         self._batch = relay_pb2.EntryBatch()
         self._ready = asyncio.Event()
@@ -203,6 +207,7 @@
             http2_stream_window_size=4 * 1024 * 1024,
         )
         channel = Channel(host, int(port), config=config)
+        present_secret(channel, self._secret)
         writer = None
         try:
             async with RelayStub(channel).Exchange.open() as stream:
--- a/packages/chicoryplank/src/chicoryplank/configuration/_checks.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_checks.py
@@ -20,6 +20,7 @@
 NAME_ALLOWED = (
     "1 to 64 letters, digits, '.', '_' or '-', the first a letter or digit"
 )
+SECRET_PATTERN = re.compile(r"[!-~]{16,256}")
 _UNITS = {"ms": timedelta(milliseconds=1), "s": timedelta(seconds=1)}
 
 
@@ -195,6 +196,18 @@
     return check_text(NAME_PATTERN, NAME_ALLOWED)
 
 
+def check_secret() -> Check:
+    """Returns a check of a secret; the value is never shown."""
+    allowed = "16 to 256 printable ASCII characters without spaces"
+
+    def convert(value: object, path: str, problems: list[Problem]) -> object:
+        if not isinstance(value, str) or not SECRET_PATTERN.fullmatch(value):
+            problems.append(Problem(path, "(not shown)", allowed))
+        return value
+
+    return Check(convert, allowed)
+
+
 def check_address() -> Check:
     """Returns a check of `IP:PORT`, with brackets around an IPv6 address.
 
--- a/packages/chicoryplank/src/chicoryplank/configuration/_settings.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_settings.py
@@ -81,6 +81,8 @@
         max_isolation: Time without store and peers after which new requests
             are rejected.
         max_clock_skew: Assumed bound on clock differences.
+        shared_secret: What entries and agents present to each other; empty
+            for no check.
     """
 
     instance: InstanceId
@@ -94,6 +96,7 @@
     drain_timeout: timedelta = timedelta(seconds=600)
     max_isolation: timedelta = timedelta(seconds=60)
     max_clock_skew: timedelta = timedelta(milliseconds=500)
+    shared_secret: str = dataclasses.field(default="", repr=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,6 +116,8 @@
             connection broke.
         drain_timeout: Longest wait for attempts in progress at a planned stop.
         max_clock_skew: Assumed bound on clock differences.
+        shared_secret: What entries and agents present to each other; empty
+            for no check.
     """
 
     instance: InstanceId
@@ -126,3 +131,4 @@
     grace_period: timedelta = timedelta(seconds=10)
     drain_timeout: timedelta = timedelta(seconds=600)
     max_clock_skew: timedelta = timedelta(milliseconds=500)
+    shared_secret: str = dataclasses.field(default="", repr=False)
--- a/packages/chicoryplank/src/chicoryplank/configuration/_settings_checks.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_settings_checks.py
@@ -14,6 +14,7 @@
     check_integer,
     check_name,
     check_record,
+    check_secret,
     describe_value,
     parse_json,
 )
@@ -84,6 +85,7 @@
         _duration("drain_timeout", "s", 0, 86_400),
         _duration("max_isolation", "s", 1, 86_400),
         _duration("max_clock_skew", "s", 0, 60),
+        Field("shared_secret", check_secret()),
     ),
 )
 _AGENT = check_record(
@@ -101,6 +103,7 @@
         _duration("grace_period", "s", 0, 3_600),
         _duration("drain_timeout", "s", 0, 86_400),
         _duration("max_clock_skew", "s", 0, 60),
+        Field("shared_secret", check_secret()),
     ),
 )
 _CHECKS = {SettingsKind.ENTRY: _ENTRY, SettingsKind.AGENT: _AGENT}
@@ -237,4 +240,4 @@
     if unit:
         scale = timedelta(seconds=1) if unit == "s" else timedelta(seconds=1e-3)
         return f"{default / scale:g}"
-    return str(default)
+    return str(default) or "none"
--- a/packages/chicoryplank/src/chicoryplank/configuration/tests/test_settings.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/tests/test_settings.py
@@ -8,9 +8,11 @@
 from hypothesis import given, settings, strategies
 
 from chicoryplank.configuration import (
+    AgentSettings,
     EntrySettings,
     InvalidInputError,
     SettingsKind,
+    StoreSettings,
     describe_settings,
     parse_settings,
 )
@@ -146,3 +148,24 @@
             for item in describe_settings(kind):
                 row = f"| `{item.path}` | {item.allowed} | {item.default} |"
                 self.assertIn(row, section)
+
+
+class TestSecret(testtools.TestCase):
+    """The shared secret of the internal ports."""
+
+    def test_secret_is_not_shown(self):
+        """Guards against a secret in a log or an error message."""
+        secret = "a secret with spaces"
+        error = self.assertRaises(
+            InvalidInputError,
+            parse_settings,
+            json.dumps({"shared_secret": secret}),
+            SettingsKind.AGENT,
+        )
+        self.assertNotIn(secret, str(error))
+        self.assertIn("shared_secret", str(error))
+        store = StoreSettings("127.0.0.1:1")
+        agent = AgentSettings(
+            "a", "b", "c", "d", "e", store, shared_secret="hidden-secret"
+        )
+        self.assertNotIn("hidden-secret", repr(agent))
