--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
 
-.PHONY: setup test check format unit demo generate soak soak-quick
+.PHONY: setup test check format unit demo generate soak soak-quick fuzz
 
 setup: $(VENV)/.installed
 
@@ -49,5 +49,9 @@
 soak: setup
 	$(PYTHON) tools/soak.py --seed $(SEED) --seconds $(SECONDS)
 
+# Mutated messages against a small site. Not part of make test.
+fuzz: setup
+	$(PYTHON) tools/fuzz.py --seed $(SEED) --seconds $(SECONDS)
+
 soak-quick: setup
 	$(PYTHON) tools/soak.py --seed 1 --seconds 15
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import json
+import re
 import urllib.parse
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -54,6 +55,7 @@
 _METHOD_NOT_ALLOWED = 405
 _PASSED_HEADERS = ("content-type", "accept", "idempotency-key")
 _MAX_KEY_LENGTH = 255
+_SURROGATE = re.compile(rb"\\u[dD][89a-fA-F]")
 # Backend servers may parse recursively.
 _MAX_DEPTH = 100
 _MAX_TOKENS = 1_000_000
@@ -342,9 +344,21 @@
             ErrorCode.MALFORMED_REQUEST, "the body repeats a name"
         )
     _check_depth(document)
+    if _SURROGATE.search(body):
+        _check_text(document)
     return document
 
 
+def _check_text(document: object) -> None:
+    """Rejects half characters, which cannot be written as UTF-8."""
+    try:
+        json.dumps(document, ensure_ascii=False).encode()
+    except UnicodeEncodeError as error:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST, "the body has an unpaired surrogate"
+        ) from error
+
+
 def _check_depth(document: object) -> None:
     level = [document] if isinstance(document, dict | list) else []
     depth = 0
--- a/tools/layout.py
+++ b/tools/layout.py
@@ -156,6 +156,10 @@
         for link in self.links.values():
             await link.close()
 
+    def list_addresses(self, prefix: str) -> list[str]:
+        """Returns the addresses of the processes with a name prefix."""
+        return self._select(prefix)
+
     def _find(self, prefix: str) -> list[str]:
         return [name for name in self.addresses if name.startswith(prefix)]
 
