Read no body where a response of a backend server has none

Cause: the HTTP client returns the connection of a response without a body (HEAD, 204, 304, Content-Length: 0) to its pool, but the agent then asked it for a chunk. The attempt waited until its deadline, on a connection that the pool may have given to the next request. A body that only the end of the connection ends was read as a chunk as well; it is now a coded failure.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -15,6 +15,7 @@
 EVENT_STREAM = "text/event-stream"
 _CONNECT_TIMEOUT_S = 1.0
 _HTTP_OK = 200
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _EVENT_ID = re.compile(rb"^id: ?(\S+)", re.MULTILINE)
 _END_MARKER = b"data: [DONE]"
 _MAX_RESUMES = 3
@@ -94,7 +95,9 @@
             if name.lower() in _RESPONSE_HEADERS
         )
         content_type = dict(kept).get("content-type", "")
-        if content_type.startswith(EVENT_STREAM):
+        if not _has_body(request.method, response):
+            body = _read_nothing()
+        elif content_type.startswith(EVENT_STREAM):
             body = self._read_events(request.request_id, response)
         else:
             body = _read_body(response)
@@ -185,12 +188,43 @@
                 {"Last-Event-ID": last_id.decode()},
                 b"",
             )
-            if response.status_code != _HTTP_OK:
+            if response.status_code != _HTTP_OK or not _has_body(
+                "GET", response
+            ):
                 await response.aclose()
                 raise _make_failure(failure)
         raise _make_failure(failure)
 
 
+def _has_body(method: str, response: aiosonic.HttpResponse) -> bool:
+    """Tells whether a body follows the head of a response.
+
+    The HTTP client returns the connection of a response without a body to its
+    pool, but would still wait on it for a chunk if the body were read.
+
+    Raises:
+        ChicoryplankError: If only the end of the connection ends the body,
+            since the HTTP client cannot read that.
+    """
+    if method == "HEAD" or response.status_code in _STATUSES_WITHOUT_BODY:
+        return False
+    if response.chunked:
+        return True
+    length = response.headers.get("content-length")
+    if length is None:
+        raise ChicoryplankError(
+            ErrorCode.BACKEND_FAILED,
+            "the response has neither a Content-Length nor chunks",
+            Verdict.MAY_HAVE_RUN,
+        )
+    return int(length) > 0
+
+
+async def _read_nothing() -> AsyncIterator[bytes]:
+    return
+    yield
+
+
 def _is_end(events: bytes) -> bool:
     """Tells whether the last event is the end marker.
 
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend.py
@@ -4,7 +4,8 @@
 
 import testtools
 
-from chicoryplank.errors import ChicoryplankError
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.verdict import Verdict
 from chicoryplank_agent import backend
 from chicoryplank_agent.backend import BackendClient, BackendRequest
 
@@ -105,6 +106,70 @@
         self.assertEqual(1, self._run(work))
 
 
+class TestBodiless(testtools.TestCase):
+    """Responses that have no body by the rules of HTTP."""
+
+    def _ask(self, method, answer):
+        """Returns the status and body of two requests in a row."""
+
+        async def run():
+            served = []
+
+            async def serve(reader, writer):
+                served.append(asyncio.current_task())
+                while await reader.readline():
+                    while (await reader.readline()).strip():
+                        continue
+                    writer.write(answer)
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            client = BackendClient(f"127.0.0.1:{port}", 1)
+            found = []
+            try:
+                async with asyncio.timeout(5):
+                    for _ in range(2):
+                        request = _make_request("/a", method)
+                        response = await client.send(request)
+                        body = b"".join([data async for data in response.body])
+                        found.append((response.status, body))
+            finally:
+                await client.close()
+                server.close()
+                await asyncio.gather(*served)
+            return found
+
+        return asyncio.run(run())
+
+    def test_head_has_no_body(self):
+        """Guards against a wait for the body that Content-Length announces."""
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n"
+        self.assertEqual([(200, b"")] * 2, self._ask("HEAD", answer))
+        answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.assertEqual([(200, b"")] * 2, self._ask("HEAD", answer))
+
+    def test_some_statuses_have_no_body(self):
+        """Guards against a wait for the body of 204 and 304."""
+        answer = b"HTTP/1.1 204 No Content\r\n\r\n"
+        self.assertEqual([(204, b"")] * 2, self._ask("GET", answer))
+        self.assertEqual([(204, b"")] * 2, self._ask("POST", answer))
+        answer = b"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n"
+        self.assertEqual([(304, b"")] * 2, self._ask("GET", answer))
+
+    def test_body_may_be_empty(self):
+        """Guards against a wait for the body of an empty response."""
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        self.assertEqual([(200, b"")] * 2, self._ask("GET", answer))
+
+    def test_body_without_length_is_a_failure(self):
+        """Guards against an empty success where a body was not read."""
+        answer = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nsome text"
+        error = self.assertRaises(ChicoryplankError, self._ask, "GET", answer)
+        self.assertEqual(ErrorCode.BACKEND_FAILED, error.code)
+        self.assertEqual(Verdict.MAY_HAVE_RUN, error.verdict)
+
+
 class TestEvents(testtools.TestCase):
     """End marker and ids among generated text."""
 
