--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
 
-.PHONY: setup test check format unit demo generate soak soak-quick soak-maps
+.PHONY: setup test check format unit demo generate soak soak-quick soak-maps fuzz
 
 setup: $(VENV)/.installed
 
@@ -49,6 +49,10 @@
 soak: setup
 	$(PYTHON) tools/soak.py --seed $(SEED) --seconds $(SECONDS)
 
+# Mutated messages against a small site. Not part of make test.
+fuzz: setup
+	$(PYTHON) tools/fuzz.py --seed $(SEED) --seconds $(SECONDS)
+
 soak-quick: setup
 	$(PYTHON) tools/soak.py --seed 1 --seconds 25
 
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
@@ -69,6 +69,7 @@
         self._server = make_server(
             [self.relay, self.orders],
             MAX_BATCH_BODIES * settings.limits.max_body_bytes,
+            settings.shared_secret,
         )
         self._tasks: list[asyncio.Task] = []
         self.application = Application(f"agent {settings.instance}")
