--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
@@ -92,11 +92,18 @@
             ),
         )
 
-    def test_half_a_character_names_no_model(self):
-        """Guards against a name that cannot be written as UTF-8."""
+    def test_half_characters_are_rejected(self):
+        """Guards against text on which a backend server fails."""
+        prompt = b'{"model": "drawing", "prompt": "%s"}'
         self.assert_rejected(
-            404, "CP1204", make_completion(b'{"model": "\\ud800"}')
+            400,
+            "CP1201",
+            make_completion(b'{"model": "\\ud800"}'),
+            make_completion(prompt % b"\\uD83D"),
+            make_completion(prompt % b"\\ude00\\ud83d"),
         )
+        answers, _ = _ask(make_completion(prompt % b"\\ud83d\\ude00"))
+        self.assertEqual(200, answers[0].status)
 
     def test_large_bodies_are_rejected(self):
         """Guards against bodies beyond the limit, announced or not."""
