--- a/tools/soak.py
+++ b/tools/soak.py
@@ -33,6 +33,8 @@
 MAX_TOKENS = 128
 # The last changes must have time to reach all entries.
 SETTLE_S = 8.0
+# Traffic after the last fault, which every backend must serve again.
+RECOVERY_S = 4.0
 
 
 def report(text: str) -> None:
@@ -78,6 +80,7 @@
         self.tries: list[Try] = []
         self.timeline = Timeline()
         self.violations = soak_checks.Violations()
+        self._healed_s = 0.0
         self._options = options
         self._folder = folder
         self._fleet = fleet
@@ -157,6 +160,12 @@
         await faults
         await callers.finish()
         await asyncio.sleep(SETTLE_S)
+        self._healed_s = time.time()
+        await asyncio.gather(
+            callers.run(target, MODEL_RATE, RECOVERY_S, f"{seed}/last"),
+            callers.run(services, SERVICE_RATE, RECOVERY_S, f"{seed}/last"),
+        )
+        await callers.finish()
 
     async def _read_records(self) -> dict[str, list[dict[str, Any]]]:
         records = {}
@@ -187,6 +196,9 @@
         judged["leaving"] = soak_checks.check_leaving(
             records, self.timeline, violations, start_s
         )
+        soak_checks.check_recovery(
+            self.tries, records, self._healed_s, violations, start_s
+        )
         judged["versions"] = soak_checks.check_versions(
             self._operators, self.timeline, violations, time.time()
         )
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -189,6 +189,30 @@
     return judged
 
 
+def check_recovery(
+    tries: Iterable[Try],
+    records: dict[str, list[dict[str, Any]]],
+    healed_s: float,
+    violations: Violations,
+    start_s: float,
+) -> None:
+    """After the last fault every request is served, by every backend."""
+    for item in tries:
+        if item.sent_s < healed_s or item.ending in (Ending.GONE, Ending.LATE):
+            continue
+        if item.is_first and not item.outcome.is_right:
+            violations.add("not_recovered", _describe(item, start_s))
+    for backend, found in records.items():
+        works = any(
+            time_s > healed_s
+            for record in found
+            if record["path"] != _PROBE
+            for time_s in record["times_s"]
+        )
+        if not works:
+            violations.add("idle_backend", backend)
+
+
 def check_versions(
     operators: Operators,
     timeline: Timeline,
