Start replaced engines with the recorded expert map

A replacement waits to be told where its group stands. The controller records it first, which drops the promise of its predecessor, and then orders it to start at the step that all others wait at. A decision is part of that order, since the replacement could otherwise pass the first step of the new map before it hears of it.

Before this the group waited for ever for a replaced engine.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/engines.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/engines.py
@@ -58,6 +58,8 @@
         spare_slots: Slots beyond one for each expert.
         total_ranks: Number of ranks of the group.
         ranks: State of the engine's ranks by their number in the group.
+        joined: Whether the ranks run steps; a replacement waits to be told
+            where to start.
         loads: Load of each expert; empty if not asked for.
     """
 
@@ -72,6 +74,7 @@
     total_ranks: int
     ranks: Mapping[RankId, RankState]
     loads: tuple[int, ...] = ()
+    joined: bool = True
 
 
 def read_report(
@@ -104,6 +107,7 @@
             total_ranks=int(fields.get("total_ranks", len(ranks))),
             ranks=ranks,
             loads=tuple(reply.expert_loads),
+            joined=bool(fields.get("joined", True)),
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/map_control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/map_control.py
@@ -23,6 +23,7 @@
     Prepared,
     TokenSource,
     create_document,
+    join_group,
 )
 from chicoryplank.rebalance import Decision, Policy, make_map, run_between_tasks
 from chicoryplank.store import Store
@@ -94,6 +95,7 @@
         self._speed: tuple[int, timedelta] | None = None
         self._steps_per_s = 0.0
         self._moved_bytes = 0
+        self._blocked_step: int | None = None
 
     def forget(self) -> None:
         """Reads the document again before the next transition."""
@@ -123,6 +125,10 @@
                 await self._create(agents, reports)
                 return False
             self._is_loaded = True
+        if self._find_new(reports):
+            await self._join(agents, reports)
+            self.forget()
+            return True
         phase = self._change.document.phase
         handle = {
             Phase.IDLE: self._begin,
@@ -163,6 +169,50 @@
             return
         await create_document(self._store, self._group, expert_map, members)
 
+    def _find_new(self, reports: Reports) -> list[EngineReport]:
+        """Returns engines that are not recorded or have not started."""
+        members = self._change.document.members
+        return [
+            report
+            for report in reports.values()
+            if report.experts
+            and (
+                not report.joined
+                or any(
+                    members.get(rank) != report.engine_incarnation
+                    for rank in report.ranks
+                )
+            )
+        ]
+
+    async def _join(self, agents: int, reports: Reports) -> None:
+        """Records replacements and starts them where the group stands.
+
+        The group cannot pass the next step without them. That step is known
+        when all others report it twice.
+        """
+        started = {item.step for item in reports.values() if item.joined}
+        step = max(started, default=0)
+        is_steady = len(started) <= 1 and self._blocked_step == step
+        self._blocked_step = step
+        if len(reports) != agents or not is_steady:
+            return
+        for report in self._find_new(reports):
+            if not report.ready:
+                continue
+            for rank in report.ranks:
+                document, _ = await join_group(
+                    self._store,
+                    self._group,
+                    rank,
+                    report.engine_incarnation,
+                    _make_operation_id,
+                )
+            if not report.joined:
+                arguments = _make_start(document, step)
+                await self._place([report], "join_map", arguments)
+        self._blocked_step = None
+
     async def _begin(self, reports: Reports) -> None:
         document = self._change.document
         await self._drop_old_promises(reports)
@@ -347,6 +397,26 @@
     return OperationId(uuid.uuid4().hex)
 
 
+def _make_start(document: MapDocument, step: int) -> dict[str, object]:
+    """Returns the arguments that start a replacement at a step.
+
+    The decision is part of the order. Otherwise the replacement could pass
+    the first step of the new map before it hears of it.
+    """
+    decision = document.decision
+    in_force = document.in_force.digest
+    if decision is None:
+        return {"digest": in_force, "step": step}
+    if step >= decision.first_step:
+        return {"digest": decision.digest, "step": step}
+    return {
+        "digest": in_force,
+        "step": step,
+        "next_digest": decision.digest,
+        "first_step": decision.first_step,
+    }
+
+
 def _find_members(reports: Reports) -> dict[RankId, str]:
     return {
         rank: report.engine_incarnation
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_group_control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_group_control.py
@@ -53,6 +53,7 @@
         self.state = RankState(_FIRST.digest, "", None)
         self.stop_step = 0
         self.refuses = False
+        self.joined = True
         self.orders = []
 
     def report(self):
@@ -68,12 +69,15 @@
             total_ranks=2,
             ranks={self.rank: self.state},
             loads=(1, 2, 3, 4),
+            joined=self.joined,
         )
 
     def order(self, kind, arguments):
         if self.refuses:
             raise ChicoryplankError(ErrorCode.MEMBER_UNREACHABLE, "no answer")
         self.orders.append(kind)
+        if kind == "join_map":
+            return self.start(arguments)
         digest, state = arguments["digest"], self.state
         if kind == "prepare_map":
             self.state = dataclasses.replace(state, prepared=digest)
@@ -85,6 +89,22 @@
             self.state = dataclasses.replace(state, prepared="")
         return self.incarnation
 
+    def start(self, arguments):
+        self.state = RankState(
+            arguments["digest"],
+            arguments.get("next_digest", ""),
+            arguments.get("first_step"),
+        )
+        self.step = arguments["step"]
+        self.joined = True
+        return self.incarnation
+
+    def replace(self):
+        self.incarnation += "-new"
+        self.joined = False
+        self.step = 0
+        self.state = RankState(_FIRST.digest, "", None)
+
     def run_until(self, step):
         """Runs steps and stops where a promise forbids to go on."""
         while self.step < step:
@@ -200,6 +220,42 @@
 
         asyncio.run(run())
 
+    def test_replacement_starts_with_the_decision(self):
+        """Guards against a new engine that passes the switch unaware."""
+
+        async def run():
+            controller, document = await self.begin()
+            first = document.decision.first_step
+            self.engines[0].run_until(110)
+            self.engines[1].replace()
+            await self.run_round(controller)
+            self.assertFalse(self.engines[1].joined)
+            document = await self.run_round(controller)
+            self.assertEqual(110, self.engines[1].step)
+            member = self.engines[1].incarnation
+            self.assertEqual(member, document.members[1])
+            for engine in self.engines:
+                engine.run_until(first + 1)
+                self.assertEqual(_NEXT.digest, engine.state.digest)
+            document = await self.run_round(controller)
+            self.assertIs(Phase.IDLE, document.phase)
+
+        asyncio.run(run())
+
+    def test_replacement_waits_until_the_group_stands(self):
+        """Guards against a start at a step that the group has passed."""
+
+        async def run():
+            controller, _ = await self.begin()
+            self.engines[1].replace()
+            for step in (110, 120, 120):
+                self.assertFalse(self.engines[1].joined)
+                self.engines[0].run_until(step)
+                await self.run_round(controller)
+            self.assertEqual(120, self.engines[1].step)
+
+        asyncio.run(run())
+
     def test_lapsed_lease_ends_control(self):
         """Guards against a write by a controller that was paused."""
 
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_engine.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_engine.py
@@ -183,7 +183,9 @@
         self.options = options
         self.faults = BackendFaults()
         self.records = RecordBook(options.record_file)
-        self.ranks = RankGroup(options.ranks, options.map_digest, elapsed)
+        self.ranks = RankGroup(
+            options.ranks, options.map_digest, elapsed, options.members == 1
+        )
         self.barrier = Barrier(options.members)
         self.loads = ExpertLoads(options.experts, options.seed)
         self.applied: list[dict[str, Any]] = []
@@ -351,6 +353,7 @@
             "prepare_map": self.ranks.prepare,
             "decide_map": self.ranks.decide,
             "abort_map": self.ranks.abort,
+            "join_map": self.ranks.join,
         }
         if kind in changes:
             return changes[kind](arguments)
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_ranks.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_ranks.py
@@ -70,11 +70,13 @@
         count: Number of ranks.
         digest: Map in force at the start.
         elapsed: Returns the time in seconds.
+        joined: Whether the ranks start without being told where.
 
     Attributes:
         step: Number of the next step.
         mixed_steps: Steps in which ranks used different maps.
         incarnation: Differs for each process.
+        joined: Whether the ranks were told where to start.
         stops: Steps that were waited for or that began a new map, with the
             time since the step before.
     """
@@ -84,8 +86,10 @@
         count: int,
         digest: str = "initial",
         elapsed: Callable[[], float] = time.monotonic,
+        joined: bool = True,
     ) -> None:
         self.step = 0
+        self.joined = joined
         self.mixed_steps = 0
         self.incarnation = uuid.uuid4().hex
         self.stops: list[dict[str, Any]] = []
@@ -102,6 +106,8 @@
 
     def is_waiting(self) -> bool:
         """Tells whether a rank waits; then the whole group waits."""
+        if not self.joined:
+            return True
         waiting = any(rank.is_waiting(self.step) for rank in self.ranks)
         self._has_waited = self._has_waited or waiting
         return waiting
@@ -142,6 +148,8 @@
 
     def prepare(self, arguments: dict[str, Any]) -> dict[str, Any]:
         """Prepares ranks for a map."""
+        if not self.joined:
+            raise OrderError(409, "not_joined", "the ranks have not started")
         digest = _read_digest(arguments)
         stop_step = _read_step(arguments, "stop_step")
         if stop_step < self.step:
@@ -158,6 +166,25 @@
                 rank.stop_step = stop_step
         return {"step": self.step, "incarnation": self.incarnation}
 
+    def join(self, arguments: dict[str, Any]) -> dict[str, Any]:
+        """Starts ranks at a step of their group, with the map of that step.
+
+        A switch that the group has decided on comes with it.
+        """
+        digest = _read_digest(arguments)
+        step = _read_step(arguments, "step")
+        if self.joined:
+            raise OrderError(409, "joined", "the ranks have started")
+        for rank in self.ranks:
+            rank.digest = digest
+            if "next_digest" in arguments:
+                rank.prepared = arguments["next_digest"]
+                rank.stop_step = _read_step(arguments, "first_step")
+                rank.first_step = rank.stop_step
+        self.step = step
+        self.joined = True
+        return {"step": self.step, "incarnation": self.incarnation}
+
     def decide(self, arguments: dict[str, Any]) -> dict[str, Any]:
         """Tells prepared ranks the first step under the new map."""
         digest = _read_digest(arguments)
@@ -204,6 +231,7 @@
         return {
             "step": self.step,
             "incarnation": self.incarnation,
+            "joined": self.joined,
             "ranks": ranks,
         }
 
--- a/tools/soak_maps.py
+++ b/tools/soak_maps.py
@@ -18,7 +18,13 @@
 from datetime import timedelta
 from typing import Any
 
-from fleet import Fleet, FleetError, request_json, wait_for_port
+from fleet import (
+    Fleet,
+    FleetError,
+    request_json,
+    wait_for_http,
+    wait_for_port,
+)
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from layout import Site, SiteOptions, make_intent
@@ -88,6 +94,7 @@
         self.fleet = fleet
         self.site = site
         self.stale_ids: set[str] = set()
+        self.earlier: list[dict[str, Any]] = []
         self.tally: collections.Counter[str] = collections.Counter()
         self._store = EtcdStore(
             site.addresses["store"], timedelta(milliseconds=500)
@@ -250,6 +257,21 @@
     await _pause(group, name, source.uniform(0.3, 5))
 
 
+async def kill_engine(group: Group, source: random.Random) -> None:
+    """Replaces an engine; its successor starts from the recorded map."""
+    await _wait_somewhere(group, source)
+    name = source.choice(group.list_engines())
+    with contextlib.suppress(FleetError):
+        group.earlier.append({name: await group.read_records(name)})
+    group.fleet.kill(name)
+    await asyncio.sleep(source.uniform(0, 2))
+    group.fleet.restart(name)
+    address = group.site.addresses[name]
+    await wait_for_http(address, "/records", 20)
+    fields = {"prepare_delay_ms": source.uniform(100, 600)}
+    await request_json(address, "/faults", "POST", fields)
+
+
 async def stop_store(group: Group, source: random.Random) -> None:
     """Lets the store fail, or its answers be lost or late."""
     await _wait_somewhere(group, source)
@@ -289,6 +311,7 @@
     pause_controller,
     kill_agent,
     stall_engine,
+    kill_engine,
     stop_store,
     block_agent,
     place_stale_orders,
@@ -360,6 +383,8 @@
         for engine in group.list_engines()
     }
     violations += check_engines(records, group.stale_ids)
+    for earlier in group.earlier:
+        violations += check_engines(records | earlier, group.stale_ids)
     violations += check_logs(folder)
     end = await group.read_map()
     _, calls = await request_json(site.addresses["store"], "/calls")
