Limit the candidates of a group and split its reports

At most three zones have a candidate for the lease of a group, since each candidate reads the lease key every few seconds. The next replica changes its version in the next short round instead of 5 s later. soak_maps.py also changes the version after the faults.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 # Every process, seeded faults, every promise checked. Not part of make test.
 SEED ?= 1
 SECONDS ?= 60
+SOAK_FLAGS ?=
 
 soak: setup
 	$(PYTHON) tools/soak.py --seed $(SEED) --seconds $(SECONDS)
@@ -54,4 +55,4 @@
 
 # One group on four engines whose expert map changes under seeded faults.
 soak-maps: setup
-	$(PYTHON) tools/soak_maps.py --seed $(SEED) --seconds $(SECONDS)
+	$(PYTHON) tools/soak_maps.py --seed $(SEED) --seconds $(SECONDS) $(SOAK_FLAGS)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/group_controller.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/group_controller.py
@@ -20,17 +20,17 @@
 from chicoryplank.rendezvous import rank
 from chicoryplank.store import Store, StoreError
 from chicoryplank_entry.engines import EngineCalls, EngineReport
-from chicoryplank_entry.map_control import (
-    MapController,
-    Reports,
-    report_failure,
-)
+from chicoryplank_entry.group_reports import Reports, report_failure
+from chicoryplank_entry.map_control import MapController
 
 # At most one report of loads in this time from each agent.
 _ROUND_INTERVAL = timedelta(seconds=5)
 _BUSY_INTERVAL = timedelta(milliseconds=250)
 # Control may take 35 calls a second; a controller uses at most about half.
 _CALLS_PER_S = 20
+# Candidates read the lease key every few seconds; more of them would only add
+# reads, since the instance list soon replaces one that has failed.
+_MAX_CANDIDATES = 3
 _RETRY_INTERVAL = timedelta(milliseconds=500)
 # Weights of one expert; only ratios matter to the policy.
 _EXPERT_BYTES = 44_000_000
@@ -39,7 +39,7 @@
 def choose_candidates(
     group: ModelGroupId, instances: tuple[Instance, ...]
 ) -> set[str]:
-    """Returns the entries that try to hold the lease: one in each zone.
+    """Returns the entries that try to hold the lease: one in a few zones.
 
     All other entries make no calls of the store for the group.
     """
@@ -48,7 +48,8 @@
         if item.role == "entry" and not item.leaving:
             zones.setdefault(item.zone, []).append(item.instance)
     key = f"controller/{group}"
-    return {rank(key, entries)[0] for entries in zones.values()}
+    chosen = rank(key, zones)[:_MAX_CANDIDATES]
+    return {rank(key, zones[zone])[0] for zone in chosen}
 
 
 def choose_replica(
@@ -174,8 +175,10 @@
                 if with_loads:
                     loads_due = now + self._get_interval(len(instances))
                 reports = await calls.read(instances, with_loads)
-                await self._order_version(calls, len(instances), reports)
-                busy = await maps.run_round(len(instances), reports)
+                is_changed = await self._order_version(
+                    calls, len(instances), reports
+                )
+                is_busy = await maps.run_round(len(instances), reports)
             except ChicoryplankError as error:
                 self._report_failure(error)
                 maps.forget()
@@ -183,7 +186,7 @@
                 continue
             await self._clock.sleep(
                 max(_BUSY_INTERVAL, timedelta(seconds=len(instances) / 40))
-                if busy
+                if is_busy or is_changed
                 else self._get_interval(len(instances))
             )
 
@@ -192,11 +195,12 @@
 
     async def _order_version(
         self, calls: EngineCalls, agents: int, reports: Reports
-    ) -> None:
+    ) -> bool:
+        """Changes the version of one replica; returns whether it was done."""
         configuration = self._get_configuration()
         report = choose_replica(configuration, agents, reports)
         if report is None:
-            return
+            return False
         version = configuration.version
         emit(
             Event.VERSION_ORDERED,
@@ -208,6 +212,8 @@
             await calls.place(report, "set_version", {"version": version})
         except ChicoryplankError as error:
             report_failure(report, "set_version", error)
+            return False
+        return True
 
     async def _renew(self) -> None:
         """Renews at a third of the duration, so that two tries may fail."""
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/map_control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/map_control.py
@@ -11,10 +11,8 @@
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import (
     Incarnation,
-    InstanceId,
     ModelGroupId,
     OperationId,
-    RankId,
 )
 from chicoryplank.orders import (
     MapChange,
@@ -29,8 +27,16 @@
 from chicoryplank.store import Store
 from chicoryplank_entry import metrics
 from chicoryplank_entry.engines import EngineCalls, EngineReport
-
-Reports = Mapping[InstanceId, EngineReport]
+from chicoryplank_entry.group_reports import (
+    Reports,
+    find_digests,
+    find_members,
+    find_new,
+    find_step,
+    make_start,
+    report_failure,
+    sum_loads,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,7 +118,7 @@
             ChicoryplankError: If a transition could not be recorded; call
                 forget and go on in the next round.
         """
-        members = _find_members(reports)
+        members = find_members(reports)
         if not members:
             return False
         self._measure_speed(reports)
@@ -125,7 +131,7 @@
                 await self._create(agents, reports)
                 return False
             self._is_loaded = True
-        if self._find_new(reports):
+        if find_new(self._change.document, reports):
             await self._join(agents, reports)
             self.forget()
             return True
@@ -143,7 +149,7 @@
         return is_changing
 
     def _measure_speed(self, reports: Reports) -> None:
-        step, now = _find_step(reports), self._clock.elapsed()
+        step, now = find_step(reports), self._clock.elapsed()
         if self._speed is not None:
             before, start = self._speed
             seconds = (now - start).total_seconds()
@@ -154,7 +160,7 @@
 
     async def _create(self, agents: int, reports: Reports) -> None:
         """Records the map that all ranks report from their start."""
-        members = _find_members(reports)
+        members = find_members(reports)
         first = next(report for report in reports.values() if report.experts)
         if set(members) != set(range(first.total_ranks)):
             detail = f"{len(members)} of {first.total_ranks} ranks answer"
@@ -163,28 +169,12 @@
         expert_map = make_map(
             first.experts, first.total_ranks, first.spare_slots
         )
-        if _find_digests(reports) != {expert_map.digest}:
+        if find_digests(reports) != {expert_map.digest}:
             detail = f"{agents} engines do not start with the initial map"
             emit(Event.GROUP_INCOMPLETE, group=self._group, detail=detail)
             return
         await create_document(self._store, self._group, expert_map, members)
 
-    def _find_new(self, reports: Reports) -> list[EngineReport]:
-        """Returns engines that are not recorded or have not started."""
-        members = self._change.document.members
-        return [
-            report
-            for report in reports.values()
-            if report.experts
-            and (
-                not report.joined
-                or any(
-                    members.get(rank) != report.engine_incarnation
-                    for rank in report.ranks
-                )
-            )
-        ]
-
     async def _join(self, agents: int, reports: Reports) -> None:
         """Records replacements and starts them where the group stands.
 
@@ -197,7 +187,7 @@
         self._blocked_step = step
         if len(reports) != agents or not is_steady:
             return
-        for report in self._find_new(reports):
+        for report in find_new(self._change.document, reports):
             if not report.ready:
                 continue
             for rank in report.ranks:
@@ -209,14 +199,14 @@
                     _make_operation_id,
                 )
             if not report.joined:
-                arguments = _make_start(document, step)
+                arguments = make_start(document, step)
                 await self._place([report], "join_map", arguments)
         self._blocked_step = None
 
     async def _begin(self, reports: Reports) -> None:
         document = self._change.document
         await self._drop_old_promises(reports)
-        loads = _sum_loads(reports)
+        loads = sum_loads(reports)
         if not loads or not self._may_change(document, reports):
             return
         now = self._clock.now()
@@ -232,7 +222,7 @@
             round(self._steps_per_s * self._lead.total_seconds()),
         )
         await self._change.begin(
-            decision.expert_map, _find_step(reports) + margin
+            decision.expert_map, find_step(reports) + margin
         )
         self._announce(decision)
         await self._prepare(reports)
@@ -250,8 +240,8 @@
     def _may_change(self, document: MapDocument, reports: Reports) -> bool:
         """Whether every recorded rank answers and runs the map in force."""
         return (
-            _find_members(reports) == dict(document.members)
-            and _find_digests(reports) == {document.in_force.digest}
+            find_members(reports) == dict(document.members)
+            and find_digests(reports) == {document.in_force.digest}
             and all(report.ready for report in reports.values())
         )
 
@@ -303,7 +293,7 @@
             await self._decide(reports)
             return
         waited = self._clock.elapsed() - self._seen[1]
-        has_passed = _find_step(reports) > following.stop_step
+        has_passed = find_step(reports) > following.stop_step
         if has_passed or waited > self._lead + self._times.patience:
             await self._abort(reports)
 
@@ -385,63 +375,5 @@
         return done
 
 
-def report_failure(
-    report: EngineReport, kind: str, error: ChicoryplankError
-) -> None:
-    """Counts and logs an order that an agent did not carry out."""
-    metrics.ORDERS_FAILED.labels(error.code.value).inc()
-    emit(Event.ORDER_FAILED, kind=kind, agent=report.agent, error=error.message)
-
-
 def _make_operation_id() -> OperationId:
     return OperationId(uuid.uuid4().hex)
-
-
-def _make_start(document: MapDocument, step: int) -> dict[str, object]:
-    """Returns the arguments that start a replacement at a step.
-
-    The decision is part of the order. Otherwise the replacement could pass
-    the first step of the new map before it hears of it.
-    """
-    decision = document.decision
-    in_force = document.in_force.digest
-    if decision is None:
-        return {"digest": in_force, "step": step}
-    if step >= decision.first_step:
-        return {"digest": decision.digest, "step": step}
-    return {
-        "digest": in_force,
-        "step": step,
-        "next_digest": decision.digest,
-        "first_step": decision.first_step,
-    }
-
-
-def _find_members(reports: Reports) -> dict[RankId, str]:
-    return {
-        rank: report.engine_incarnation
-        for report in reports.values()
-        if report.experts
-        for rank in report.ranks
-    }
-
-
-def _find_digests(reports: Reports) -> set[str]:
-    return {
-        rank.digest
-        for report in reports.values()
-        if report.experts
-        for rank in report.ranks.values()
-    }
-
-
-def _find_step(reports: Reports) -> int:
-    return max(report.step for report in reports.values())
-
-
-def _sum_loads(reports: Reports) -> list[float]:
-    """Returns the load of each expert over the engines that report it."""
-    columns = [report.loads for report in reports.values() if report.loads]
-    if not columns or len({len(column) for column in columns}) > 1:
-        return []
-    return [float(sum(counts)) for counts in zip(*columns, strict=True)]
--- a/tools/soak_maps.py
+++ b/tools/soak_maps.py
@@ -347,6 +347,25 @@
     return False
 
 
+async def _change_version(
+    group: Group, operators: Operators
+) -> tuple[float, list[str]]:
+    """Changes the version; returns the time that it took and violations."""
+    change = {"groups": {"change": {GROUP: {"version": "v2"}}}}
+    if not await operators.change(change, "soak"):
+        return 0.0, [f"the version was not changed: {operators.failures}"]
+    start_s = time.monotonic()
+    while time.monotonic() < start_s + SETTLE_LIMIT_S:
+        versions = {
+            (await group.read_records(engine))["version"]
+            for engine in group.list_engines()
+        }
+        if versions == {"v2"}:
+            return time.monotonic() - start_s, []
+        await asyncio.sleep(0.2)
+    return 0.0, [f"versions after {SETTLE_LIMIT_S} s: {sorted(versions)}"]
+
+
 async def run(
     fleet: Fleet, folder: pathlib.Path, options: argparse.Namespace
 ) -> dict[str, Any]:
@@ -378,6 +397,8 @@
     if not await _wait_until_settled(group, before.in_force_change):
         violations.append(f"no change finished in {SETTLE_LIMIT_S} s")
     settle_s = time.monotonic() - ended_s
+    version_s, found = await _change_version(group, operators)
+    violations += found
     records = {
         engine: await group.read_records(engine)
         for engine in group.list_engines()
@@ -398,6 +419,7 @@
         "changes_begun": end.last_change - start.last_change,
         "last_change": end.last_change,
         "settle_s": round(settle_s, 1),
+        "version_s": round(version_s, 1),
         "store_calls_per_s": round(calls["total"] / calls["elapsed_s"], 1),
         **measure_stops(records, STEP_MS / 1_000),
     }
