Keep controllers and agents going after unexpected failures

An unexpected exception ended a group's controller in this entry for good; a damaged token record ended the agent's try to read it. Loads of a part of the engines are no longer taken for a change of the loads.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/orders.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/orders.py
@@ -130,8 +130,9 @@
         while not self.gate.ready:
             try:
                 token = await read_highest_token(self._store, self._group)
-            except ChicoryplankError as error:
-                emit(Event.TOKEN_UNAVAILABLE, error=error.message)
+            except (ChicoryplankError, ValueError, LookupError) as error:
+                # Also a damaged record, which operators have to repair.
+                emit(Event.TOKEN_UNAVAILABLE, error=str(error))
                 await self._clock.sleep(backoff * self._random.uniform(0.5, 1))
                 backoff = min(2 * backoff, _MAX_BACKOFF)
             else:
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_orders.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_orders.py
@@ -131,6 +131,22 @@
 
         asyncio.run(run())
 
+    def test_damaged_token_keeps_orders_out(self):
+        """Guards against an agent that gives up after one bad record."""
+
+        async def run():
+            await self.store.swap("groups/llm/token", b"x", 0)
+            task = asyncio.create_task(self.service.restore_token())
+            for _ in range(20):
+                await asyncio.sleep(0)
+            self.assertFalse(self.service.gate.ready)
+            record = await self.store.read("groups/llm/token")
+            await self.store.swap("groups/llm/token", b"9", record.revision)
+            await task
+            self.assertTrue(self.service.gate.ready)
+
+        asyncio.run(run())
+
     def test_malformed_content_is_refused(self):
         """Guards against an exception that ends the connection."""
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/group_controller.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/group_controller.py
@@ -118,7 +118,11 @@
                 if await self._try_acquire():
                     await self._hold()
             except StoreError as error:
-                self._report_failure(error)
+                self._report_failure(error.message)
+            except Exception as error:  # noqa: BLE001
+                # The lease is released by then; another entry or a later
+                # try goes on from the recorded state.
+                self._report_failure(repr(error))
 
     async def _try_acquire(self) -> bool:
         instances = self._blackboard.instances.value
@@ -180,7 +184,7 @@
                 )
                 is_busy = await maps.run_round(len(instances), reports)
             except ChicoryplankError as error:
-                self._report_failure(error)
+                self._report_failure(error.message)
                 maps.forget()
                 await self._clock.sleep(_RETRY_INTERVAL)
                 continue
@@ -225,7 +229,7 @@
                 if not await self._lease.renew():
                     return
             except StoreError as error:
-                self._report_failure(error)
+                self._report_failure(error.message)
                 interval = _RETRY_INTERVAL
 
     def _get_configuration(self) -> GroupConfiguration:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/group_reports.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/group_reports.py
@@ -66,9 +66,12 @@
 
 
 def sum_loads(reports: Reports) -> list[float]:
-    """Returns the load of each expert over the engines that report it."""
-    columns = [report.loads for report in reports.values() if report.loads]
-    if not columns or len({len(column) for column in columns}) > 1:
+    """Returns the load of each expert; empty unless every engine told it.
+
+    A sum without one engine would look like a change of the loads.
+    """
+    columns = [report.loads for report in reports.values() if report.experts]
+    if not columns or any(len(item) != len(columns[0]) for item in columns):
         return []
     return [float(sum(counts)) for counts in zip(*columns, strict=True)]
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_group_control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_group_control.py
@@ -287,6 +287,21 @@
 
         asyncio.run(run())
 
+    def test_partial_loads_are_not_used(self):
+        """Guards against a change caused by an engine that told no loads."""
+
+        async def run():
+            controller = await self.make_controller()
+            await self.run_round(controller)
+            first, second = (item.report() for item in self.engines)
+            second = dataclasses.replace(second, loads=())
+            reports = {first.agent: first, second.agent: second}
+            await controller.run_round(2, reports)
+            document, _ = await read_document(self.store, _GROUP)
+            self.assertEqual(0, document.last_change)
+
+        asyncio.run(run())
+
     def test_forgotten_promise_is_dropped(self):
         """Guards against a rank that stops for a change aborted elsewhere."""
 
