Report unexpected failures of a group's controller as text

Two tests now run the controller task against a store that is down or fails unexpectedly, and check the recorded token and the released lease.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/group_controller.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/group_controller.py
@@ -243,7 +243,7 @@
         ]
 
     def _report_failure(self, error: ChicoryplankError) -> None:
-        emit(Event.CONTROL_ROUND_FAILED, group=self._group, error=error.message)
+        emit(Event.CONTROL_ROUND_FAILED, group=self._group, error=error)
 
 
 async def follow_groups(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_group_control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_group_control.py
@@ -2,20 +2,26 @@
 
 import asyncio
 import dataclasses
+import random
 from datetime import timedelta
 
 import testtools
 
-from chicoryplank.blackboard import Instance
+from chicoryplank.blackboard import Blackboard, Instance
 from chicoryplank.clock import ManualClock
-from chicoryplank.configuration import GroupConfiguration
+from chicoryplank.configuration import (
+    EntrySettings,
+    GroupConfiguration,
+    Snapshot,
+)
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.fakes import MemoryStore
-from chicoryplank.ids import InstanceId, ZoneId
+from chicoryplank.ids import ConfigVersion, InstanceId, ZoneId
 from chicoryplank.orders import ControllerLease, Phase, read_document
 from chicoryplank.rebalance import Decision, Reason, list_moves, make_map
 from chicoryplank_entry.engines import EngineReport, RankState, read_report
 from chicoryplank_entry.group_controller import (
+    GroupController,
     choose_candidates,
     choose_replica,
 )
@@ -359,6 +365,79 @@
         self.assertEqual(1, self.choose(["v2", "v1"], 3, 1))
 
 
+class _ShortSleeps(ManualClock):
+    """Clock whose sleeps end at once."""
+
+    async def sleep(self, duration):
+        self.advance(duration)
+        await asyncio.sleep(0)
+
+
+class _BrokenStore(MemoryStore):
+    """Store whose reads fail in a way that nobody expects."""
+
+    async def read(self, key):
+        raise RuntimeError(key)
+
+
+class TestGroupController(testtools.TestCase):
+    """The task that tries to hold the lease."""
+
+    def run_controller(self, store, clock):
+        async def run():
+            blackboard = Blackboard()
+            entry = self.make_entry()
+            blackboard.instances.write((entry,))
+            group = GroupConfiguration(("model",), "v1", 1, 100)
+            blackboard.snapshot.write(
+                Snapshot(ConfigVersion(1), {}, {_GROUP: group}, {})
+            )
+            controller = GroupController(
+                _GROUP,
+                EntrySettings(entry.instance, entry.zone, "", "", None, None),
+                store,
+                blackboard,
+                clock,
+                random_source=random.Random(1),
+            )
+            task = asyncio.create_task(controller.run())
+            for _ in range(200):
+                await asyncio.sleep(0)
+            is_running = not task.done()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return is_running
+
+        return asyncio.run(run())
+
+    def make_entry(self):
+        return Instance(InstanceId("entry-1"), "entry", ZoneId("a"), "")
+
+    def test_failures_do_not_end_the_task(self):
+        """Guards against a group that an entry never controls again."""
+        clock = _ShortSleeps()
+        down = MemoryStore(clock)
+        down.available = False
+        for store in (down, _BrokenStore(clock)):
+            is_running = self.run_controller(store, clock)
+            self.assertTrue(is_running)
+
+    def test_token_is_recorded_and_the_lease_released(self):
+        """Guards against orders under a token that no agent can read."""
+
+        async def read(store):
+            token = await store.read(f"groups/{_GROUP}/token")
+            return token, await store.read(f"groups/{_GROUP}/lease")
+
+        clock = _ShortSleeps()
+        store = MemoryStore(clock)
+        is_running = self.run_controller(store, clock)
+        token, lease = asyncio.run(read(store))
+        self.assertTrue(is_running)
+        self.assertGreater(int(token.value), 0)
+        self.assertIsNone(lease)
+
+
 class TestReports(testtools.TestCase):
     """Answers of agents."""
 
