--- a/tools/soak_maps.py
+++ b/tools/soak_maps.py
@@ -18,7 +18,13 @@
 from datetime import timedelta
 from typing import Any
 
-from fleet import Fleet, FleetError, request_json, wait_for_port
+from fleet import (
+    Fleet,
+    FleetError,
+    request_json,
+    wait_for_http,
+    wait_for_port,
+)
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from layout import Site, SiteOptions, make_intent
@@ -88,6 +94,7 @@
         self.fleet = fleet
         self.site = site
         self.stale_ids: set[str] = set()
+        self.earlier: list[dict[str, Any]] = []
         self.tally: collections.Counter[str] = collections.Counter()
         self._store = EtcdStore(
             site.addresses["store"], timedelta(milliseconds=500)
@@ -250,6 +257,21 @@
     await _pause(group, name, source.uniform(0.3, 5))
 
 
+async def kill_engine(group: Group, source: random.Random) -> None:
+    """Replaces an engine; its successor starts from the recorded map."""
+    await _wait_somewhere(group, source)
+    name = source.choice(group.list_engines())
+    with contextlib.suppress(FleetError):
+        group.earlier.append({name: await group.read_records(name)})
+    group.fleet.kill(name)
+    await asyncio.sleep(source.uniform(0, 2))
+    group.fleet.restart(name)
+    address = group.site.addresses[name]
+    await wait_for_http(address, "/records", 20)
+    fields = {"prepare_delay_ms": source.uniform(100, 600)}
+    await request_json(address, "/faults", "POST", fields)
+
+
 async def stop_store(group: Group, source: random.Random) -> None:
     """Lets the store fail, or its answers be lost or late."""
     await _wait_somewhere(group, source)
@@ -289,6 +311,7 @@
     pause_controller,
     kill_agent,
     stall_engine,
+    kill_engine,
     stop_store,
     block_agent,
     place_stale_orders,
@@ -324,6 +347,25 @@
     return False
 
 
+async def _change_version(
+    group: Group, operators: Operators
+) -> tuple[float, list[str]]:
+    """Changes the version; returns the time that it took and violations."""
+    change = {"groups": {"change": {GROUP: {"version": "v2"}}}}
+    if not await operators.change(change, "soak"):
+        return 0.0, [f"the version was not changed: {operators.failures}"]
+    start_s = time.monotonic()
+    while time.monotonic() < start_s + SETTLE_LIMIT_S:
+        versions = {
+            (await group.read_records(engine))["version"]
+            for engine in group.list_engines()
+        }
+        if versions == {"v2"}:
+            return time.monotonic() - start_s, []
+        await asyncio.sleep(0.2)
+    return 0.0, [f"versions after {SETTLE_LIMIT_S} s: {sorted(versions)}"]
+
+
 async def run(
     fleet: Fleet, folder: pathlib.Path, options: argparse.Namespace
 ) -> dict[str, Any]:
@@ -355,11 +397,15 @@
     if not await _wait_until_settled(group, before.in_force_change):
         violations.append(f"no change finished in {SETTLE_LIMIT_S} s")
     settle_s = time.monotonic() - ended_s
+    version_s, found = await _change_version(group, operators)
+    violations += found
     records = {
         engine: await group.read_records(engine)
         for engine in group.list_engines()
     }
     violations += check_engines(records, group.stale_ids)
+    for earlier in group.earlier:
+        violations += check_engines(records | earlier, group.stale_ids)
     violations += check_logs(folder)
     end = await group.read_map()
     _, calls = await request_json(site.addresses["store"], "/calls")
@@ -373,6 +419,7 @@
         "changes_begun": end.last_change - start.last_change,
         "last_change": end.last_change,
         "settle_s": round(settle_s, 1),
+        "version_s": round(version_s, 1),
         "store_calls_per_s": round(calls["total"] / calls["elapsed_s"], 1),
         **measure_stops(records, STEP_MS / 1_000),
     }
