Take over a sealed claim only while it holds for long

A claim in a sealed segment that never ran is taken over as it stands, with its old expiry. A run that took it over shortly before the expiry lost its claim soon after, and a retry through another agent could run again. The claim must now hold for half of the retention or the key counts as held elsewhere. Found by reading while expiry was added to the model; the unit test fails without the change.

--- a/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
@@ -263,9 +263,15 @@
             )
 
     def _can_take_over(self, writer: _ShardWriter, held: Claim) -> bool:
-        """Whether a claim never ran and cannot be removed any more."""
+        """Whether a claim never ran and cannot be removed any more.
+
+        It expires as it would have, so it must still hold for long enough to
+        reject retries of the request that runs under it.
+        """
+        left_s = held.expires_s - self._clock.now().timestamp()
         return (
             held.attempt in self._abandoned
+            and left_s >= self._settings.retention.total_seconds() / 2
             and not writer.shard.is_removable(held)
         )
 
--- a/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
@@ -284,6 +284,22 @@
         self.assertEqual("admitted", again)
         self.assertNotEqual("admitted", twice)
 
+    def test_sealed_claim_near_its_expiry_is_not_taken_over(self):
+        """Guards against a run whose claim expires before a retry."""
+
+        async def run():
+            first, second = self._make_registry(), self._make_registry()
+            for number in range(3):
+                key = f"00000000{number:024x}"
+                await first.admit(key, _BODY, f"a{number}")
+            await first.release("0" * 32, "a0")
+            self.clock.advance(self.settings.retention - timedelta(seconds=5))
+            again = await self._try_admit(first, "b", "0" * 32)
+            self.clock.advance(timedelta(seconds=10))
+            return [again, await self._try_admit(second, "c", "0" * 32)]
+
+        self.assertEqual(1, asyncio.run(run()).count("admitted"))
+
     def test_repeated_submission_keeps_the_bound(self):
         """Guards against more waiting claims than the limit."""
 
