--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/attempts/tests/processes.py
@@ -0,0 +1,387 @@
+"""Entries, agents, connections and backend servers of the model.
+
+The agents are the real relay service with its tables and claims; each runs on
+its own driven event loop, so that it can be paused or dropped. The entries
+use the real ledger and repeat what the entry's relay does with it.
+"""
+
+import asyncio
+import dataclasses
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING
+
+from chicoryplank.attempts import Attempt
+from chicoryplank.attempts.tests.faults import (
+    GatedStore,
+    InvariantError,
+)
+from chicoryplank.configuration import (
+    AgentSettings,
+    RequestLimits,
+    StoreSettings,
+)
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.fakes import DrivenLoop
+from chicoryplank.idempotency import ClaimSettings
+from chicoryplank.ids import Incarnation, InstanceId
+from chicoryplank.store import StoreError
+from chicoryplank.verdict import Verdict
+from chicoryplank_agent.backend import BackendResponse
+from chicoryplank_agent.relay import RelayService
+from chicoryplank_wire import relay_pb2
+
+if TYPE_CHECKING:
+    from chicoryplank.attempts.tests.world import World
+
+
+MAX_SKEW = timedelta(milliseconds=500)
+LIMITS = RequestLimits(
+    max_requests=6,
+    max_buffer_bytes=64,
+    max_tombstones=40,
+    default_timeout=timedelta(seconds=2),
+    max_timeout=timedelta(seconds=8),
+)
+CLAIMS = ClaimSettings(
+    shards=2,
+    max_claims_per_segment=3,
+    max_claims_per_shard=400,
+    max_waiting=3,
+    retention=timedelta(seconds=60),
+)
+_MAX_ATTEMPTS = 3
+
+
+@dataclasses.dataclass(eq=False)
+class Run:
+    """One run at a backend server.
+
+    Attributes:
+        label: Attempt whose message caused it.
+        name: Idempotency key, or the label of a repeatable attempt.
+        content: The whole response.
+        witnesses: Attempts for which it ran that were not told NOT_RUN.
+        agent: Agent beside the backend server.
+        time: Boot time of its start.
+        future: Wakes the reader of the response.
+        sent: Bytes of the response that were read.
+    """
+
+    label: str
+    name: str
+    content: bytes
+    witnesses: set[str]
+    agent: "Agent"
+    time: timedelta
+    future: asyncio.Future | None = None
+    sent: int = 0
+
+
+class Backend:
+    """Backend server beside one agent incarnation."""
+
+    def __init__(self, world: "World", agent: "Agent") -> None:
+        self._world = world
+        self._agent = agent
+
+    async def send(self, request) -> BackendResponse:
+        """Records the run and returns the head of the response."""
+        if self._world.backend_down == self._agent.name:
+            raise ChicoryplankError(
+                ErrorCode.BACKEND_FAILED, "connection refused", Verdict.NOT_RUN
+            )
+        run = self._world.record_run(self._agent, request)
+        await self._wait(run)
+        return BackendResponse(200, (), self._read(run))
+
+    async def cancel(self, request_id: str) -> None:
+        """Does nothing; a cancelled run counts as a run."""
+
+    async def _wait(self, run: Run) -> None:
+        run.future = self._agent.loop.create_future()
+        if run not in self._world.waiting_runs:
+            self._world.waiting_runs.append(run)
+        if await run.future == "broken":
+            raise ChicoryplankError(
+                ErrorCode.BACKEND_FAILED, "broke off", Verdict.MAY_HAVE_RUN
+            )
+
+    async def _read(self, run: Run):
+        while run.sent < len(run.content):
+            piece = run.content[run.sent : run.sent + 9]
+            run.sent += len(piece)
+            yield piece
+            await self._wait(run)
+
+
+class Connection:
+    """Messages between one entry and one agent incarnation."""
+
+    def __init__(self, entry: "Entry", agent: "Agent") -> None:
+        self.entry = entry
+        self.agent = agent
+        self.is_open = True
+        self.to_agent: list[relay_pb2.EntryBatch] = []
+        self.to_entry: list[relay_pb2.AgentBatch] = []
+        self._arrived: list[relay_pb2.EntryBatch | None] = []
+        self._waiter: asyncio.Future | None = None
+
+    def push(self, batch: relay_pb2.EntryBatch | None) -> None:
+        """Hands a message to the agent; None ends the stream."""
+        self._arrived.append(batch)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def break_off(self, keep: bool) -> None:
+        """Ends the entry's side and loses the messages to it.
+
+        Args:
+            keep: Whether the agent still reads what the entry wrote before,
+                possibly after messages of a newer connection.
+        """
+        self.is_open = False
+        self.to_entry.clear()
+        if not keep:
+            self.to_agent.clear()
+            self._arrived.clear()
+            self.push(None)
+
+    async def recv_message(self):
+        """Returns the next message at the agent."""
+        while not self._arrived:
+            self._waiter = self.agent.loop.create_future()
+            await self._waiter
+        return self._arrived.pop(0)
+
+    async def send_message(self, batch) -> None:
+        """Sends a message of the agent."""
+        if not self.is_open:
+            raise OSError("the connection is broken")
+        copy = relay_pb2.AgentBatch()
+        copy.CopyFrom(batch)
+        self.to_entry.append(copy)
+
+
+class Agent:
+    """One incarnation of an agent."""
+
+    def __init__(self, world: "World", name: str, number: int) -> None:
+        self.name = InstanceId(name)
+        self.incarnation = Incarnation(f"{name}.{number}")
+        self.clock = world.clocks[name]
+        self.loop = DrivenLoop(world.clock)
+        self.paused = False
+        self._tasks: set[asyncio.Task] = set()
+        self.delivered: set[str] = set()
+        self.table = world.parts.table(self.clock, LIMITS, MAX_SKEW)
+        self.registry = world.parts.registry(
+            "bids", GatedStore(world, self), self.clock, CLAIMS
+        )
+        settings = AgentSettings(
+            self.name, "zone", "bids", "a", "b", StoreSettings("c"), LIMITS
+        )
+        self.service = RelayService(
+            dataclasses.replace(settings, grace_period=timedelta(seconds=1)),
+            self.incarnation,
+            self.clock,
+            self.table,
+            Backend(world, self),
+            registry=self.registry,
+        )
+
+    def accept(self, connection: Connection) -> None:
+        """Serves a connection."""
+        self.spawn(self.service.Exchange(connection))
+
+    def spawn(self, coroutine) -> None:
+        """Runs a task of the agent; a failure of the store ends it."""
+        task = self.loop.create_task(coroutine)
+        # The event loop alone does not keep a task alive.
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None and not isinstance(error, StoreError):
+            self.loop.failures.append(error)
+
+
+@dataclasses.dataclass(eq=False)
+class Call:
+    """A caller's request at an entry."""
+
+    key: str
+    body: bytes
+    deadline: timedelta
+    deadline_wall: datetime
+    attempts: int = 0
+    attempt: Attempt | None = None
+    label: str = ""
+    received: bytes = b""
+
+
+class Link:
+    """What an entry knows of one agent."""
+
+    def __init__(self, name: str) -> None:
+        self.name = InstanceId(name)
+        self.connection: Connection | None = None
+        self.incarnation: Incarnation | None = None
+        self.ready = False
+        self.batch = relay_pb2.EntryBatch()
+
+
+class Entry:
+    """One incarnation of an entry, as its relays drive the ledger."""
+
+    def __init__(self, world: "World", name: str, number: int) -> None:
+        self.name = name
+        self.incarnation = Incarnation(f"{name}.{number}")
+        self.clock = world.clocks[name]
+        self.paused = False
+        self.ledger = world.parts.ledger(LIMITS.max_buffer_bytes)
+        self.links = {agent: Link(agent) for agent in world.agents}
+        self.calls: list[Call] = []
+        self._world = world
+
+    def label(self, sequence: int) -> str:
+        """Names an attempt of this entry."""
+        return f"{self.incarnation}-{sequence}"
+
+    def connect(self, link: Link) -> None:
+        """Opens a connection whose first message is empty."""
+        agent = self._world.agents[link.name]
+        link.connection = Connection(self, agent)
+        link.ready = False
+        self._world.connections.append(link.connection)
+        hello = relay_pb2.EntryBatch(
+            entry=self.name, incarnation=self.incarnation
+        )
+        link.connection.to_agent.append(hello)
+        agent.accept(link.connection)
+
+    def flush(self, link: Link) -> None:
+        """Sends the frames that wait."""
+        if not link.ready or not link.batch.ByteSize():
+            return
+        link.batch.entry = self.name
+        link.batch.incarnation = self.incarnation
+        link.batch.config_version = self._world.config_version
+        link.batch.leaving = link.name == self._world.leaving
+        link.connection.to_agent.append(link.batch)
+        link.batch = relay_pb2.EntryBatch()
+
+    def receive(self, link: Link, batch: relay_pb2.AgentBatch) -> None:
+        """Handles a message as the relay does."""
+        if not link.ready:
+            link.incarnation = Incarnation(batch.incarnation)
+            link.batch = relay_pb2.EntryBatch()
+            recovery = self.ledger.plan_recovery(link.name, link.incarnation)
+            link.batch.settles.extend(recovery.settles)
+            for sequence, offset in recovery.resumes:
+                link.batch.resumes.add(attempt=sequence, offset=offset)
+            link.ready = True
+        for frame in batch.accepted:
+            self.ledger.observe_accepted(
+                link.name, frame.attempt, frame.status, ()
+            )
+        for frame in batch.chunks:
+            if not self.ledger.observe_chunk(
+                link.name, frame.attempt, frame.offset, frame.data
+            ):
+                link.batch.cancels.append(frame.attempt)
+        for frame in batch.ends:
+            self.ledger.observe_end(link.name, frame.attempt, frame.total_bytes)
+        for frame in batch.refused:
+            error = ChicoryplankError(
+                ErrorCode(frame.code), frame.message, Verdict(frame.verdict)
+            )
+            self.ledger.observe_refused(link.name, frame.attempt, error)
+        for frame in batch.settled:
+            if self.ledger.observe_settled(
+                link.name, frame.attempt, frame.started
+            ):
+                link.batch.resumes.add(attempt=frame.attempt, offset=0)
+
+    def begin(self, call: Call, name: str) -> None:
+        """Sends an attempt of a call if its agent is connected."""
+        link = self.links[name]
+        if not link.ready:
+            return
+        call.attempts += 1
+        call.attempt = self.ledger.open(link.name)
+        call.received = b""
+        call.label = self.label(call.attempt.sequence)
+        self.ledger.mark_sent(call.attempt, link.incarnation)
+        left = call.deadline - self.clock.elapsed()
+        self._world.issued[call.label] = call.key or call.label
+        self._world.sent_to[call.label] = link.incarnation
+        link.batch.starts.add(
+            attempt=call.attempt.sequence,
+            account="account",
+            budget_ms=max(1, int(left.total_seconds() * 1000)),
+            deadline_unix_ms=int(call.deadline_wall.timestamp() * 1000),
+            method="POST",
+            path="/bids",
+            body=call.body,
+            headers=[relay_pb2.Header(name="X-Attempt", value=call.label)],
+            idempotency_key=call.key,
+            repeatable=not call.key,
+        )
+
+    def poll(self) -> None:
+        """Reads output and ends calls."""
+        for call in list(self.calls):
+            attempt = call.attempt
+            if attempt is None:
+                self.calls.remove(call)
+            elif attempt.is_open and self.clock.elapsed() >= call.deadline:
+                self._end(call)
+            else:
+                self._read(call, attempt)
+        for link in self.links.values():
+            self.flush(link)
+
+    def _read(self, call: Call, attempt: Attempt) -> None:
+        while attempt.has_output:
+            call.received += read_now(attempt)
+        if attempt.is_open:
+            return
+        error = attempt.error
+        self._release(call, attempt)
+        if error is None:
+            self._world.check_response(call, read_now(attempt))
+            self.calls.remove(call)
+            return
+        if error.verdict is Verdict.NOT_RUN:
+            self._world.tell_not_run(call.label)
+            left = call.deadline - self.clock.elapsed()
+            if call.attempts < _MAX_ATTEMPTS and left > timedelta():
+                call.attempt = None
+                self.begin(call, self._world.pick_agent(call.key))
+        if call.attempt is attempt or call.attempt is None:
+            self.calls.remove(call)
+
+    def _release(self, call: Call, attempt: Attempt) -> None:
+        link = self.links[attempt.agent]
+        if attempt.is_open:
+            link.batch.cancels.append(attempt.sequence)
+        else:
+            link.batch.acknowledges.add(
+                attempt=attempt.sequence, offset=attempt.received
+            )
+        self.ledger.close(attempt)
+
+    def _end(self, call: Call) -> None:
+        self._release(call, call.attempt)
+        self.calls.remove(call)
+
+
+def read_now(attempt: Attempt) -> bytes:
+    """Returns output of an attempt that need not be waited for."""
+    try:
+        attempt.read().send(None)
+    except StopIteration as result:
+        return result.value
+    raise InvariantError("a reader waits although there is output")
--- a/packages/chicoryplank/src/chicoryplank/attempts/tests/test_model.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/tests/test_model.py
@@ -12,11 +12,10 @@
 from chicoryplank.attempts import AttemptLedger, AttemptTable
 from chicoryplank.attempts.tests.model import (
     ATTEMPT_ACTIONS,
-    Parts,
-    World,
     find_violation,
     run_seed,
 )
+from chicoryplank.attempts.tests.world import Parts, World
 
 _KEYED = 0.2
 _NAMES = [
--- a/packages/chicoryplank/src/chicoryplank/configuration/tests/model.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/tests/model.py
@@ -10,12 +10,8 @@
 import random
 from collections.abc import Callable
 
-from chicoryplank.attempts.tests.model import (
-    Gate,
-    GatedStore,
-    InvariantError,
-    vary_weights,
-)
+from chicoryplank.attempts.tests.faults import Gate, GatedStore, InvariantError
+from chicoryplank.attempts.tests.model import vary_weights
 from chicoryplank.clock import ManualClock
 from chicoryplank.configuration import (
     PART_PREFIX,
--- a/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_model.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_model.py
@@ -13,11 +13,10 @@
 
 from chicoryplank.attempts.tests.model import (
     CLAIM_ACTIONS,
-    Parts,
-    World,
     find_violation,
     run_seed,
 )
+from chicoryplank.attempts.tests.world import Parts, World
 from chicoryplank.errors import ChicoryplankError
 from chicoryplank.idempotency import ClaimRegistry, ClaimShard
 from chicoryplank.verdict import Verdict
