--- a/packages/chicoryplank/src/chicoryplank/attempts/tests/model.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/tests/model.py
@@ -3,6 +3,7 @@
 import random
 
 import logbook
+import prometheus_client
 
 from chicoryplank.attempts.tests.faults import InvariantError
 from chicoryplank.attempts.tests.world import Parts, World
@@ -74,6 +75,17 @@
     }
 
 
+def count_asserted() -> float:
+    """Returns how often an invariant asserted inside the program failed."""
+    return sum(
+        sample.value
+        for metric in prometheus_client.REGISTRY.collect()
+        if metric.name == "chicoryplank_invariant_violations"
+        for sample in metric.samples
+        if sample.name.endswith("_total")
+    )
+
+
 def run_seed(
     seed: int,
     steps: int,
@@ -100,6 +112,7 @@
         InvariantError: With seed and step in its message.
     """
     source = random.Random(seed)
+    asserted = count_asserted()
     world = World(seed, keyed, parts)
     weights = vary_weights(actions, source) if vary else actions
     names = source.choices(list(weights), list(weights.values()), k=steps)
@@ -112,6 +125,8 @@
                 raise InvariantError(
                     f"seed {seed} step {step}: {error}"
                 ) from error
+        if count_asserted() != asserted:
+            raise InvariantError(f"seed {seed}: the program's own check failed")
     finally:
         with logbook.NullHandler().threadbound():
             world.close()
--- a/packages/chicoryplank/src/chicoryplank/attempts/tests/world.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/tests/world.py
@@ -47,7 +47,8 @@
     """All processes, and actions that advance or disturb them.
 
     Args:
-        seed: Seed of choices that no action argument makes.
+        seed: Seed of choices that no action argument makes, and of the
+            number of processes: 2 or 3 agents and entries.
         keyed: Share of the requests that are non-idempotent.
         parts: Classes under test.
     """
@@ -77,11 +78,14 @@
         self._keys = 0
         self._numbers = 0
         self._old_agents: list[Agent] = []
-        names = ("agent-a", "agent-b", "entry-a", "entry-b")
-        self.clocks = {name: SkewedClock(self.clock) for name in names}
+        agents = ("agent-a", "agent-b", "agent-c")[: 2 + seed % 2]
+        entries = ("entry-a", "entry-b", "entry-c")[: 2 + seed // 2 % 2]
+        self.clocks = {
+            name: SkewedClock(self.clock) for name in agents + entries
+        }
         self.agents: dict[str, Agent] = {}
-        self.agents = {name: self._make_agent(name) for name in names[:2]}
-        self.entries = {name: self._make_entry(name) for name in names[2:]}
+        self.agents = {name: self._make_agent(name) for name in agents}
+        self.entries = {name: self._make_entry(name) for name in entries}
         parts.prepare(self)
         for entry in self.entries.values():
             for link in entry.links.values():
@@ -342,7 +346,7 @@
         elif self.backend_down:
             self.backend_down = ""
         else:
-            self.backend_down = sorted(self.agents)[number // 2 % 2]
+            self.backend_down = self._pick(self.agents, number // 2).name
 
     def _do_progress(self, number: int) -> None:
         """Lets everything that waits go on for some rounds."""
