Read a claim shard anew when its view is old

A new segment is created on condition that its number is absent. For a view whose last segment is sealed and whose next segments were created, sealed, expired and deleted meanwhile, the condition holds although newer segments exist: an agent that had been idle on a shard for longer than the retention could claim a key that another agent held. A check of the previous segment after the creation was ruled out, because a lost answer would leave the misplaced segment behind.

--- a/packages/chicoryplank/src/chicoryplank/attempts/tests/world.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/tests/world.py
@@ -389,6 +389,9 @@
     def _do_expire(self, number: int) -> None:
         """Lets claims expire and deletes what an agent knows of them."""
         agent = self._pick(self.agents, number)
+        # A write takes effect within the retention or never.
+        while self.store.delayed:
+            self.store.apply_delayed(0)
         share = (0.5, 0.75, 0.99, 1.0)[number // 2 % 4]
         self.clock.advance(CLAIMS.retention * share)
         if not agent.paused:
--- a/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
@@ -53,17 +53,19 @@
         shard: ClaimShard,
         store: Store,
         clock: Clock,
-        interval: timedelta,
+        settings: ClaimSettings,
         abandoned: Container[str],
     ) -> None:
         self.shard = shard
+        self._max_view_age = settings.retention / 4
+        self._loaded_at: timedelta | None = None
         self._abandoned = abandoned
         self.waiting: list[_Waiting] = []
         self._store = store
         self._clock = clock
-        self._interval = interval
+        self._interval = settings.write_interval
         self._task: asyncio.Task | None = None
-        self._last_write = clock.elapsed() - interval
+        self._last_write = clock.elapsed() - self._interval
 
     def submit(self, claim: Claim) -> asyncio.Future:
         """Queues a claim; the result is the claim that holds the key."""
@@ -89,7 +91,7 @@
     async def _commit_group(self, group: list[_Waiting]) -> None:
         try:
             for _ in range(_MAX_CONFLICTS):
-                await self.shard.load(self._store)
+                await self._load()
                 if await self._try_commit(group):
                     return
                 await self.shard.refresh(self._store)
@@ -97,6 +99,21 @@
         except ChicoryplankError as error:
             await self._settle(group, error)
 
+    async def _load(self) -> None:
+        """Reads the whole shard if the view is old.
+
+        The number of a segment that was created and deleted since the view
+        was read could be used again. A segment is deleted at the earliest
+        when its claims have expired, so a younger view is safe.
+        """
+        elapsed = self._clock.elapsed()
+        if (
+            self._loaded_at is None
+            or elapsed - self._loaded_at > self._max_view_age
+        ):
+            await self.shard.reload(self._store)
+            self._loaded_at = elapsed
+
     async def _try_commit(self, group: list[_Waiting]) -> bool:
         now = self._clock.now()
         fresh: dict[str, Claim] = {}
@@ -199,7 +216,7 @@
                 shard,
                 self._store,
                 self._clock,
-                self._settings.write_interval,
+                self._settings,
                 self._abandoned,
             )
             self._writers[number] = writer
--- a/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_shard.py
@@ -44,15 +44,6 @@
             return None
         return claim
 
-    async def load(self, store: Store) -> None:
-        """Reads the shard unless it is cached.
-
-        Raises:
-            StoreError: If the store does not answer.
-        """
-        if not self._loaded:
-            await self.reload(store)
-
     async def reload(self, store: Store) -> None:
         """Reads the whole shard.
 
