--- a/packages/chicoryplank-entry/src/chicoryplank_entry/engines.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/engines.py
@@ -22,6 +22,7 @@
 from chicoryplank.verdict import Verdict
 from chicoryplank_wire import control_pb2
 from chicoryplank_wire.control_grpc import OrdersStub
+from chicoryplank_wire.peers import present_secret
 
 _FAILURES = (OSError, GRPCError, StreamTerminatedError, asyncio.TimeoutError)
 _READ_TIMEOUT = timedelta(seconds=2)
@@ -125,10 +126,12 @@
 
     Args:
         lease: Source of the fencing token.
+        secret: Secret of the internal ports; empty for none.
     """
 
-    def __init__(self, lease: TokenSource) -> None:
+    def __init__(self, lease: TokenSource, secret: str = "") -> None:
         self._lease = lease
+        self._secret = secret
         self._channels: dict[InstanceId, tuple[str, Channel]] = {}
         self._sequence = 0
 
@@ -220,6 +223,7 @@
                 channel.close()
             host, port = instance.address.rsplit(":", 1)
             channel = Channel(host, int(port))
+            present_secret(channel, self._secret)
             self._channels[instance.instance] = (instance.address, channel)
         return channel
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/group_controller.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/group_controller.py
@@ -95,6 +95,7 @@
     ) -> None:
         self._group = group
         self._own = settings.instance
+        self._secret = settings.shared_secret
         self._duration = settings.controller_lease
         self._store = store
         self._blackboard = blackboard
@@ -142,7 +143,7 @@
         )
 
     async def _hold(self) -> None:
-        calls = EngineCalls(self._lease)
+        calls = EngineCalls(self._lease, self._secret)
         objective = self._get_configuration().objective
         maps = MapController(
             self._group,
