--- a/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_model.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_model.py
@@ -18,7 +18,7 @@
 )
 from chicoryplank.attempts.tests.world import Parts, World
 from chicoryplank.errors import ChicoryplankError
-from chicoryplank.idempotency import ClaimRegistry, ClaimShard
+from chicoryplank.idempotency import ClaimRegistry, ClaimShard, _registry
 from chicoryplank.verdict import Verdict
 from chicoryplank_agent.claims import ClaimedRuns
 
@@ -75,6 +75,12 @@
     return True
 
 
+async def _load_once(writer):
+    if writer._loaded_at is None:
+        await writer.shard.reload(writer._store)
+        writer._loaded_at = writer._clock.elapsed()
+
+
 class TestClaimModel(testtools.TestCase):
     """A key runs at most once, and broken variants violate it."""
 
@@ -97,8 +103,8 @@
         self.assertGreater(sum(world.responses for world in worlds), 100)
         self.assertGreater(sum(len(world.not_run) for world in worlds), 50)
 
-    def _assert_caught(self, text, actions=CLAIM_ACTIONS, **parts):
-        found = find_violation(actions, 1.0, Parts(**parts))
+    def _assert_caught(self, text, actions=CLAIM_ACTIONS, steps=200, **parts):
+        found = find_violation(actions, 1.0, Parts(**parts), steps=steps)
         self.assertIn(text, found)
 
     def test_writes_without_comparison_are_caught(self):
@@ -137,3 +143,16 @@
                 },
                 registry=_TakesOverAbandoned,
             )
+
+    def test_old_views_are_caught(self):
+        """Guards against a model in which segments are never deleted."""
+        actions = {
+            "request": 20,
+            "progress": 12,
+            "move": 6,
+            "expire": 4,
+            "advance": 2,
+            "deliver": 2,
+        }
+        with mock.patch.object(_registry._ShardWriter, "_load", _load_once):
+            self._assert_caught("runs twice", actions, steps=300)
