Let an engine without experts answer for its expert loads

The engine stand-in raised an exception when it was asked for expert loads and had fewer than two experts, and closed the connection. The test failed before with IndexError.

--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_ranks.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_ranks.py
@@ -273,6 +273,9 @@
 
     def read(self, step: int) -> list[int]:
         """Returns the counts of the last whole interval before a step."""
+        if self._experts < 2:
+            # Popularity can't drift between fewer than two experts.
+            return [LOAD_TOKENS] * self._experts
         interval = step // LOAD_STEPS
         source = random.Random(f"{self._seed}-popularity")
         weights = [source.paretovariate(1.2) for _ in range(self._experts)]
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_engine.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_engine.py
@@ -12,6 +12,7 @@
     Engine,
     EngineOptions,
 )
+from chicoryplank_standins._ranks import LOAD_STEPS, ExpertLoads
 from chicoryplank_standins.engine import make_application
 from chicoryplank_standins.tests.asgi import request, settle, start
 from chicoryplank_standins.tokens import expected_tokens, prefix_blocks
@@ -306,3 +307,13 @@
             return self.engine.ranks.mixed_steps, abort.status
 
         self.assertEqual((1, 200), asyncio.run(run()))
+
+
+class TestExpertLoads(testtools.TestCase):
+    """Counts of tokens by expert."""
+
+    def test_few_experts_have_loads_as_well(self):
+        """Guards against an engine that fails when it is asked for loads."""
+        late = 10_000 * LOAD_STEPS
+        counts = [len(ExpertLoads(n, 0).read(late)) for n in (0, 1, 2)]
+        self.assertEqual([0, 1, 2], counts)
