--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
 
-.PHONY: setup test check format unit demo generate soak soak-quick soak-maps
+.PHONY: setup test check format unit demo generate soak soak-quick soak-maps fuzz
 
 setup: $(VENV)/.installed
 
@@ -45,13 +45,18 @@
 # Every process, seeded faults, every promise checked. Not part of make test.
 SEED ?= 1
 SECONDS ?= 60
+SOAK_FLAGS ?=
 
 soak: setup
 	$(PYTHON) tools/soak.py --seed $(SEED) --seconds $(SECONDS)
 
+# Mutated messages against a small site. Not part of make test.
+fuzz: setup
+	$(PYTHON) tools/fuzz.py --seed $(SEED) --seconds $(SECONDS)
+
 soak-quick: setup
 	$(PYTHON) tools/soak.py --seed 1 --seconds 25
 
 # One group on four engines whose expert map changes under seeded faults.
 soak-maps: setup
-	$(PYTHON) tools/soak_maps.py --seed $(SEED) --seconds $(SECONDS)
+	$(PYTHON) tools/soak_maps.py --seed $(SEED) --seconds $(SECONDS) $(SOAK_FLAGS)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/engines.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/engines.py
@@ -22,6 +22,7 @@
 from chicoryplank.verdict import Verdict
 from chicoryplank_wire import control_pb2
 from chicoryplank_wire.control_grpc import OrdersStub
+from chicoryplank_wire.peers import present_secret
 
 _FAILURES = (OSError, GRPCError, StreamTerminatedError, asyncio.TimeoutError)
 _READ_TIMEOUT = timedelta(seconds=2)
@@ -58,6 +59,8 @@
         spare_slots: Slots beyond one for each expert.
         total_ranks: Number of ranks of the group.
         ranks: State of the engine's ranks by their number in the group.
+        joined: Whether the ranks run steps; a replacement waits to be told
+            where to start.
         loads: Load of each expert; empty if not asked for.
     """
 
@@ -72,6 +75,7 @@
     total_ranks: int
     ranks: Mapping[RankId, RankState]
     loads: tuple[int, ...] = ()
+    joined: bool = True
 
 
 def read_report(
@@ -104,6 +108,7 @@
             total_ranks=int(fields.get("total_ranks", len(ranks))),
             ranks=ranks,
             loads=tuple(reply.expert_loads),
+            joined=bool(fields.get("joined", True)),
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
@@ -121,10 +126,12 @@
 
     Args:
         lease: Source of the fencing token.
+        secret: Secret of the internal ports; empty for none.
     """
 
-    def __init__(self, lease: TokenSource) -> None:
+    def __init__(self, lease: TokenSource, secret: str = "") -> None:
         self._lease = lease
+        self._secret = secret
         self._channels: dict[InstanceId, tuple[str, Channel]] = {}
         self._sequence = 0
 
@@ -216,6 +223,7 @@
                 channel.close()
             host, port = instance.address.rsplit(":", 1)
             channel = Channel(host, int(port))
+            present_secret(channel, self._secret)
             self._channels[instance.instance] = (instance.address, channel)
         return channel
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_group_control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_group_control.py
@@ -2,20 +2,26 @@
 
 import asyncio
 import dataclasses
+import random
 from datetime import timedelta
 
 import testtools
 
-from chicoryplank.blackboard import Instance
+from chicoryplank.blackboard import Blackboard, Instance
 from chicoryplank.clock import ManualClock
-from chicoryplank.configuration import GroupConfiguration
+from chicoryplank.configuration import (
+    EntrySettings,
+    GroupConfiguration,
+    Snapshot,
+)
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.fakes import MemoryStore
-from chicoryplank.ids import InstanceId, ZoneId
+from chicoryplank.ids import ConfigVersion, InstanceId, ZoneId
 from chicoryplank.orders import ControllerLease, Phase, read_document
 from chicoryplank.rebalance import Decision, Reason, list_moves, make_map
 from chicoryplank_entry.engines import EngineReport, RankState, read_report
 from chicoryplank_entry.group_controller import (
+    GroupController,
     choose_candidates,
     choose_replica,
 )
@@ -53,6 +59,7 @@
         self.state = RankState(_FIRST.digest, "", None)
         self.stop_step = 0
         self.refuses = False
+        self.joined = True
         self.orders = []
 
     def report(self):
@@ -68,12 +75,15 @@
             total_ranks=2,
             ranks={self.rank: self.state},
             loads=(1, 2, 3, 4),
+            joined=self.joined,
         )
 
     def order(self, kind, arguments):
         if self.refuses:
             raise ChicoryplankError(ErrorCode.MEMBER_UNREACHABLE, "no answer")
         self.orders.append(kind)
+        if kind == "join_map":
+            return self.start(arguments)
         digest, state = arguments["digest"], self.state
         if kind == "prepare_map":
             self.state = dataclasses.replace(state, prepared=digest)
@@ -85,6 +95,22 @@
             self.state = dataclasses.replace(state, prepared="")
         return self.incarnation
 
+    def start(self, arguments):
+        self.state = RankState(
+            arguments["digest"],
+            arguments.get("next_digest", ""),
+            arguments.get("first_step"),
+        )
+        self.step = arguments["step"]
+        self.joined = True
+        return self.incarnation
+
+    def replace(self):
+        self.incarnation += "-new"
+        self.joined = False
+        self.step = 0
+        self.state = RankState(_FIRST.digest, "", None)
+
     def run_until(self, step):
         """Runs steps and stops where a promise forbids to go on."""
         while self.step < step:
@@ -200,6 +226,42 @@
 
         asyncio.run(run())
 
+    def test_replacement_starts_with_the_decision(self):
+        """Guards against a new engine that passes the switch unaware."""
+
+        async def run():
+            controller, document = await self.begin()
+            first = document.decision.first_step
+            self.engines[0].run_until(110)
+            self.engines[1].replace()
+            await self.run_round(controller)
+            self.assertFalse(self.engines[1].joined)
+            document = await self.run_round(controller)
+            self.assertEqual(110, self.engines[1].step)
+            member = self.engines[1].incarnation
+            self.assertEqual(member, document.members[1])
+            for engine in self.engines:
+                engine.run_until(first + 1)
+                self.assertEqual(_NEXT.digest, engine.state.digest)
+            document = await self.run_round(controller)
+            self.assertIs(Phase.IDLE, document.phase)
+
+        asyncio.run(run())
+
+    def test_replacement_waits_until_the_group_stands(self):
+        """Guards against a start at a step that the group has passed."""
+
+        async def run():
+            controller, _ = await self.begin()
+            self.engines[1].replace()
+            for step in (110, 120, 120):
+                self.assertFalse(self.engines[1].joined)
+                self.engines[0].run_until(step)
+                await self.run_round(controller)
+            self.assertEqual(120, self.engines[1].step)
+
+        asyncio.run(run())
+
     def test_lapsed_lease_ends_control(self):
         """Guards against a write by a controller that was paused."""
 
@@ -231,6 +293,21 @@
 
         asyncio.run(run())
 
+    def test_partial_loads_are_not_used(self):
+        """Guards against a change caused by an engine that told no loads."""
+
+        async def run():
+            controller = await self.make_controller()
+            await self.run_round(controller)
+            first, second = (item.report() for item in self.engines)
+            second = dataclasses.replace(second, loads=())
+            reports = {first.agent: first, second.agent: second}
+            await controller.run_round(2, reports)
+            document, _ = await read_document(self.store, _GROUP)
+            self.assertEqual(0, document.last_change)
+
+        asyncio.run(run())
+
     def test_forgotten_promise_is_dropped(self):
         """Guards against a rank that stops for a change aborted elsewhere."""
 
@@ -288,6 +365,79 @@
         self.assertEqual(1, self.choose(["v2", "v1"], 3, 1))
 
 
+class _ShortSleeps(ManualClock):
+    """Clock whose sleeps end at once."""
+
+    async def sleep(self, duration):
+        self.advance(duration)
+        await asyncio.sleep(0)
+
+
+class _BrokenStore(MemoryStore):
+    """Store whose reads fail in a way that nobody expects."""
+
+    async def read(self, key):
+        raise RuntimeError(key)
+
+
+class TestGroupController(testtools.TestCase):
+    """The task that tries to hold the lease."""
+
+    def run_controller(self, store, clock):
+        async def run():
+            blackboard = Blackboard()
+            entry = self.make_entry()
+            blackboard.instances.write((entry,))
+            group = GroupConfiguration(("model",), "v1", 1, 100)
+            blackboard.snapshot.write(
+                Snapshot(ConfigVersion(1), {}, {_GROUP: group}, {})
+            )
+            controller = GroupController(
+                _GROUP,
+                EntrySettings(entry.instance, entry.zone, "", "", None, None),
+                store,
+                blackboard,
+                clock,
+                random_source=random.Random(1),
+            )
+            task = asyncio.create_task(controller.run())
+            for _ in range(200):
+                await asyncio.sleep(0)
+            is_running = not task.done()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return is_running
+
+        return asyncio.run(run())
+
+    def make_entry(self):
+        return Instance(InstanceId("entry-1"), "entry", ZoneId("a"), "")
+
+    def test_failures_do_not_end_the_task(self):
+        """Guards against a group that an entry never controls again."""
+        clock = _ShortSleeps()
+        down = MemoryStore(clock)
+        down.available = False
+        for store in (down, _BrokenStore(clock)):
+            is_running = self.run_controller(store, clock)
+            self.assertTrue(is_running)
+
+    def test_token_is_recorded_and_the_lease_released(self):
+        """Guards against orders under a token that no agent can read."""
+
+        async def read(store):
+            token = await store.read(f"groups/{_GROUP}/token")
+            return token, await store.read(f"groups/{_GROUP}/lease")
+
+        clock = _ShortSleeps()
+        store = MemoryStore(clock)
+        is_running = self.run_controller(store, clock)
+        token, lease = asyncio.run(read(store))
+        self.assertTrue(is_running)
+        self.assertGreater(int(token.value), 0)
+        self.assertIsNone(lease)
+
+
 class TestReports(testtools.TestCase):
     """Answers of agents."""
 
--- a/packages/chicoryplank/src/chicoryplank/configuration/_settings.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_settings.py
@@ -82,6 +82,8 @@
             are rejected.
         max_clock_skew: Assumed bound on clock differences.
         controller_lease: Duration of the lease of a group's controller.
+        shared_secret: What entries and agents present to each other; empty
+            for no check.
     """
 
     instance: InstanceId
@@ -96,6 +98,7 @@
     max_isolation: timedelta = timedelta(seconds=60)
     max_clock_skew: timedelta = timedelta(milliseconds=500)
     controller_lease: timedelta = timedelta(seconds=10)
+    shared_secret: str = dataclasses.field(default="", repr=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,6 +118,8 @@
             connection broke.
         drain_timeout: Longest wait for attempts in progress at a planned stop.
         max_clock_skew: Assumed bound on clock differences.
+        shared_secret: What entries and agents present to each other; empty
+            for no check.
     """
 
     instance: InstanceId
@@ -128,3 +133,4 @@
     grace_period: timedelta = timedelta(seconds=10)
     drain_timeout: timedelta = timedelta(seconds=600)
     max_clock_skew: timedelta = timedelta(milliseconds=500)
+    shared_secret: str = dataclasses.field(default="", repr=False)
--- a/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/_registry.py
@@ -53,17 +53,20 @@
         shard: ClaimShard,
         store: Store,
         clock: Clock,
-        interval: timedelta,
+        settings: ClaimSettings,
         is_abandoned: Callable[[str], bool],
     ) -> None:
         self.shard = shard
+        self._max_view_age = settings.retention / 4
+        self._min_left_s = settings.retention.total_seconds() / 2
+        self._loaded_at: timedelta | None = None
         self.waiting: list[_Waiting] = []
         self._store = store
         self._clock = clock
-        self._interval = interval
+        self._interval = settings.write_interval
         self._is_abandoned = is_abandoned
         self._task: asyncio.Task | None = None
-        self._last_write = clock.elapsed() - interval
+        self._last_write = clock.elapsed() - self._interval
 
     def submit(self, claim: Claim) -> asyncio.Future:
         """Queues a claim; the result is the claim that holds the key."""
@@ -89,7 +92,7 @@
     async def _commit_group(self, group: list[_Waiting]) -> None:
         try:
             for _ in range(_MAX_CONFLICTS):
-                await self.shard.load(self._store)
+                await self._load()
                 if await self._try_commit(group):
                     return
                 await self.shard.refresh(self._store)
@@ -99,6 +102,30 @@
         except Exception as error:
             self._reject_unexpected(group, error)
 
+    async def _load(self) -> None:
+        """Reads the whole shard if the view is old.
+
+        The number of a segment that was created and deleted since the view
+        was read could be used again. A segment is deleted at the earliest
+        when its claims have expired, so a younger view is safe.
+        """
+        elapsed = self._clock.elapsed()
+        if (
+            self._loaded_at is None
+            or elapsed - self._loaded_at > self._max_view_age
+        ):
+            await self.shard.reload(self._store)
+            self._loaded_at = elapsed
+
+    def _can_take_over(self, held: Claim) -> bool:
+        """Tells whether a claim never ran and holds for long enough.
+
+        The new claim expires as the old one would have, and must until then
+        reject retries of the request that runs under it.
+        """
+        left_s = held.expires_s - self._clock.now().timestamp()
+        return self._is_abandoned(held.attempt) and left_s >= self._min_left_s
+
     async def _try_commit(self, group: list[_Waiting]) -> bool:
         now = self._clock.now()
         fresh: dict[str, Claim] = {}
@@ -110,7 +137,7 @@
             elif (
                 held.body == claim.body
                 and held.attempt != claim.attempt
-                and self._is_abandoned(held.attempt)
+                and self._can_take_over(held)
                 and not await self.shard.replace(self._store, held, claim)
             ):
                 return False
@@ -216,7 +243,7 @@
                 shard,
                 self._store,
                 self._clock,
-                self._settings.write_interval,
+                self._settings,
                 self._abandoned.__contains__,
             )
             self._writers[number] = writer
--- a/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
+++ b/packages/chicoryplank/src/chicoryplank/idempotency/tests/test_registry.py
@@ -215,9 +215,9 @@
                 Claim(name * 32, _BODY, name, 2**40) for name in "123"
             )
             other = ClaimShard("claims/x/", 9)
-            await other.load(store)
+            await other.reload(store)
             await other.add(store, (old,))
-            await shard.load(store)
+            await shard.reload(store)
             inner, gate = store.read, asyncio.Event()
 
             async def read_late(key):
@@ -381,6 +381,22 @@
         self.assertEqual("admitted", again)
         self.assertNotEqual("admitted", twice)
 
+    def test_sealed_claim_near_its_expiry_is_not_taken_over(self):
+        """Guards against a run whose claim expires before a retry."""
+
+        async def run():
+            first, second = self._make_registry(), self._make_registry()
+            for number in range(3):
+                key = f"00000000{number:024x}"
+                await first.admit(key, _BODY, f"a{number}")
+            await first.release("0" * 32, "a0")
+            self.clock.advance(self.settings.retention - timedelta(seconds=5))
+            again = await self._try_admit(first, "b", "0" * 32)
+            self.clock.advance(timedelta(seconds=10))
+            return [again, await self._try_admit(second, "c", "0" * 32)]
+
+        self.assertEqual(1, asyncio.run(run()).count("admitted"))
+
     def test_repeated_submission_keeps_the_bound(self):
         """Guards against more waiting claims than the limit."""
 
@@ -428,6 +444,30 @@
         self.assertEqual((ErrorCode.TOO_MANY_CLAIMS, Verdict.NOT_RUN), again)
         self.assertEqual(["admitted", "admitted"], others)
 
+    def test_number_of_a_deleted_segment_is_not_used_again(self):
+        """Guards against a second claim by an agent that was idle for long."""
+
+        async def run():
+            first, second = self._make_registry(), self._make_registry()
+            for number in range(7):
+                registry = first if number < 3 else second
+                key = f"00000000{number:024x}"
+                await registry.admit(key, _BODY, f"a{number}")
+            self.clock.advance(self.settings.retention * 2)
+            deleted = await second.delete_expired()
+            return [
+                deleted,
+                await self._try_admit(second, "b"),
+                await self._try_admit(first, "c"),
+            ]
+
+        expected = [
+            2,
+            "admitted",
+            (ErrorCode.CLAIMED_ELSEWHERE, Verdict.MAY_HAVE_RUN),
+        ]
+        self.assertEqual(expected, asyncio.run(run()))
+
     def test_concurrent_deletions_of_segments(self):
         """Guards against a failure when two calls delete one segment."""
 
