Let the racing writes of two operators meet

Racing operators now confirm without the command, whose start takes longer than its calls of the store, so that their reads and writes overlap.

--- a/tools/soak_operators.py
+++ b/tools/soak_operators.py
@@ -7,14 +7,25 @@
 import pathlib
 import random
 import time
+from datetime import timedelta
 from typing import Any
 
 from fleet import Fleet, request_json
 from layout import Site
 
+from chicoryplank.configuration import (
+    PlanSupersededError,
+    confirm,
+    decode_plan,
+)
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.ids import OperationId
+from chicoryplank_wire.store import EtcdStore
+
 _LOST = 3
 _UNAVAILABLE = 4
 _MAX_REPEATS = 40
+_STORE_TIMEOUT = timedelta(milliseconds=500)
 _POLL_INTERVAL_S = 0.2
 
 
@@ -76,7 +87,8 @@
             )
             if None in plans:
                 return False
-            codes = await asyncio.gather(*map(self._confirm, plans, names))
+            act = self._confirm if len(names) == 1 else self._confirm_now
+            codes = await asyncio.gather(*map(act, plans, names))
         if len(codes) > 1 and _UNAVAILABLE not in codes:
             self.races.append(codes)
         return 0 in codes
@@ -115,6 +127,33 @@
             self.failures.append(f"confirm ended with {code}: {output}")
         return code
 
+    async def _confirm_now(self, path: pathlib.Path, name: str) -> int:
+        """Confirms without a command, so that racing writes really meet.
+
+        The start of a command takes longer than its calls of the store.
+        """
+        made = decode_plan(path.read_text())
+        operation = OperationId(f"{made.digest}-{name}")
+        store = EtcdStore(self._site.addresses["store"], _STORE_TIMEOUT)
+        try:
+            for _ in range(_MAX_REPEATS):
+                try:
+                    done = await confirm(store, made, name, operation)
+                except PlanSupersededError:
+                    return _LOST
+                except ChicoryplankError as error:
+                    if error.code is not ErrorCode.STORE_UNAVAILABLE:
+                        self.failures.append(f"confirm: {error!r}")
+                        return 1
+                    self.unavailable += 1
+                    await asyncio.sleep(0.3)
+                    continue
+                self.confirmed.append(Confirmed(done.version, time.time()))
+                return 0
+            return _UNAVAILABLE
+        finally:
+            await store.close()
+
     async def _call(self, command: str, *arguments: str) -> tuple[int, str]:
         platform = (
             *("--store", self._site.addresses["store"]),
