Reconnect to an agent after a message that raises

Cause: the task of a relay caught only broken connections. Any other exception while a message was handled ended it for good, with the relay still marked as ready, so that requests were queued for an agent that nobody sent them to.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
@@ -184,6 +184,15 @@
                 error: object = "closed by the agent"
             except _BROKEN as failure:
                 error = repr(failure)
+            except Exception as failure:
+                # A malformed message must not end the task, after which the
+                # agent would never be reached again.
+                error = repr(failure)
+                emit(
+                    Event.BATCH_REJECTED,
+                    peer=self.instance.instance,
+                    error=error,
+                )
             if self.state is not RelayState.CONNECTING:
                 emit(
                     Event.AGENT_DISCONNECTED,
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_relays.py
@@ -0,0 +1,77 @@
+"""Tests of the connection to an agent that sends malformed messages."""
+
+import asyncio
+import random
+
+import testtools
+
+from chicoryplank.attempts import AttemptLedger
+from chicoryplank.blackboard import Blackboard, Instance
+from chicoryplank.clock import SystemClock
+from chicoryplank.ids import Incarnation, InstanceId, ZoneId
+from chicoryplank_entry.relays import Relay, RelayState
+from chicoryplank_wire import relay_pb2
+from chicoryplank_wire.peers import make_server
+from chicoryplank_wire.relay_grpc import RelayBase
+
+
+class _Agent(RelayBase):
+    """Agent whose first connection sends a message that cannot be used."""
+
+    def __init__(self):
+        self.connections = 0
+
+    async def Exchange(self, stream):  # noqa: N802
+        self.connections += 1
+        await stream.recv_message()
+        load = relay_pb2.Load(measured_unix_ms=self.connections)
+        await stream.send_message(
+            relay_pb2.AgentBatch(
+                agent="agent-1", incarnation="agent-1-a", load=load
+            )
+        )
+        while await stream.recv_message() is not None:
+            continue
+
+
+class TestRelay(testtools.TestCase):
+    """One message must not end the connection for good."""
+
+    def test_fault_in_a_message_leads_to_a_new_connection(self):
+        """Guards against an agent that is never reached again."""
+
+        async def run():
+            agent = _Agent()
+            server = make_server([agent], 1_000_000)
+            await server.start("127.0.0.1", 0)
+            port = server._server.sockets[0].getsockname()[1]
+            relay = Relay(
+                (InstanceId("entry-1"), Incarnation("entry-1-a")),
+                Instance(
+                    InstanceId("agent-1"),
+                    "backend",
+                    ZoneId("a"),
+                    f"127.0.0.1:{port}",
+                ),
+                AttemptLedger(1_000),
+                blackboard=Blackboard(),
+                clock=SystemClock(),
+                random_source=random.Random(1),
+            )
+
+            def observe_report(relay):
+                if relay.report.measured_unix_ms == 1:
+                    raise OverflowError("no such time")
+
+            relay.on_report = observe_report
+            relay.start()
+            async with asyncio.timeout(5):
+                while relay.report.measured_unix_ms != 2:
+                    await asyncio.sleep(0.01)
+            state = relay.state
+            await relay.close()
+            server.close()
+            await server.wait_closed()
+            return state
+
+        self.assertEqual(RelayState.READY, asyncio.run(run()))
