Reject response heads that the HTTP server cannot write

Cause: a status outside 100 to 599 or a header with control characters from a backend server raised behind the handler, so that the caller got uvicorn's plain text or a closed connection, without code and verdict.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -55,6 +55,10 @@
 _METHOD_NOT_ALLOWED = 405
 _PASSED_HEADERS = ("content-type", "accept", "idempotency-key")
 _MAX_KEY_LENGTH = 255
+_FINAL_STATUSES = range(200, 600)
+_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+# Characters that Latin-1 has, without control characters.
+_HEADER_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 _SURROGATE = re.compile(rb"\\u[dD][89a-fA-F]")
 # Backend servers may parse recursively.
 _MAX_DEPTH = 100
@@ -142,6 +146,27 @@
         await send({"type": "http.response.body", "body": last})
 
 
+def _check_head(response: CallerResponse) -> None:
+    """Rejects a response head that the HTTP server cannot write.
+
+    Raises:
+        ChicoryplankError: With BACKEND_FAILED; the request may have run.
+    """
+    valid = response.status in _FINAL_STATUSES and all(
+        _HEADER_NAME.fullmatch(name) and _HEADER_VALUE.fullmatch(value)
+        for name, value in response.headers
+    )
+    if valid:
+        return
+    if isinstance(response.body, ResponseStream):
+        response.body.close()
+    raise ChicoryplankError(
+        ErrorCode.BACKEND_FAILED,
+        f"the response head of status {response.status} is malformed",
+        Verdict.MAY_HAVE_RUN,
+    )
+
+
 async def _cancel_on_disconnect(receive, sender: asyncio.Task) -> None:
     while True:
         message = await receive()
@@ -519,6 +544,7 @@
             raise
         finally:
             gone.cancel()
+        _check_head(response)
         if isinstance(response.body, ResponseStream):
             return EventResponse(response)
         return Response(response.body, response.status, dict(response.headers))
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/site.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/site.py
@@ -69,6 +69,8 @@
     def __init__(self, snapshot):
         self.requests = []
         self.body = b"{}"
+        self.status = 200
+        self.headers = (("content-type", "application/json"),)
         self.fault = None
         self.cancelled = 0
         self.release = asyncio.Event()
@@ -89,9 +91,7 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
-        return CallerResponse(
-            200, (("content-type", "application/json"),), self.body
-        )
+        return CallerResponse(self.status, self.headers, self.body)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
@@ -267,6 +267,32 @@
         self.assertEqual("CP1219", answers[0].error)
         self.assertEqual("may_have_run", answers[0].headers["x-verdict"])
 
+    def test_malformed_response_gets_a_code(self):
+        """Guards against a response head that the server cannot write."""
+
+        async def work(site):
+            answers = []
+            for status, headers in (
+                (0, ()),
+                (100, ()),
+                (600, ()),
+                (2**32 - 1, ()),
+                (200, (("content-type", "a\r\nX-Other: b"),)),
+                (200, (("content-type", "a\x00b"),)),
+                (200, (("content-type", "\u4e00"),)),
+                (200, (("content type", "a"),)),
+            ):
+                site.dispatcher.status = status
+                site.dispatcher.headers = headers
+                caller = await site.connect()
+                answer = await caller.ask(make_completion())
+                verdict = answer.headers["x-verdict"]
+                answers.append((answer.status, answer.error, verdict))
+            return answers
+
+        expected = [(502, "CP1206", "may_have_run")] * 8
+        self.assertEqual(expected, run_site(work))
+
     def test_caller_that_goes_away_ends_its_request(self):
         """Guards against requests that stay in progress for nobody."""
 
