Check headers of errors and reused keys in make fuzz

Cause: the tool looked at status and code only. It now also requires X-Verdict on every coded error, Retry-After on 429 and 503, and 422 for a key that comes with another body, path or method.

--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import json
 import pathlib
 import random
@@ -23,6 +24,7 @@
     draw_heartbeat,
     draw_input,
     make_requests,
+    make_reuses,
     make_write,
 )
 from grpclib.client import Channel
@@ -63,27 +65,46 @@
     print(f"fuzz: {text}", file=sys.stderr, flush=True)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A response; status 0 if there is none."""
+
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+    @property
+    def code(self) -> str:
+        """Code of the error; empty if the body has none."""
+        try:
+            return json.loads(self.body)["error"]["code"]
+        except (ValueError, KeyError, TypeError):
+            return ""
+
+
 async def read_response(
     reader: asyncio.StreamReader, method: str = "POST"
-) -> tuple[int, bytes]:
-    """Returns status and body of a response."""
+) -> Answer:
+    """Returns the next response."""
     head = await reader.readuntil(b"\r\n\r\n")
     first, *lines = head.decode("latin-1").strip().split("\r\n")
-    headers = dict(line.lower().split(": ", 1) for line in lines)
+    pairs = tuple(tuple(line.lower().split(": ", 1)) for line in lines)
+    headers = dict(pairs)
     status = int(first.split()[1])
     if method == "HEAD" or status == 100:
-        return status, b""
+        return Answer(status, pairs)
     if "content-length" in headers:
-        return status, await reader.readexactly(int(headers["content-length"]))
+        size = int(headers["content-length"])
+        return Answer(status, pairs, await reader.readexactly(size))
     pieces = []
     while size := int(await reader.readline(), 16):
         pieces.append((await reader.readexactly(size + 2))[:-2])
     await reader.readline()
-    return status, b"".join(pieces)
+    return Answer(status, pairs, b"".join(pieces))
 
 
-async def ask(address: str, data: bytes) -> tuple[int, bytes]:
-    """Sends a right request; returns status 0 if there is no response."""
+async def ask(address: str, data: bytes) -> Answer:
+    """Sends a request and returns the response."""
     host, _, port = address.rpartition(":")
     writer = None
     try:
@@ -92,7 +113,7 @@
             writer.write(data)
             return await read_response(reader, data.split(b" ")[0].decode())
     except BROKEN:
-        return 0, b""
+        return Answer()
     finally:
         if writer is not None:
             writer.transport.abort()
@@ -154,8 +175,11 @@
                 await asyncio.sleep(source.random() * 0.2)
                 writer.write(data[cut:])
             async with asyncio.timeout(READ_LIMIT_S):
-                status, body = await read_response(reader)
-            self._check(status, body, data)
+                is_head = data.lstrip().startswith(b"HEAD ")
+                answer = await read_response(
+                    reader, "HEAD" if is_head else "POST"
+                )
+            self._check(answer, data)
         except TimeoutError:
             self.answers["none"] += 1
         except (OSError, EOFError):
@@ -163,18 +187,20 @@
         finally:
             writer.transport.abort()
 
-    def _check(self, status: int, body: bytes, data: bytes) -> None:
-        """Every error has a code; none is an unexpected fault."""
-        self.answers[str(status)] += 1
-        if status < 400:
-            return
-        try:
-            code = json.loads(body)["error"]["code"]
-        except (ValueError, KeyError, TypeError):
-            # A HEAD request or an error of the backend server.
-            code = "" if body else "none"
-        if status == 500 or code in ("CP1219", "CP1999"):
-            self.faults.append(f"{status} {body[:200]!r} to {data[:300]!r}")
+    def _check(self, answer: Answer, data: bytes) -> None:
+        """Every error has a code and a verdict; none is unexpected."""
+        self.answers[str(answer.status)] += 1
+        headers = dict(answer.headers)
+        # Backend servers answer with codes of their own and no verdict.
+        is_coded = not answer.body or answer.code
+        is_wrong = (
+            answer.status == 500
+            or answer.code in ("CP1219", "CP1999")
+            or (answer.code.startswith("CP") and "x-verdict" not in headers)
+            or (answer.status in (429, 503) and "retry-after" not in headers)
+        )
+        if answer.status >= 400 and (is_wrong or not is_coded):
+            self.faults.append(f"{answer!r:.300} to {data[:300]!r}")
 
     async def _send_bytes(self, source: random.Random) -> None:
         address = source.choice(self._agents + self._controls)
@@ -213,15 +239,20 @@
     wrong = []
     for address in site.entries:
         for data in make_requests(TOKEN):
-            status, body = await ask(address, data)
-            if status != 200:
-                wrong.append(f"{status} {body[:200]!r} to {data[:100]!r}")
+            answer = await ask(address, data)
+            if answer.status != 200:
+                wrong.append(f"{answer!r:.300} to {data[:100]!r}")
     for number in range(RIGHT_WRITES):
         key = f"{name}-{number}"
         data = make_write(TOKEN, key)
-        answers = {await ask(site.entries[0], data) for _ in range(2)}
-        if len(answers) != 1 or next(iter(answers))[0] != 200:
-            wrong.append(f"{answers!r} to the write {key}")
+        # The same call through both entries gives the same response.
+        bodies = {(await ask(item, data)).body for item in site.entries}
+        if len(bodies) != 1 or key.encode() not in next(iter(bodies)):
+            wrong.append(f"{bodies!r:.300} to the write {key}")
+        for other in make_reuses(TOKEN, key):
+            answer = await ask(site.entries[0], other)
+            if (answer.status, answer.code) != (422, "CP1601"):
+                wrong.append(f"{answer!r:.300} to the reuse {other!r}")
     return wrong
 
 
@@ -258,10 +289,10 @@
     total = 0.0
     data = b"GET /metrics HTTP/1.1\r\nHost: entry\r\n\r\n"
     for address in site.entries:
-        status, body = await ask(address, data)
-        if status != 200:
+        answer = await ask(address, data)
+        if answer.status != 200:
             return -1.0
-        for line in body.decode().splitlines():
+        for line in answer.body.decode().splitlines():
             if line.startswith("chicoryplank_requests_in_progress "):
                 total += float(line.split()[1])
     return total
@@ -290,6 +321,11 @@
 async def run(options: argparse.Namespace) -> dict:
     """Runs the site under fuzz and returns the findings."""
     settings = {"limits": LIMITS, "drain_timeout_s": 1}
+    if options.secret:
+        # The internal messages then lack the secret and must be rejected.
+        settings["shared_secret"] = (
+            random.Random(options.seed).randbytes(16).hex()
+        )
     site_options = SiteOptions(
         entries=2,
         engines=1,
@@ -355,6 +391,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=60)
+    parser.add_argument(
+        "--secret", action="store_true", help="let the site use a secret"
+    )
     options = parser.parse_args()
     try:
         summary = asyncio.run(run(options))
--- a/tools/fuzz_inputs.py
+++ b/tools/fuzz_inputs.py
@@ -99,6 +99,17 @@
     )
 
 
+def make_reuses(token: str, key: str) -> list[bytes]:
+    """Returns other calls with the key of a call of `make_write`."""
+    header = f"Idempotency-Key: {key}\r\n"
+    path = "/v1/services/tablets/quotes/send"
+    return [
+        _make_call(token, "POST", path, b'{"price": 2}', header),
+        _make_call(token, "POST", f"{path}/again", b'{"price": 1}', header),
+        _make_call(token, "PUT", path, b'{"price": 1}', header),
+    ]
+
+
 def make_requests(token: str) -> list[bytes]:
     """Returns right requests that are answered with 200."""
     whole, stream = _make_document(False), _make_document(True)
