Reject ';' in the path of a service call at the entry

Cause: the agent's HTTP client drops what follows ';' in a path, so that the agent refuses it; the entry then looked for another replica, in vain. The entry now answers at once and names the spelling that works.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -251,6 +251,11 @@
             "the path must not contain encoded separators before the path "
             "of the service",
         )
+    if ";" in parts[4]:
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST,
+            "the path must not contain ';'; write %3B",
+        )
     segments = decoded.split("/")[1:]
     if "" in segments[:-1] or {".", ".."} & set(segments):
         raise ChicoryplankError(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
@@ -243,6 +243,15 @@
             make_call("/v1/services/quotes//send"),
         )
 
+    def test_path_parameters_are_rejected(self):
+        """Guards against a part of the path that is lost on the way."""
+        self.assert_rejected(
+            400,
+            "CP1201",
+            make_call("/v1/services/quotes/a;v=1", method="GET"),
+            make_call("/v1/services/quotes/a;v=1/b", method="GET"),
+        )
+
     def test_head_gets_no_body(self):
         """Guards against a body that the next response would begin with."""
 
