--- a/packages/chicoryplank-agent/src/chicoryplank_agent/orders.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/orders.py
@@ -166,7 +166,7 @@
         ranks = await self._fetch("/ranks")
         if ranks is not None:
             reply.ranks = json.dumps(ranks).encode()
-        if ranks is not None and request.with_loads:
+        if ranks is not None and ranks.get("experts") and request.with_loads:
             loads = await self._fetch("/expert-loads")
             reply.expert_loads.extend((loads or {}).get("counts", ()))
         await stream.send_message(reply)
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_orders.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_orders.py
@@ -32,7 +32,7 @@
 
     async def fetch_json(self, path):
         if path == "/ranks":
-            return {"step": 7}
+            return {"step": 7, "experts": 2}
         return {"counts": [1, 2]}
 
 
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_ranks.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_ranks.py
@@ -301,6 +301,8 @@
 
     def read(self, step: int) -> list[int]:
         """Returns the counts of the last whole interval before a step."""
+        if self._experts < 2:
+            return [LOAD_TOKENS] * self._experts
         interval = step // LOAD_STEPS
         source = random.Random(f"{self._seed}-popularity")
         weights = [source.paretovariate(1.2) for _ in range(self._experts)]
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_engine.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_engine.py
@@ -306,3 +306,33 @@
             return self.engine.ranks.mixed_steps, abort.status
 
         self.assertEqual((1, 200), asyncio.run(run()))
+
+    def test_ranks_of_a_group_wait_until_they_are_started(self):
+        """Guards against a replacement that steps with its first map."""
+        self.make(members=2, leader="127.0.0.1:1")
+
+        async def run():
+            call = await self.order("prepare_map", 1, digest="b", stop_step=9)
+            await self.step(2)
+            before = self.engine.ranks.step
+            await self.order(
+                "join_map", 1, digest="a", step=5, next_digest="b", first_step=6
+            )
+            await self.step(2)
+            return call.status, before
+
+        refused, before = asyncio.run(run())
+        self.assertEqual((409, 0), (refused, before))
+        digests = [
+            segment["digests"] for segment in self.engine.ranks.read_segments()
+        ]
+        self.assertEqual([["a"], ["b"]], digests)
+
+    def test_expert_loads_are_those_of_the_experts(self):
+        """Guards against an engine without experts that fails on loads."""
+        for experts in (0, 1, 8):
+            self.make(experts=experts)
+            call = asyncio.run(
+                request(self.application, "GET", "/expert-loads")
+            )
+            self.assertEqual(experts, len(call.json()["counts"]))
--- a/tools/soak_maps.py
+++ b/tools/soak_maps.py
@@ -205,7 +205,7 @@
 async def _wait_somewhere(group: Group, source: random.Random) -> None:
     """Waits for a phase of a change, or for none in particular."""
     phases = source.choice(
-        [(Phase.PREPARING, Phase.READY), (Phase.DECIDED,), ()]
+        [(Phase.PREPARING, Phase.READY)] * 2 + [(Phase.DECIDED,), ()]
     )
     if phases and not await group.wait_for_phase(*phases):
         group.tally["phase_not_met"] += 1
