Refuse dead pooled connections and late first messages

Connections are numbered now. The test could not run before, as the number did not exist. - A load report with a time far ahead hid all later ones of its agent; the order of the connection decides now. - An entry put any number of requests into one message, while agents reject more than 64 bodies; it sends at most 32. - Addresses in brackets (IPv6) were passed on with the brackets.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
@@ -108,6 +108,7 @@
         self._outboxes: dict[Incarnation, Outbox] = {}
         self._tasks: dict[AttemptKey, asyncio.Task] = {}
         self._abandon_timers: dict[Incarnation, asyncio.TimerHandle] = {}
+        self._connections: dict[Incarnation, int] = {}
         self._run_numbers = itertools.count(1)
         self.stream_count = 0
         self.drain = Drain()
@@ -149,6 +150,11 @@
 
     async def _serve(self, stream, first: relay_pb2.EntryBatch) -> None:
         incarnation = Incarnation(first.incarnation)
+        if first.connection < self._connections.get(incarnation, 0):
+            raise GRPCError(
+                Status.ABORTED, "a newer connection of this entry exists"
+            )
+        self._connections[incarnation] = first.connection
         outbox = Outbox(self._settings.flush_interval)
         self._outboxes[incarnation] = outbox
         timer = self._abandon_timers.pop(incarnation, None)
@@ -209,6 +215,7 @@
     def _abandon(self, incarnation: Incarnation) -> None:
         """Cancels repeatable attempts of an entry that did not come back."""
         self._abandon_timers.pop(incarnation, None)
+        self._connections.pop(incarnation, None)
         self.drain.stopping.discard(incarnation)
         self._table.draining = self.drain.is_active
         self.wake_all()
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_relay.py
@@ -138,6 +138,30 @@
         self.assertEqual([], early)
         self.assertEqual([(3, b"defghi"), (9, b"jkl")], chunks)
 
+    def test_late_first_message_does_not_replace_a_connection(self):
+        """Guards against output that goes to a connection that was given up."""
+
+        async def run():
+            backend = _Backend()
+            service = self._make_service(backend)
+            newer = _Stream()
+            newer.send(connection=2, starts=[_make_start(1)])
+            connection = asyncio.create_task(service.Exchange(newer))
+            await _settle()
+            older = _Stream()
+            older.send(connection=1)
+            rejected = asyncio.create_task(service.Exchange(older))
+            await _settle()
+            older.cut()
+            await asyncio.gather(rejected, return_exceptions=True)
+            backend.pieces.put_nowait(b"abc")
+            await _settle()
+            newer.cut()
+            await connection
+            return newer.read_chunks()
+
+        self.assertEqual([(0, b"abc")], asyncio.run(run()))
+
     def test_leaving_instance_refuses_new_work(self):
         """Guards against new work after the entry said that it leaves."""
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/control.py
@@ -348,7 +348,7 @@
         channel = self._channels.pop(address, None)
         if channel is None:
             host, port = address.rsplit(":", 1)
-            channel = Channel(host, int(port))
+            channel = Channel(host.strip("[]"), int(port))
             present_secret(channel, self._secret)
         self._channels[address] = channel
         if len(self._channels) > _MAX_CHANNELS:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/engines.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/engines.py
@@ -222,7 +222,7 @@
             if channel is not None:
                 channel.close()
             host, port = instance.address.rsplit(":", 1)
-            channel = Channel(host, int(port))
+            channel = Channel(host.strip("[]"), int(port))
             present_secret(channel, self._secret)
             self._channels[instance.instance] = (instance.address, channel)
         return channel
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
@@ -30,6 +30,8 @@
 # Three missed reports of an idle agent, which sends one every 4 s. Replicas
 # with requests in progress are ejected sooner, by their missing output.
 _STALL_TIMEOUT = timedelta(seconds=12)
+# Agents accept messages of 64 request bodies.
+_MAX_STARTS = 32
 # Agents drop output that was acknowledged; one frame per 64 KiB is cheap.
 _ACKNOWLEDGE_BYTES = 65_536
 
@@ -106,6 +108,8 @@
         self._secret = secret
         self._incarnation: Incarnation | None = None
         self._batch = relay_pb2.EntryBatch()
+        self._next = relay_pb2.EntryBatch()
+        self._connections = 0
         self._ready = asyncio.Event()
         self._heard_at = clock.elapsed()
         self._acknowledged: dict[int, int] = {}
@@ -216,9 +220,10 @@
             http2_connection_window_size=4 * 1024 * 1024,
             http2_stream_window_size=4 * 1024 * 1024,
         )
-        channel = Channel(host, int(port), config=config)
+        channel = Channel(host.strip("[]"), int(port), config=config)
         present_secret(channel, self._secret)
         writer = None
+        self._connections += 1
         try:
             async with RelayStub(channel).Exchange.open() as stream:
                 async with asyncio.timeout(_HELLO_TIMEOUT_S):
@@ -243,6 +248,7 @@
         # attempts are settled or resumed below. Cancels still hold.
         cancels = list(self._batch.cancels)
         self._batch = relay_pb2.EntryBatch(cancels=cancels)
+        self._next = relay_pb2.EntryBatch()
         recovery = self._ledger.plan_recovery(
             self.instance.instance, self._incarnation
         )
@@ -259,12 +265,21 @@
             while True:
                 await self._ready.wait()
                 self._ready.clear()
+                self._split_batch()
                 batch = self._finish_batch()
-                self._batch = relay_pb2.EntryBatch()
+                self._batch, self._next = self._next, relay_pb2.EntryBatch()
                 await stream.send_message(batch)
         except _BROKEN:
             return
 
+    def _split_batch(self) -> None:
+        """Leaves requests beyond the bound of a message to the next one."""
+        excess = self._batch.starts[_MAX_STARTS:]
+        if excess:
+            self._next.starts.extend(excess)
+            del self._batch.starts[_MAX_STARTS:]
+            self._ready.set()
+
     def _finish_batch(self, hello: bool = False) -> relay_pb2.EntryBatch:
         batch = relay_pb2.EntryBatch() if hello else self._batch
         snapshot = self._blackboard.snapshot.value
@@ -273,6 +288,7 @@
         batch.config_version = snapshot.version
         batch.leaving = self.instance.instance in snapshot.leaving
         batch.stopping = self.instance.leaving
+        batch.connection = self._connections
         return batch
 
     def _handle_batch(self, batch: relay_pb2.AgentBatch) -> None:
@@ -281,7 +297,9 @@
             self.state = RelayState.READY
         self.leaving = batch.leaving
         agent = self.instance.instance
-        if batch.load.measured_unix_ms > self.report.measured_unix_ms:
+        # Messages of a connection keep their order, so the last report is the
+        # newest whatever the agent's clock says.
+        if batch.load.measured_unix_ms != self.report.measured_unix_ms:
             self.report = LoadReport(
                 batch.load.running,
                 batch.load.queued,
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/http.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/http.py
@@ -17,6 +17,17 @@
     call before, which belongs to another caller.
     """
 
+    def reuse(self, urlparsed, verify) -> bool:
+        """Refuses a connection that the server has closed.
+
+        A request on it would fail although it never reached the server, and
+        the outcome would count as unknown.
+        """
+        if self.reader is not None and self.reader.at_eof():
+            self.close()
+            return False
+        return super().reuse(urlparsed, verify)
+
     async def __aexit__(self, exc_type, exc, tb) -> None:
         """Closes the connection if the call did not end regularly."""
         if exc_type is not None:
