Start a replacement also when the others are a step apart

When the engine that hosts the barrier of the stand-ins was replaced, the others could be one step apart, so neither the barrier nor the controller went on. A run on a mutated copy showed such a standstill; soak_maps.py then failed on an engine without steps instead of naming the violation.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/map_control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/map_control.py
@@ -11,6 +11,7 @@
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import (
     Incarnation,
+    InstanceId,
     ModelGroupId,
     OperationId,
 )
@@ -101,7 +102,7 @@
         self._speed: tuple[int, timedelta] | None = None
         self._steps_per_s = 0.0
         self._moved_bytes = 0
-        self._blocked_step: int | None = None
+        self._blocked_steps: dict[InstanceId, int] | None = None
 
     def forget(self) -> None:
         """Reads the document again before the next transition."""
@@ -178,15 +179,17 @@
     async def _join(self, agents: int, reports: Reports) -> None:
         """Records replacements and starts them where the group stands.
 
-        The group cannot pass the next step without them. That step is known
-        when all others report it twice.
+        The group cannot go on without them. It stands when all others report
+        the same steps twice; the one that is ahead has the step to start at.
         """
-        started = {item.step for item in reports.values() if item.joined}
-        step = max(started, default=0)
-        is_steady = len(started) <= 1 and self._blocked_step == step
-        self._blocked_step = step
+        started = {
+            name: item.step for name, item in reports.items() if item.joined
+        }
+        is_steady = self._blocked_steps == started
+        self._blocked_steps = started
         if len(reports) != agents or not is_steady:
             return
+        step = max(started.values(), default=0)
         for report in find_new(self._change.document, reports):
             if not report.ready:
                 continue
@@ -201,7 +204,7 @@
             if not report.joined:
                 arguments = make_start(document, step)
                 await self._place([report], "join_map", arguments)
-        self._blocked_step = None
+        self._blocked_steps = None
 
     async def _begin(self, reports: Reports) -> None:
         document = self._change.document
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_ranks.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_ranks.py
@@ -257,26 +257,23 @@
 
     def __init__(self, members: int) -> None:
         self._members = members
-        self._arrived: dict[int, set[int]] = {}
+        self._latest: dict[int, int] = {}
         self._passed = -1
         self._changed = asyncio.Event()
 
     async def arrive(self, member: int, step: int) -> bool:
         """Waits for the others; returns False if they did not come in time.
 
-        A member that arrives again after a lost answer is let through.
+        A member that arrives at a later step has passed the earlier ones.
+        After the leader was replaced the others may be one step apart.
         """
-        if step <= self._passed:
-            return True
-        arrived = self._arrived.setdefault(step, set())
-        arrived.add(member)
-        if len(arrived) >= self._members:
-            self._passed = step
-            self._arrived = {
-                key: kept for key, kept in self._arrived.items() if key > step
-            }
-            changed, self._changed = self._changed, asyncio.Event()
-            changed.set()
+        self._latest[member] = step
+        if len(self._latest) >= self._members:
+            passed = max(self._passed, min(self._latest.values()))
+            if passed > self._passed:
+                self._passed = passed
+                changed, self._changed = self._changed, asyncio.Event()
+                changed.set()
         deadline_s = time.monotonic() + BARRIER_LIMIT_S
         while self._passed < step:
             try:
--- a/tools/soak_maps_checks.py
+++ b/tools/soak_maps_checks.py
@@ -87,7 +87,8 @@
     for (_, switches), gap_s in gaps.items():
         lost[switches].append(max(0.0, gap_s / step_s - 1))
     steps = min(
-        document["map_steps"][-1]["last_step"] for document in records.values()
+        document["map_steps"][-1]["last_step"] if document["map_steps"] else 0
+        for document in records.values()
     )
     return {
         "steps": steps,
