--- a/packages/chicoryplank-entry/src/chicoryplank_entry/caller_server.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/caller_server.py
@@ -19,7 +19,7 @@
 from chicoryplank.configuration import EntrySettings, RequestLimits
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank_entry import metrics
-from chicoryplank_entry.http import make_error_response
+from chicoryplank_entry.http_responses import make_error_response
 
 _IDLE_TIMEOUT_S = 30
 # A caller that still sends may otherwise get a reset instead of the error.
