--- a/packages/chicoryplank/src/chicoryplank/configuration/_settings_checks.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_settings_checks.py
@@ -145,10 +145,11 @@
         InvalidInputError: With INVALID_SETTINGS and every error found.
 
     Example:
-        >>> parse_settings("{}", SettingsKind.AGENT)
-        Traceback (most recent call last):
-        ...
-        InvalidInputError: CP1001: 6 errors in the agent settings ...
+        >>> try:
+        ...     parse_settings("{}", SettingsKind.AGENT)
+        ... except InvalidInputError as error:
+        ...     len(error.problems)
+        6
     """
     kind = SettingsKind(kind)
     subject = f"{kind.value} settings"
--- a/packages/chicoryplank/src/chicoryplank/limits/_limiter.py
+++ b/packages/chicoryplank/src/chicoryplank/limits/_limiter.py
@@ -40,13 +40,26 @@
         group_queues: Parameters of the queues of single groups.
 
     Example:
+        >>> from datetime import UTC
+        >>> from chicoryplank.configuration import Priority
+        >>> now = datetime(2026, 1, 1, tzinfo=UTC)
         >>> limiter = Limiter(now)
-        >>> limiter.configure(snapshot.accounts, 8, now)
-        >>> admission = limiter.admit(request, now)
-        >>> if admission.error:
-        ...     raise admission.error
-        >>> for decided in limiter.observe(Completion(attempt, 120), now):
-        ...     wake(decided.request.attempt, decided)
+        >>> account = AccountConfiguration(
+        ...     "", 10, 1000, Priority.NORMAL, frozenset()
+        ... )
+        >>> limiter.configure({AccountId("quotes"): account}, 1, now)
+        >>> request = Request(
+        ...     AttemptId("1"),
+        ...     AccountId("quotes"),
+        ...     "toolroom-llm",
+        ...     Priority.NORMAL,
+        ...     now + timedelta(seconds=60),
+        ...     100,
+        ... )
+        >>> limiter.admit(request, now).outcome
+        <Outcome.ADMITTED: 'admitted'>
+        >>> limiter.observe(Completion(AttemptId("1"), 90), now)
+        []
     """
 
     def __init__(
--- a/packages/chicoryplank/src/chicoryplank/retry/_policy.py
+++ b/packages/chicoryplank/src/chicoryplank/retry/_policy.py
@@ -90,11 +90,16 @@
         parameters: Parameters.
 
     Example:
+        >>> from datetime import UTC
+        >>> now = datetime(2026, 1, 1, tzinfo=UTC)
+        >>> account = AccountId("quotes")
         >>> policy = RetryPolicy(random.Random(1))
         >>> policy.observe(Arrival(account), now)
-        >>> permission = policy.admit(failure, now)
-        >>> if permission.error:
-        ...     raise permission.error
+        >>> error = ChicoryplankError(ErrorCode.BACKEND_FAILED, "no answer")
+        >>> deadline = now + timedelta(seconds=5)
+        >>> failure = Failure(account, "toolroom-llm", error, True, deadline)
+        >>> policy.admit(failure, now).allowed
+        True
 
     References:
         Brooker: Exponential Backoff and Jitter, 2015 ("full jitter").
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -6,10 +6,15 @@
 """
 
 import argparse
+import doctest
+import importlib
 import pathlib
+import pkgutil
 import sys
 import unittest
 
+import chicoryplank
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -37,6 +42,18 @@
     return suite
 
 
+def find_examples() -> unittest.TestSuite:
+    """Collects the examples in the docstrings of the library."""
+    suite = unittest.TestSuite()
+    for module in pkgutil.walk_packages(
+        chicoryplank.__path__, f"{chicoryplank.__name__}."
+    ):
+        if ".tests" not in module.name:
+            imported = importlib.import_module(module.name)
+            suite.addTests(doctest.DocTestSuite(imported))
+    return suite
+
+
 def flatten_suite(suite: unittest.TestSuite) -> list[unittest.TestCase]:
     """Returns the single tests of a nested suite."""
     tests = []
@@ -56,7 +73,10 @@
     options = parser.parse_args()
     tests = [
         test
-        for test in flatten_suite(find_tests("test_*.py"))
+        for test in [
+            *flatten_suite(find_tests("test_*.py")),
+            *flatten_suite(find_examples()),
+        ]
         if options.match in test.id()
     ]
     runner = unittest.TextTestRunner(verbosity=2 if options.verbose else 1)
