Bound the deciding entries that routing assumes

Cause: the policy was told the number of all entries, but a replica of a large deployment serves only a few of them, so reports would be discounted too much. Ruled out: telling the policy of each change, since its parameters are fixed and a new policy would lose its counts. Not measured at 560 entries.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
@@ -26,6 +26,9 @@
 # At 25 entries and 545 replicas of a zone an entry has 131 near relays.
 _ENTRIES_PER_AGENT = 6
 _MIN_AGENTS = 32
+# Today's 8 entries all send to the same replicas; in large deployments a
+# replica has about as many, whatever the number of entries.
+_MAX_DECIDING_ENTRIES = 8
 
 
 def choose_agents(
@@ -166,9 +169,8 @@
     def _get_policy(self, deployment: str) -> Policy:
         policy = self._policies.get(deployment)
         if policy is None:
-            parameters = RoutingParameters(
-                deciding_entries=max(1, self._count_entries())
-            )
+            entries = min(self._count_entries(), _MAX_DECIDING_ENTRIES)
+            parameters = RoutingParameters(deciding_entries=max(1, entries))
             policy = make_balanced(self._zone, parameters, self._source)
             self._policies[deployment] = policy
         return policy
