Redo fleet-wide choices only after a change that concerns them

Causes, found by reading the whole change once more: - Relays and limits were computed anew every second, changed or not, because the guard against a missed write was a time-out without a comparison. The comparison is now in one place, follow_sections of the blackboard. - The choice of agents ran at every configuration version, 0.43 a second at target scale, over 12,000 instances; it depends on the deployments of plain services only. - Announcements ranked all entries for each relay, so at target scale the two chosen ones were mostly not connected to the agent. They are now chosen among the entries of the agent's zone, which are those connected to it (test_announcers_are_connected failed before). - Relay.connected_at, AttemptTable.count_open and a second lower bound of the number of entries had no use. Ruled out: following the instance list in the control service in the same way, since its repeated observation keeps unlisted members for 30 s. The processor time saved was not measured.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/controllers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/controllers.py
@@ -7,21 +7,21 @@
 
 import aiosonic
 
-from chicoryplank.blackboard import Blackboard, Instance, Section
+from chicoryplank.blackboard import Blackboard, Instance, follow_sections
 from chicoryplank.clock import Clock
 from chicoryplank.configuration import InstanceListSettings
 from chicoryplank.errors import ChicoryplankError
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
 from chicoryplank.limits import Limiter, QueueParameters
-from chicoryplank.membership import choose_sources
 from chicoryplank_entry.relays import RelayPool
-from chicoryplank_entry.selection import choose_agents
+from chicoryplank_entry.selection import (
+    choose_agents,
+    choose_announcers,
+    find_service_deployments,
+)
 from chicoryplank_wire.instance_list import fetch_instances
 
-# Two, so that an agent hears of a version if one of them has failed.
-_SOURCES = 2
-_MAX_WAIT_S = 1.0
 _SILENCE_INTERVAL = timedelta(seconds=1)
 # Batches of about this size keep an engine busy; the limit adapts from here.
 _REQUESTS_PER_REPLICA = 64
@@ -52,14 +52,16 @@
 ) -> None:
     """Connects to the agents that fall to this entry after each change."""
     seen: tuple[object, object] = (None, None)
-    while True:
-        instances = blackboard.instances.value
-        snapshot = blackboard.snapshot.value
-        if seen[0] is not instances or seen[1] is not snapshot:
-            seen = (instances, snapshot)
-            wanted = choose_agents(own, instances, snapshot)
-            await pool.observe(instances, wanted)
-        await _wait_any_change(blackboard.snapshot, blackboard.instances)
+    sections = (blackboard.instances, blackboard.snapshot)
+    async for instances, snapshot in follow_sections(*sections):
+        # Most configuration changes leave the services as they are, and a
+        # choice among 12,000 agents blocks the event loop.
+        services = find_service_deployments(snapshot)
+        if seen[0] is instances and seen[1] == services:
+            continue
+        seen = (instances, services)
+        wanted = choose_agents(own, instances, services)
+        await pool.observe(instances, wanted)
 
 
 async def announce_configuration(
@@ -76,13 +78,15 @@
         changed = snapshot.leaving ^ leaving
         leaving = snapshot.leaving
         entries = [
-            item.instance
-            for item in blackboard.instances.value
-            if item.role == "entry"
+            item for item in blackboard.instances.value if item.role == "entry"
         ]
+        is_listed = any(item.instance == own for item in entries)
         for agent, relay in pool.relays.items():
-            sources = choose_sources(agent, entries, count=_SOURCES)
-            if agent in changed or own in sources or own not in entries:
+            if (
+                agent in changed
+                or not is_listed
+                or own in choose_announcers(relay.instance, entries)
+            ):
                 relay.wake()
 
 
@@ -104,12 +108,10 @@
     limiter: Limiter, blackboard: Blackboard, clock: Clock
 ) -> None:
     """Tells the limiter of each change of accounts, entries and replicas."""
-    while True:
-        instances = blackboard.instances.value
+    sections = (blackboard.instances, blackboard.snapshot)
+    async for instances, snapshot in follow_sections(*sections):
         entries = count_entries(instances)
-        limiter.configure(
-            blackboard.snapshot.value.accounts, entries, clock.now()
-        )
+        limiter.configure(snapshot.accounts, entries, clock.now())
         replicas = collections.Counter(
             item.deployment for item in instances if item.role == "backend"
         )
@@ -117,7 +119,6 @@
             limiter.configure_group(
                 deployment, _make_queue_parameters(count, entries)
             )
-        await _wait_any_change(blackboard.snapshot, blackboard.instances)
 
 
 def _make_queue_parameters(replicas: int, entries: int) -> QueueParameters:
@@ -126,19 +127,3 @@
     default = QueueParameters()
     first = min(max(default.initial_limit, share), default.max_limit)
     return dataclasses.replace(default, initial_limit=first)
-
-
-async def _wait_any_change(*sections: Section) -> None:
-    """Waits for a write, or a second, as one may come before the wait."""
-    changes = [
-        asyncio.create_task(section.wait_change()) for section in sections
-    ]
-    try:
-        await asyncio.wait(
-            changes,
-            timeout=_MAX_WAIT_S,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-    finally:
-        for change in changes:
-            change.cancel()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/relays.py
@@ -99,7 +99,6 @@
         self.leaving = False
         self.report = LoadReport()
         self.in_flight = 0
-        self.connected_at = clock.elapsed()
         self._entry, self._entry_incarnation = entry
         self._ledger = ledger
         self._blackboard = blackboard
@@ -256,7 +255,6 @@
         for sequence, offset in recovery.resumes:
             self._batch.resumes.add(attempt=sequence, offset=offset)
         self.state = RelayState.READY
-        self.connected_at = self._clock.elapsed()
         self._ready.set()
         emit(Event.AGENT_CONNECTED, agent=self.instance.instance)
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
@@ -8,6 +8,7 @@
 from chicoryplank.clock import Clock
 from chicoryplank.configuration import Snapshot
 from chicoryplank.ids import InstanceId, ZoneId
+from chicoryplank.membership import choose_sources
 from chicoryplank.rendezvous import rank
 from chicoryplank.routing import (
     Candidate,
@@ -26,13 +27,15 @@
 # At 25 entries and 545 replicas of a zone an entry has 131 near relays.
 _ENTRIES_PER_AGENT = 6
 _MIN_AGENTS = 32
+# Two, so that an agent hears of a version if one of them has failed.
+_SOURCES = 2
 # Today's 8 entries all send to the same replicas; in large deployments a
 # replica has about as many, whatever the number of entries.
 _MAX_DECIDING_ENTRIES = 8
 
 
 def choose_agents(
-    own: Instance, instances: Iterable[Instance], snapshot: Snapshot
+    own: Instance, instances: Iterable[Instance], services: frozenset[str]
 ) -> frozenset[InstanceId]:
     """Returns the agents that an entry connects to.
 
@@ -45,11 +48,10 @@
     Args:
         own: This entry.
         instances: The instance list.
-        snapshot: Configuration in force; tells model groups from services.
+        services: Deployments of plain services.
     """
     listed = tuple(instances)
     entries = [item for item in listed if item.role == "entry"]
-    services = {item.deployment for item in snapshot.services.values()}
     deployments: dict[str, list[Instance]] = {}
     for item in listed:
         if item.role == "backend":
@@ -64,6 +66,30 @@
     return frozenset(chosen)
 
 
+def find_service_deployments(snapshot: Snapshot) -> frozenset[str]:
+    """Returns the deployments of plain services."""
+    return frozenset(item.deployment for item in snapshot.services.values())
+
+
+def choose_announcers(
+    agent: Instance, entries: Iterable[Instance]
+) -> tuple[InstanceId, ...]:
+    """Returns the entries that announce a new version to an agent.
+
+    They are among those that the agent's zone connects to it: both choices
+    prefer the entries with the lowest scores for the agent.
+
+    Args:
+        agent: The agent's instance.
+        entries: Live entries; those of other zones count only if the agent's
+            zone has none.
+    """
+    listed = tuple(entries)
+    near = [item.instance for item in listed if item.zone == agent.zone]
+    names = near or [item.instance for item in listed]
+    return choose_sources(agent.instance, names, count=_SOURCES)
+
+
 def _choose_near(
     own: Instance, entries: list[Instance], agents: list[Instance]
 ) -> Iterable[InstanceId]:
@@ -170,7 +196,7 @@
         policy = self._policies.get(deployment)
         if policy is None:
             entries = min(self._count_entries(), _MAX_DECIDING_ENTRIES)
-            parameters = RoutingParameters(deciding_entries=max(1, entries))
+            parameters = RoutingParameters(deciding_entries=entries)
             policy = make_balanced(self._zone, parameters, self._source)
             self._policies[deployment] = policy
         return policy
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_selection.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_selection.py
@@ -7,7 +7,11 @@
 from chicoryplank.blackboard import Instance
 from chicoryplank.configuration import ServiceConfiguration, Snapshot
 from chicoryplank.ids import ConfigVersion, InstanceId, ServiceId, ZoneId
-from chicoryplank_entry.selection import choose_agents
+from chicoryplank_entry.selection import (
+    choose_agents,
+    choose_announcers,
+    find_service_deployments,
+)
 
 _SNAPSHOT = Snapshot(
     ConfigVersion(1),
@@ -45,7 +49,9 @@
         """Guards against a replica that some entries cannot use."""
         fleet = _make_fleet(8, 16, 3)
         for entry in fleet[:8]:
-            chosen = choose_agents(entry, fleet, _SNAPSHOT)
+            chosen = choose_agents(
+                entry, fleet, find_service_deployments(_SNAPSHOT)
+            )
             self.assertEqual(16, len(chosen))
 
     def test_large_zone_is_shared(self):
@@ -53,7 +59,9 @@
         fleet = _make_fleet(50, 1090, 2)
         served = collections.Counter()
         for entry in fleet[:50]:
-            chosen = choose_agents(entry, fleet, _SNAPSHOT)
+            chosen = choose_agents(
+                entry, fleet, find_service_deployments(_SNAPSHOT)
+            )
             self.assertLess(len(chosen), 250)
             served.update(chosen)
         self.assertEqual(1090, len(served))
@@ -62,5 +70,24 @@
     def test_services_are_connected_whole(self):
         """Guards against one key that goes to two agents."""
         fleet = _make_fleet(4, 200, 1, "quotes")
-        chosen = choose_agents(fleet[0], fleet, _SNAPSHOT)
+        chosen = choose_agents(
+            fleet[0], fleet, find_service_deployments(_SNAPSHOT)
+        )
         self.assertEqual(200, len(chosen))
+
+
+class TestChooseAnnouncers(testtools.TestCase):
+    """Agents hear of versions from entries that they are connected to."""
+
+    def test_announcers_are_connected(self):
+        """Guards against a version that no connected entry announces."""
+        fleet = _make_fleet(50, 400, 2)
+        connected = {
+            entry.instance: choose_agents(entry, fleet, frozenset())
+            for entry in fleet[:50]
+        }
+        for agent in fleet[50:]:
+            announcers = choose_announcers(agent, fleet[:50])
+            self.assertEqual(2, len(announcers))
+            for entry in announcers:
+                self.assertIn(agent.instance, connected[entry])
--- a/packages/chicoryplank/src/chicoryplank/attempts/_table.py
+++ b/packages/chicoryplank/src/chicoryplank/attempts/_table.py
@@ -143,13 +143,6 @@
         """Returns the records of all attempts."""
         return tuple(self._records.values())
 
-    def count_open(self) -> int:
-        """Returns the number of attempts that have not ended."""
-        return sum(
-            record.state is not RunState.ENDED
-            for record in self._records.values()
-        )
-
     def admit(
         self,
         key: AttemptKey,
--- a/packages/chicoryplank/src/chicoryplank/blackboard.py
+++ b/packages/chicoryplank/src/chicoryplank/blackboard.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import operator
+from collections.abc import AsyncIterator
 from typing import Generic, TypeVar
 
 from chicoryplank.configuration import Snapshot
@@ -9,6 +11,8 @@
 
 Value = TypeVar("Value")
 
+_MAX_WAIT_S = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Instance:
@@ -62,6 +66,41 @@
         return self.value
 
 
+async def follow_sections(
+    *sections: Section,
+) -> AsyncIterator[tuple[object, ...]]:
+    """Yields the values of sections, at first and after each change.
+
+    Args:
+        *sections: Sections to follow; an equal value that was written anew
+            counts as a change.
+    """
+    seen: tuple[object, ...] | None = None
+    while True:
+        values = tuple(section.value for section in sections)
+        if seen is None or any(map(operator.is_not, values, seen)):
+            seen = values
+            yield values
+        else:
+            await _wait_any_change(sections)
+
+
+async def _wait_any_change(sections: tuple[Section, ...]) -> None:
+    """Waits for a write, or a second, as one may come before the wait."""
+    changes = [
+        asyncio.create_task(section.wait_change()) for section in sections
+    ]
+    try:
+        await asyncio.wait(
+            changes,
+            timeout=_MAX_WAIT_S,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    finally:
+        for change in changes:
+            change.cancel()
+
+
 class Blackboard:
     """State that several controllers of one process share.
 
