--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -168,10 +168,13 @@
                 timeouts=timeouts,
             )
         except (ConnectionRefusedError, ConnectTimeout) as error:
+            # The client may have sent the request on a kept connection that
+            # broke, and was refused when it sent the request again.
+            resent = client is self._client
             raise ChicoryplankError(
                 ErrorCode.BACKEND_FAILED,
                 "the backend server accepts no connection",
-                Verdict.NOT_RUN,
+                Verdict.MAY_HAVE_RUN if resent else Verdict.NOT_RUN,
             ) from error
         except HTTP_FAILURES as error:
             raise _make_failure(error) from error
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend.py
@@ -24,6 +24,7 @@
         self.arrived = asyncio.Event()
         self.release = asyncio.Event()
         self.closes_on = b""
+        self.stops_on = b""
         self._closed = []
         self._server = None
 
@@ -48,6 +49,9 @@
             if path == b"/slow":
                 self.arrived.set()
                 await self.release.wait()
+            if path == self.stops_on:
+                self._server.close()
+                break
             if path == self.closes_on:
                 break
             writer.write(_HEAD % (len(path), path))
@@ -105,6 +109,24 @@
 
         self.assertEqual(1, self._run(work))
 
+    def test_refused_resend_is_not_called_not_run(self):
+        """Guards against "not run" for a request that a server received.
+
+        The HTTP client sends a GET again when a kept connection breaks; that
+        the second connection is refused says nothing about the first send.
+        """
+
+        async def work(server, client):
+            await _read(client, _make_request("/first"))
+            server.stops_on = b"/cards"
+            try:
+                await _read(client, _make_request("/cards"))
+            except ChicoryplankError as error:
+                return server.paths.count("/cards"), error.verdict
+            return None
+
+        self.assertEqual((1, Verdict.MAY_HAVE_RUN), self._run(work))
+
 
 class TestBodiless(testtools.TestCase):
     """Responses that have no body by the rules of HTTP."""
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of plain HTTP requests to replicas, without agents between."""
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -0,0 +1,329 @@
+"""Builds an entry that forwards plain requests, and runs it."""
+
+import asyncio
+import dataclasses
+import gc
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import prometheus_client
+
+from chicoryplank.admission import RepeatParameters
+from chicoryplank.clock import Clock
+from chicoryplank.events import Event, emit
+from chicoryplank.ids import ModelGroupId, ZoneId
+from chicoryplank.lifecycle import Application
+from chicoryplank.store import Store
+from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
+from chicoryplank_wire.raw_server import (
+    CallerConnection,
+    ListenerHooks,
+    ReceivedRequest,
+    Reply,
+)
+from chicoryplank_entry.forwarding.exchange import Exchange
+from chicoryplank_entry.forwarding.fields import HeaderNames
+from chicoryplank_entry.forwarding.logs import LineWriter
+from chicoryplank_entry.forwarding.maps import (
+    Election,
+    MakeRank,
+    MapController,
+)
+from chicoryplank_entry.forwarding.peers import Member, Peers
+from chicoryplank_entry.forwarding.registration import Registration
+from chicoryplank_entry.forwarding.state import EntryState
+from chicoryplank_entry.forwarding.views import (
+    ChangeSource,
+    Decoder,
+    StoreView,
+)
+
+# Time in which registrations of replicas return after an outage; the platform
+# promises about two seconds.
+_RETURN_GRACE_S = 2.0
+# Part of the time to stop in which a leaving entry still takes requests,
+# since callers keep an address for a while.
+_ACCEPT_SHARE = 0.36
+# Time before the forced end at which the last answers are cut, in seconds.
+_END_MARGIN_S = 0.4
+_POLL_S = 0.05
+_BACKLOG = 512
+_NOT_FOUND = 404
+
+AnswerSide = Callable[[ReceivedRequest, Reply], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryParameters:
+    """Addresses and times of an entry.
+
+    Attributes:
+        own: Registration of this entry.
+        ready_address: Where its readiness is asked for.
+        directory_address: Where callers ask for addresses; empty for nowhere.
+        metrics_address: Where its metrics are served.
+        registration_key: Key of its registration in the store.
+        stop_grace: Time from the request to stop to the forced end.
+        repeats: Bounds on repeats.
+    """
+
+    own: Member
+    ready_address: str
+    directory_address: str
+    metrics_address: str
+    registration_key: str
+    stop_grace: timedelta
+    repeats: RepeatParameters
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryPorts:
+    """What the adapter of a platform provides.
+
+    Attributes:
+        names: Header names.
+        store: Store, for leases and writes.
+        changes: The same store, to follow it.
+        decoder: Translation of its items.
+        make_rank: Returns the port of a replica of a lock-step group.
+        answer_directory: Answers a request for addresses; takes the function
+            that lists them by zone.
+        ready_path: Path of the readiness question.
+    """
+
+    names: HeaderNames
+    store: Store
+    changes: ChangeSource
+    decoder: Decoder
+    make_rank: MakeRank
+    answer_directory: Callable[
+        [ReceivedRequest, Reply, Callable[[str], list[str]]], None
+    ]
+    ready_path: str
+
+
+class ForwardingEntry:
+    """One entry with all its parts.
+
+    Args:
+        parameters: Addresses and times.
+        ports: What the adapter provides.
+        clock: Source of time.
+        source: Random numbers.
+    """
+
+    _MAX_ADDRESSES = 64
+
+    def __init__(
+        self,
+        parameters: EntryParameters,
+        ports: EntryPorts,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        self._parameters = parameters
+        self._ports = ports
+        self._clock = clock
+        own = parameters.own
+        self.state = EntryState(
+            clock,
+            ZoneId(own.zone),
+            source,
+            parameters.repeats,
+            _RETURN_GRACE_S,
+        )
+        self._pool = BackendPool(ports.names.request_id, self.state.now_s)
+        self.exchange = Exchange(self.state, ports.names, self._pool)
+        self.registration = Registration(
+            ports.store, clock, parameters.registration_key, own.encode()
+        )
+        self.peers = Peers(own, self.state, source, self._observe_newer)
+        self.view = StoreView(
+            ports.changes,
+            ports.decoder,
+            self.state,
+            self.peers,
+            source,
+            self._retain_backends,
+            self.registration.renew,
+        )
+        self.election = Election(
+            self._make_controller,
+            self.state,
+            self.peers.list_members,
+            own.instance,
+            clock,
+            self.view.has_holder,
+        )
+        self._connections: set[CallerConnection] = set()
+        self._side_connections: set[CallerConnection] = set()
+        self._servers: list[asyncio.Server] = []
+        self.application = Application(f"entry {own.instance}")
+        for name, start, stop in (
+            ("peers", self.peers.start, self.peers.stop),
+            ("listeners", self._listen, self._close_listeners),
+            ("store view", self.view.start, self.view.stop),
+            ("registration", self.registration.start, self.registration.stop),
+            ("election", self.election.start, self.election.stop),
+        ):
+            self.application.add_hooks(name, start, stop)
+
+    def _observe_newer(self, revision: int) -> None:
+        self.view.observe_newer(revision)
+
+    def _retain_backends(self) -> None:
+        self._pool.retain(
+            {
+                BackendAddress(record.instance, record.address)
+                for record in self.state.registry.list_all()
+            }
+        )
+
+    def _make_controller(self, service: ModelGroupId) -> MapController:
+        return MapController(
+            self._ports.store,
+            self._clock,
+            self.state,
+            service,
+            self._parameters.own.instance,
+            self._ports.make_rank,
+        )
+
+    async def _listen(self) -> None:
+        parameters = self._parameters
+        await self._open(
+            parameters.own.caller_address,
+            self.exchange.handle,
+            self._connections,
+        )
+        await self._open_side(parameters.ready_address, self._answer_ready)
+        await self._open_side(
+            parameters.directory_address, self._answer_directory
+        )
+        await self._open_side(parameters.metrics_address, _answer_metrics)
+
+    async def _open_side(self, address: str, answer: AnswerSide) -> None:
+        if not address:
+            return
+
+        async def handle(request: ReceivedRequest, reply: Reply) -> None:
+            answer(request, reply)
+
+        await self._open(address, handle, self._side_connections)
+
+    async def _open(
+        self,
+        address: str,
+        handle: Callable[[ReceivedRequest, Reply], Awaitable[None]],
+        connections: set[CallerConnection],
+    ) -> None:
+        hooks = ListenerHooks(
+            handle,
+            self.state.get_limits,
+            self.state.now_s,
+            lambda: self.state.is_draining,
+            connections,
+        )
+        host, _, port = address.rpartition(":")
+        server = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(hooks), host, int(port), backlog=_BACKLOG
+        )
+        self._servers.append(server)
+
+    async def _close_listeners(self) -> None:
+        for server in self._servers:
+            server.close()
+        for connection in [*self._connections, *self._side_connections]:
+            connection.close_if_idle()
+        self._pool.close()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return (
+            self.state.configuration is not None and not self.state.is_draining
+        )
+
+    def _answer_ready(self, request: ReceivedRequest, reply: Reply) -> None:
+        if request.target.partition("?")[0] != self._ports.ready_path:
+            reply.send(_NOT_FOUND, (), b"")
+        else:
+            reply.send(200 if self.is_ready else 503, (), b"")
+
+    def _answer_directory(
+        self, request: ReceivedRequest, reply: Reply
+    ) -> None:
+        self._ports.answer_directory(
+            request,
+            reply,
+            lambda zone: self.peers.list_addresses(zone, self._MAX_ADDRESSES),
+        )
+
+    async def drain(self) -> None:
+        """Leaves the address answers, then ends what is in progress."""
+        started_s = self.state.now_s()
+        grace_s = self._parameters.stop_grace.total_seconds()
+        self.state.is_draining = True
+        self.peers.announce()
+        emit(Event.DRAINING, in_progress=self.exchange.in_progress)
+        await self.election.stop()
+        await self.registration.stop()
+        accept_s = grace_s * _ACCEPT_SHARE
+        end_s = started_s + grace_s - _END_MARGIN_S
+        while self.state.now_s() < started_s + accept_s:
+            await asyncio.sleep(_POLL_S)
+        self.exchange.refuses_all = True
+        for connection in list(self._connections):
+            connection.close_if_idle()
+        while self.exchange.in_progress and self.state.now_s() < end_s:
+            await asyncio.sleep(_POLL_S)
+        # Answers that were just ended must leave the buffers.
+        await asyncio.sleep(_POLL_S)
+
+
+def _answer_metrics(request: ReceivedRequest, reply: Reply) -> None:
+    reply.send(
+        200,
+        (("content-type", "text/plain; version=0.0.4"),),
+        prometheus_client.generate_latest(),
+    )
+
+
+async def run_entry(
+    make_entry: Callable[[], ForwardingEntry],
+    writer: LineWriter,
+    reload: Callable[[], None],
+) -> None:
+    """Runs an entry until the process is told to stop.
+
+    Args:
+        make_entry: Returns the entry; called in the event loop.
+        writer: Output of log lines.
+        reload: Reads the settings again.
+    """
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    with writer.applicationbound():
+        await writer.start()
+        entry = make_entry()
+        await entry.application.start()
+        # What lives now lives as long as the process.
+        gc.collect()
+        gc.freeze()
+        await stopping.wait()
+        await entry.drain()
+        await entry.application.stop()
+        await writer.stop()
+
+
+__all__ = [
+    "EntryParameters",
+    "EntryPorts",
+    "ForwardingEntry",
+    "run_entry",
+]
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -0,0 +1,435 @@
+"""Takes requests of callers to replicas and their answers back."""
+
+import asyncio
+import dataclasses
+from datetime import timedelta
+
+from chicoryplank.admission import ReturnSpread
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.events import Event, emit
+from chicoryplank.ids import InstanceId
+from chicoryplank.verdict import Verdict
+from chicoryplank_entry.forwarding import metrics
+from chicoryplank_entry.forwarding.answers import AnswerRelay
+from chicoryplank_entry.forwarding.attempts import Attempt, Outcome, classify
+from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
+from chicoryplank_wire.raw_server import (
+    ReceivedRequest,
+    Reply,
+)
+from chicoryplank_entry.forwarding.calls import Call, make_call
+from chicoryplank_entry.forwarding.fields import HeaderNames
+from chicoryplank_entry.forwarding.refusals import send_error
+from chicoryplank_entry.forwarding.state import EntryState
+from chicoryplank_wire.raw_http import Broken, ConnectionBrokenError
+
+# Sends of one request, whatever became of them.
+_MAX_SENDS = 6
+# Time left below which another send cannot bring an answer, in seconds.
+_LEAST_LEFT_S = 0.02
+# Delay after which a caller that met a draining entry finds another one.
+_RETURN_SOON = timedelta(milliseconds=30)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExchangeParameters:
+    """Bounds on waiting.
+
+    Attributes:
+        wait_share: Part of a route's target that a request may wait for a
+            place.
+        queue_allowance: Requests beyond its slots that a replica may queue.
+        silence_s: Time without output after which a repeatable request tries
+            another replica, if others make progress.
+        first_share: Part of a plain request's time left that a replica has
+            before a repeatable request tries another one.
+    """
+
+    wait_share: float = 0.125
+    queue_allowance: int = 0
+    silence_s: float = 0.9
+    first_share: float = 0.45
+
+
+class Exchange:
+    """Answers the requests of callers.
+
+    Args:
+        state: What this entry believes.
+        names: Header names.
+        pool: Connections to replicas.
+        parameters: Bounds on waiting.
+    """
+
+    def __init__(
+        self,
+        state: EntryState,
+        names: HeaderNames,
+        pool: BackendPool,
+        parameters: ExchangeParameters | None = None,
+    ) -> None:
+        self._state = state
+        self._names = names
+        self._pool = pool
+        self._parameters = parameters or ExchangeParameters()
+        self._returns = ReturnSpread(state.source)
+        self.in_progress = 0
+        self.refuses_all = False
+
+    async def handle(self, request: ReceivedRequest, reply: Reply) -> None:
+        """Answers one request, or leaves it cut where it broke midway."""
+        self.in_progress += 1
+        call = None
+        try:
+            if self.refuses_all:
+                raise ChicoryplankError(
+                    ErrorCode.SHUTTING_DOWN,
+                    "this entry is shutting down; use another address",
+                    retry_after=_RETURN_SOON,
+                )
+            call = make_call(self._state, self._names, request)
+            call.state.repeats.observe_request(self._state.now_s())
+            await self._serve(call, reply)
+        except ChicoryplankError as error:
+            self._refuse(call, request, reply, error)
+        except asyncio.CancelledError:
+            if call is not None:
+                emit(
+                    Event.CALLER_LEFT,
+                    request=call.request_id,
+                    route=call.route.name,
+                    sends=call.sends,
+                )
+            raise
+        except Exception as error:
+            emit(
+                Event.REQUEST_FAILED,
+                method=request.method,
+                path=request.target[:100],
+                error=repr(error),
+            )
+            verdict = Verdict.NOT_RUN if call is None else call.verdict
+            self._refuse(
+                call,
+                request,
+                reply,
+                ChicoryplankError(
+                    ErrorCode.INTERNAL_ERROR, "internal fault", verdict
+                ),
+            )
+        finally:
+            self.in_progress -= 1
+
+    def _refuse(
+        self,
+        call: Call | None,
+        request: ReceivedRequest,
+        reply: Reply,
+        error: ChicoryplankError,
+    ) -> None:
+        """Gives the caller its final answer, or cuts one that had begun."""
+        request_id = request.get(self._names.request_id) or ""
+        status = 0
+        if not reply.started:
+            status = send_error(
+                reply, error, [(self._names.request_id, request_id)]
+            )
+        metrics.count_refusal(error.code, error.verdict)
+        emit(
+            Event.REQUEST_REFUSED,
+            request=request_id,
+            route="" if call is None else call.route.name,
+            code=error.code.value,
+            verdict=error.verdict.value,
+            status=status,
+            sends=0 if call is None else call.sends,
+            after_ms=self._measure_ms(request),
+            detail=error.message,
+        )
+
+    def _measure_ms(self, request: ReceivedRequest) -> int:
+        return round((self._state.now_s() - request.received_s) * 1000)
+
+    async def _serve(self, call: Call, reply: Reply) -> None:
+        """Tries replicas until the answer is complete.
+
+        Raises:
+            ChicoryplankError: If there is no answer.
+        """
+        relay = AnswerRelay(self._state, self._names, self._parameters, call)
+        loop = asyncio.get_running_loop()
+        left_s = call.deadline_s - self._state.now_s()
+        try:
+            async with asyncio.timeout_at(loop.time() + left_s):
+                while True:
+                    attempt = await self._send(call)
+                    if await self._finish(call, relay, attempt, reply):
+                        break
+        except TimeoutError as error:
+            raise ChicoryplankError(
+                ErrorCode.DEADLINE_EXCEEDED,
+                "the time for this request has passed",
+                call.verdict,
+            ) from error
+        metrics.observe_answer(
+            call.route.name,
+            call.account,
+            self._state.now_s() - call.request.received_s,
+        )
+        emit(
+            Event.REQUEST_ANSWERED,
+            request=call.request_id,
+            route=call.route.name,
+            replica=relay.replica,
+            status=relay.status,
+            sends=call.sends,
+            version=self._state.configuration.version,
+            first_ms=round(relay.first_s * 1000),
+            total_ms=self._measure_ms(call.request),
+        )
+
+    async def _send(self, call: Call) -> Attempt:
+        """Sends the request to a replica with a place.
+
+        Raises:
+            ChicoryplankError: If it can be sent to none.
+        """
+        while True:
+            await self._wait_place(call)
+            now_s = self._state.now_s()
+            self._check_repeat(call, now_s)
+            allowance = self._parameters.queue_allowance
+            full = self._state.find_full(call.state, allowance, now_s)
+            replica = self._state.choose(call.state, full | call.tried, now_s)
+            if replica is None:
+                replica = self._state.choose(call.state, full, now_s)
+            if replica is None:
+                raise self._make_refusal(
+                    call, ErrorCode.NO_REPLICA, "no replica has a place"
+                )
+            backend = BackendAddress(replica.instance, replica.address)
+            self._state.begin(call.state, replica.instance, now_s)
+            try:
+                connection = await self._pool.acquire(
+                    backend, call.route.repeatable
+                )
+            except ConnectionBrokenError as error:
+                self._end(call, replica.instance, False)
+                call.tried.add(replica.instance)
+                self._note_failure(call, replica.instance, error, "connect")
+                continue
+            except BaseException:
+                self._end(call, replica.instance, None)
+                raise
+            return self._write(call, Attempt(
+                replica, backend, connection, None, now_s, connection.used > 0
+            ))
+
+    def _write(self, call: Call, attempt: Attempt) -> Attempt:
+        now_s = self._state.now_s()
+        attempt.started_s = now_s
+        attempt.response = attempt.connection.send(
+            call.encode(self._names, attempt.replica.instance, now_s),
+            call.request_id,
+        )
+        call.sends += 1
+        call.tried.add(attempt.replica.instance)
+        return attempt
+
+    def _check_repeat(self, call: Call, now_s: float) -> None:
+        """Rejects a further send that is not allowed or not worthwhile.
+
+        Raises:
+            ChicoryplankError: With the verdict on all attempts so far.
+        """
+        if call.sends == 0:
+            return
+        if call.verdict is not Verdict.NOT_RUN and not call.route.repeatable:
+            raise self._make_refusal(
+                call, ErrorCode.OUTCOME_UNKNOWN, "the request may have run"
+            )
+        if (
+            call.sends >= _MAX_SENDS
+            or call.runs >= call.route.max_runs
+            or call.deadline_s - now_s < _LEAST_LEFT_S
+        ):
+            raise self._make_refusal(
+                call, ErrorCode.BACKEND_FAILED, "no further try is allowed"
+            )
+        if not call.state.repeats.take(self._state.entries, now_s):
+            raise self._make_refusal(
+                call,
+                ErrorCode.RETRY_BUDGET_EXHAUSTED,
+                "the budget of repeats is used up",
+            )
+
+    async def _wait_place(self, call: Call) -> None:
+        """Waits a short time for a place at any replica.
+
+        Raises:
+            ChicoryplankError: If there is none in time.
+        """
+        state = self._state
+        allowance = self._parameters.queue_allowance
+        full = state.find_full(call.state, allowance, state.now_s())
+        if len(full) < len(call.state.slots):
+            return
+        wait_s = call.route.target.total_seconds() * self._parameters.wait_share
+        granted = asyncio.get_running_loop().create_future()
+        waiter = None
+        if call.state.slots:
+            waiter = call.state.places.add(
+                call.priority, lambda: _resolve(granted)
+            )
+        if waiter is not None:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await granted
+                return
+            except TimeoutError:
+                pass  # Refused below.
+            finally:
+                call.state.places.withdraw(waiter)
+        raise self._make_refusal(
+            call,
+            ErrorCode.NO_REPLICA,
+            f"all {len(call.state.slots)} replicas are full",
+        )
+
+    def _make_refusal(
+        self, call: Call, code: ErrorCode, message: str
+    ) -> ChicoryplankError:
+        """Returns the final error of a call, with when to come back."""
+        retry_after = None
+        if call.verdict is Verdict.NOT_RUN:
+            left_s = call.client_deadline_s - self._state.now_s()
+            retry_after = self._returns.draw(timedelta(seconds=max(0, left_s)))
+        return ChicoryplankError(code, message, call.verdict, retry_after)
+
+    async def _finish(
+        self,
+        call: Call,
+        relay: AnswerRelay,
+        attempt: Attempt,
+        reply: Reply,
+    ) -> bool:
+        """Passes an answer on; returns False if another try is needed."""
+        succeeded = None
+        instance = attempt.replica.instance
+        try:
+            await relay.wait_head(attempt)
+            outcome = classify(
+                self._names, attempt.response, call.request_id
+            )
+            if outcome is Outcome.ANSWER or (
+                outcome is Outcome.FAILURE and not self._is_worth_repeat(call)
+            ):
+                call.verdict = Verdict.RAN
+                await relay.pass_on(attempt, reply)
+                succeeded = outcome is Outcome.ANSWER
+                return True
+            succeeded = self._take_outcome(call, attempt, outcome)
+        except ConnectionBrokenError as error:
+            succeeded = False
+            self._take_break(call, attempt, error)
+            if reply.started:
+                self._prepare_resume(call, relay, error)
+        finally:
+            self._pool.release(attempt.backend, attempt.connection)
+            self._end(call, instance, succeeded)
+        return False
+
+    def _is_worth_repeat(self, call: Call) -> bool:
+        """Whether a failure of a replica may be tried again elsewhere."""
+        now_s = self._state.now_s()
+        return (
+            call.route.repeatable
+            and call.runs + 1 < call.route.max_runs
+            and call.sends < _MAX_SENDS
+            and call.deadline_s - now_s > _LEAST_LEFT_S
+            and len(call.state.slots) > 1
+            and call.state.repeats.has(self._state.entries, now_s)
+        )
+
+    def _take_outcome(
+        self, call: Call, attempt: Attempt, outcome: Outcome
+    ) -> bool | None:
+        """Records an answer that is not passed on."""
+        instance = attempt.replica.instance
+        status = attempt.response.status
+        self._note_failure(call, instance, f"status {status}", outcome.value)
+        if outcome is Outcome.MISDIRECTED:
+            answered = attempt.response.get(self._names.at_fault)
+            if answered in (None, instance):
+                self._state.exclude(instance)
+            return None
+        if outcome is Outcome.FULL:
+            self._state.occupancy.observe_full(instance, self._state.now_s())
+            return None
+        call.runs += 1
+        call.verdict = Verdict.MAY_HAVE_RUN
+        return False
+
+    def _take_break(
+        self, call: Call, attempt: Attempt, error: ConnectionBrokenError
+    ) -> None:
+        """Records an answer that did not arrive or did not end."""
+        self._note_failure(call, attempt.replica.instance, error, "break")
+        call.verdict = Verdict.MAY_HAVE_RUN
+        untouched = (
+            attempt.was_kept
+            and not attempt.response.status
+            and error.reason in (Broken.CLOSED, Broken.RESET)
+        )
+        if not untouched:
+            call.runs += 1
+        else:
+            # The replica has closed a kept connection before it read the
+            # request, so the same replica is as good as any other.
+            call.tried.discard(attempt.replica.instance)
+
+    def _prepare_resume(
+        self, call: Call, relay: AnswerRelay, error: ConnectionBrokenError
+    ) -> None:
+        """Makes the next try go on after the last whole event.
+
+        Raises:
+            ChicoryplankError: If the answer cannot be continued.
+        """
+        if not call.is_stream or not call.route.resumable or not relay.last_id:
+            raise ChicoryplankError(
+                ErrorCode.ANSWER_TRUNCATED,
+                f"the answer broke off: {error}",
+                Verdict.MAY_HAVE_RUN,
+            ) from error
+        call.resume_after = relay.last_id
+        emit(
+            Event.STREAM_RESUMED,
+            request=call.request_id,
+            after=call.resume_after,
+            error=str(error),
+        )
+
+    def _end(
+        self, call: Call, instance: InstanceId, succeeded: bool | None
+    ) -> None:
+        self._state.end(call.state, instance, succeeded, self._state.now_s())
+
+    def _note_failure(
+        self, call: Call, instance: InstanceId, detail: object, stage: str
+    ) -> None:
+        metrics.count_failure(stage)
+        emit(
+            Event.ATTEMPT_FAILED,
+            request=call.request_id,
+            replica=instance,
+            stage=stage,
+            sends=call.sends,
+            after_ms=self._measure_ms(call.request),
+            detail=str(detail),
+        )
+
+
+def _resolve(future: asyncio.Future) -> None:
+    if not future.done():
+        future.set_result(None)
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -0,0 +1,557 @@
+"""Follows the demand for experts and changes the maps of groups."""
+
+import asyncio
+import collections
+import dataclasses
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+from chicoryplank.clock import Clock
+from chicoryplank.errors import ChicoryplankError
+from chicoryplank.events import Event, emit
+from chicoryplank.ids import InstanceId, ModelGroupId, RankId
+from chicoryplank.orders import (
+    VERSIONS_PER_TOKEN,
+    ControllerLease,
+    GroupSwitch,
+    RankPort,
+    RankState,
+    RankUnreachableError,
+    SwitchResult,
+)
+from chicoryplank.rebalance import (
+    JointDecision,
+    JointLimits,
+    JointSlots,
+    compute_joint_skew,
+    improve_joint_map,
+)
+from chicoryplank.store import Store, StoreError
+from chicoryplank.traffic import EngineProfile, ReplicaRecord
+from chicoryplank_entry.forwarding.state import EntryState
+
+_LEASE = timedelta(seconds=3)
+_LEASE_MARGIN = timedelta(milliseconds=600)
+_RENEW_S = 0.8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MapParameters:
+    """When a map is changed.
+
+    Attributes:
+        period_s: Time between two looks at the ranks.
+        memory_s: Time in which the weight of past choices falls to 37 %.
+        least_gain: Least relative reduction of the time of a pass.
+        least_choices: Choices in the memory below which nothing is decided.
+        rest_s: Least time between two changes.
+    """
+
+    period_s: float = 0.4
+    memory_s: float = 0.8
+    least_gain: float = 0.05
+    least_choices: int = 2_000
+    rest_s: float = 0.6
+
+
+class Demand:
+    """Choices of experts of a group, with fading memory.
+
+    Args:
+        memory_s: Time in which the weight of past choices falls to 37 %.
+    """
+
+    def __init__(self, memory_s: float) -> None:
+        self._memory_s = memory_s
+        self._last: dict[InstanceId, tuple[int, ...]] = {}
+        self._loads: list[float] = []
+        self._at_s: float | None = None
+
+    @property
+    def total(self) -> float:
+        """Choices in the memory."""
+        return sum(self._loads)
+
+    def forget_counts(self) -> None:
+        """Drops the counts of ranks, as after a restart; loads stay."""
+        self._last.clear()
+
+    def observe(
+        self, counts: Mapping[InstanceId, tuple[int, ...]], now_s: float
+    ) -> None:
+        """Takes the counts of ranks since their start.
+
+        Args:
+            counts: Choices by rank; each of the length sets times experts.
+            now_s: Current time in seconds.
+        """
+        size = max((len(values) for values in counts.values()), default=0)
+        if len(self._loads) != size:
+            self._loads = [0.0] * size
+            self._last.clear()
+        if self._at_s is not None:
+            elapsed_s = max(0.0, now_s - self._at_s)
+            keep = 2.718281828 ** (-elapsed_s / self._memory_s)
+            self._loads = [load * keep for load in self._loads]
+        self._at_s = now_s
+        for instance, values in counts.items():
+            last = self._last.get(instance)
+            self._last[instance] = values
+            if last is None or len(last) != len(values):
+                continue
+            if any(map(int.__lt__, values, last)):
+                continue  # The rank has started again.
+            for index, value in enumerate(values):
+                if value != last[index]:
+                    self._loads[index] += value - last[index]
+
+    def list_sets(self, sets: int) -> list[list[float]]:
+        """Returns the loads by set and expert."""
+        size = len(self._loads) // max(1, sets)
+        return [
+            self._loads[index * size : (index + 1) * size]
+            for index in range(sets)
+        ]
+
+
+@dataclasses.dataclass(slots=True)
+class _GroupView:
+    """What the controller knows of a group in one epoch."""
+
+    epoch: int
+    slots: JointSlots
+    version: int
+    pending_version: int | None = None
+    pending_slots: JointSlots = ()
+    changed_s: float = float("-inf")
+    passes: collections.deque = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=6)
+    )
+
+
+RankPorts = dict[RankId, RankPort]
+MakeRank = Callable[[ReplicaRecord], RankPort]
+
+
+class MapController:
+    """Controls the groups of one service while it holds their lease.
+
+    Args:
+        store: Store, for the lease.
+        clock: Source of time.
+        state: What this entry believes.
+        service: Service whose replicas are ranks.
+        owner: This instance.
+        make_rank: Returns the port of a replica.
+        parameters: When a map is changed.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        state: EntryState,
+        service: ModelGroupId,
+        owner: InstanceId,
+        make_rank: MakeRank,
+        parameters: MapParameters | None = None,
+    ) -> None:
+        self._clock = clock
+        self._state = state
+        self._service = service
+        self._make_rank = make_rank
+        self._parameters = parameters or MapParameters()
+        self.lease = ControllerLease(
+            store,
+            clock,
+            service,
+            owner,
+            duration=_LEASE,
+            margin=_LEASE_MARGIN,
+        )
+        self._ports: dict[InstanceId, tuple[str, RankPort]] = {}
+        self._demands: dict[str, Demand] = {}
+        self._views: dict[str, _GroupView] = {}
+        self._versions = 0
+        self._version_token = 0
+
+    def forget(self) -> None:
+        """Drops what may be wrong once another controller has been at work."""
+        self._views.clear()
+        for demand in self._demands.values():
+            demand.forget_counts()
+
+    async def run(self) -> None:
+        """Controls the groups until the lease is lost."""
+        self.forget()
+        renewal = asyncio.get_running_loop().create_task(self._keep_lease())
+        try:
+            while self.lease.get_token() is not None:
+                started_s = self._now_s()
+                await self._look()
+                left_s = self._parameters.period_s - (
+                    self._now_s() - started_s
+                )
+                await self._clock.sleep(timedelta(seconds=max(0.05, left_s)))
+        finally:
+            renewal.cancel()
+
+    async def _keep_lease(self) -> None:
+        while True:
+            await self._clock.sleep(timedelta(seconds=_RENEW_S))
+            try:
+                if not await self.lease.renew():
+                    return
+            except StoreError as error:
+                emit(
+                    Event.CONTROL_ROUND_FAILED,
+                    group=self._service,
+                    error=error.message,
+                )
+
+    def _now_s(self) -> float:
+        return self._clock.elapsed().total_seconds()
+
+    def _list_ports(self) -> dict[InstanceId, RankPort]:
+        records = self._state.registry.list_service(self._service)
+        known = {}
+        for record in records:
+            address, port = self._ports.get(record.instance, ("", None))
+            if port is None or address != record.address:
+                port = self._make_rank(record)
+            known[record.instance] = (record.address, port)
+        self._ports = known
+        return {name: port for name, (_, port) in known.items()}
+
+    async def _look(self) -> None:
+        """Reads all ranks and acts on each group."""
+        configuration = self._state.configuration
+        service = None
+        if configuration is not None:
+            service = configuration.services.get(self._service)
+        if service is None or service.engine is None:
+            return
+        ports = self._list_ports()
+        states = await _read_states(ports)
+        groups: dict[str, dict[RankId, tuple[RankState, RankPort]]] = {}
+        for instance, state in states.items():
+            members = groups.setdefault(state.group, {})
+            members[state.rank] = (state, ports[instance])
+        for name, members in groups.items():
+            first = next(iter(members.values()))[0]
+            complete = len(members) == first.size and all(
+                state.epoch == first.epoch and state.is_open
+                for state, _ in members.values()
+            )
+            if complete:
+                try:
+                    await self._act(name, members, service.engine)
+                except RankUnreachableError as error:
+                    emit(
+                        Event.CONTROL_ROUND_FAILED,
+                        group=name,
+                        error=str(error),
+                    )
+
+    async def _act(
+        self,
+        name: str,
+        members: Mapping[RankId, tuple[RankState, RankPort]],
+        engine: EngineProfile,
+    ) -> None:
+        states = {rank: state for rank, (state, _) in members.items()}
+        ports = {rank: port for rank, (_, port) in members.items()}
+        epoch = next(iter(states.values())).epoch
+        view = self._views.get(name)
+        counts = await _read_counts(ports, view is None or view.epoch != epoch)
+        demand = self._demands.setdefault(
+            name, Demand(self._parameters.memory_s)
+        )
+        demand.observe(
+            {states[rank].instance: item.counts for rank, item in counts.items()},
+            self._now_s(),
+        )
+        if view is None or view.epoch != epoch:
+            view = _make_view(epoch, states, counts, engine)
+            if view is None:
+                return
+            self._views[name] = view
+        view.passes.append(
+            (self._now_s(), max(state.step for state in states.values()))
+        )
+        if any(state.held_step is not None for state in states.values()):
+            await self._settle(name, view, ports, states)
+            return
+        if not _has_one_map(states):
+            return
+        version = next(iter(states.values())).map_version
+        if version != view.version:
+            if version != view.pending_version:
+                # A change of a predecessor came into force.
+                del self._views[name]
+                return
+            view.version, view.slots = version, view.pending_slots
+            view.pending_version = None
+        await self._rebalance(name, view, ports, states, demand, engine)
+
+    def _make_version(self, states: Mapping[RankId, RankState]) -> int:
+        """Returns an unused version; two in a row are free."""
+        token = self.lease.get_token() or 0
+        if token != self._version_token:
+            self._version_token = token
+            self._versions = 0
+        self._versions += 2
+        version = token * VERSIONS_PER_TOKEN + self._versions
+        seen = max(
+            max(
+                state.map_version,
+                state.prepared_version or 0,
+                state.armed_version or 0,
+            )
+            for state in states.values()
+        )
+        return max(version, seen + 1)
+
+    def _make_switch(self, ports: RankPorts, epoch: int) -> GroupSwitch:
+        return GroupSwitch(ports, epoch, self.lease.get_token, self._clock)
+
+    async def _settle(
+        self,
+        name: str,
+        view: _GroupView,
+        ports: RankPorts,
+        states: Mapping[RankId, RankState],
+    ) -> None:
+        emit(Event.MAP_LEFTOVER, group=name, epoch=view.epoch)
+        switch = self._make_switch(ports, view.epoch)
+        await switch.settle(view.slots, self._make_version(states))
+        del self._views[name]
+
+    async def _rebalance(
+        self,
+        name: str,
+        view: _GroupView,
+        ports: RankPorts,
+        states: Mapping[RankId, RankState],
+        demand: Demand,
+        engine: EngineProfile,
+    ) -> None:
+        parameters = self._parameters
+        now_s = self._now_s()
+        if demand.total < parameters.least_choices:
+            return
+        loads = demand.list_sets(engine.layer_sets)
+        skew = compute_joint_skew(view.slots, loads)
+        self._state.get_service(self._service).skew = skew
+        if now_s - view.changed_s < parameters.rest_s:
+            return
+        if (skew - 1.0) * engine.expert_share < parameters.least_gain:
+            return
+        decision = await _search(view.slots, loads, engine)
+        share = engine.expert_share
+        before = (1 - share) + share * decision.current_skew
+        after = (1 - share) + share * decision.predicted_skew
+        if before - after < parameters.least_gain * before:
+            return
+        await self._change(name, view, ports, states, decision)
+
+    async def _change(
+        self,
+        name: str,
+        view: _GroupView,
+        ports: RankPorts,
+        states: Mapping[RankId, RankState],
+        decision: JointDecision,
+    ) -> None:
+        version = self._make_version(states)
+        started_s = self._now_s()
+        emit(
+            Event.MAP_CHANGE_BEGUN,
+            group=name,
+            change=version,
+            moves=decision.copies,
+            skew=f"{decision.current_skew:.2f} to "
+            f"{decision.predicted_skew:.2f}",
+        )
+        view.pending_version = version
+        view.pending_slots = decision.slots
+        switch = self._make_switch(ports, view.epoch)
+        result = await switch.change(
+            decision.slots, view.slots, version, _find_pass_s(view)
+        )
+        view.changed_s = self._now_s()
+        took_ms = round((view.changed_s - started_s) * 1000)
+        if result is SwitchResult.SWITCHED:
+            emit(
+                Event.MAP_ARMED, group=name, change=version, took_ms=took_ms
+            )
+            self._state.get_service(
+                self._service
+            ).skew = decision.predicted_skew
+        else:
+            emit(
+                Event.MAP_CHANGE_WITHDRAWN,
+                group=name,
+                change=version,
+                result=result.value,
+                took_ms=took_ms,
+            )
+            self._views.pop(name, None)
+
+
+async def _read_states(
+    ports: Mapping[InstanceId, RankPort],
+) -> dict[InstanceId, RankState]:
+    async def read(port: RankPort) -> RankState | None:
+        try:
+            return await port.read_state()
+        except RankUnreachableError:
+            return None
+
+    found = await asyncio.gather(*map(read, ports.values()))
+    return {
+        instance: state
+        for instance, state in zip(ports, found, strict=True)
+        if state is not None
+    }
+
+
+async def _read_counts(ports: RankPorts, with_experts: bool):
+    found = await asyncio.gather(
+        *(port.read_counts(with_experts) for port in ports.values())
+    )
+    return dict(zip(ports, found, strict=True))
+
+
+def _make_view(
+    epoch: int, states: Mapping, counts: Mapping, engine: EngineProfile
+) -> _GroupView | None:
+    """Returns the view of a group from what its ranks hold, if they agree."""
+    versions = {state.map_version for state in states.values()}
+    if len(versions) != 1 or any(
+        item.experts is None or len(item.experts) != engine.layer_sets
+        for item in counts.values()
+    ):
+        return None
+    ranks = sorted(counts)
+    slots = tuple(
+        tuple(counts[rank].experts[index] for rank in ranks)
+        for index in range(engine.layer_sets)
+    )
+    return _GroupView(epoch, slots, versions.pop())
+
+
+def _has_one_map(states: Mapping[RankId, RankState]) -> bool:
+    """Whether all ranks have the same map and none is armed."""
+    versions = {state.map_version for state in states.values()}
+    return len(versions) == 1 and all(
+        state.armed_version is None for state in states.values()
+    )
+
+
+def _find_pass_s(view: _GroupView) -> float:
+    """Returns the recent time of a pass, in seconds."""
+    (first_s, first), (last_s, last) = view.passes[0], view.passes[-1]
+    if last <= first:
+        return 0.08
+    return (last_s - first_s) / (last - first)
+
+
+async def _search(
+    slots: JointSlots, loads: list[list[float]], engine: EngineProfile
+) -> JointDecision:
+    """Searches a better map and lets other work run meanwhile."""
+    limits = JointLimits(engine.places, engine.max_new_experts)
+    steps = improve_joint_map(slots, loads, limits)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
+        await asyncio.sleep(0)
+
+
+class Election:
+    """Takes part in who controls the groups of each service.
+
+    Args:
+        make_controller: Returns the controller of a service.
+        state: What this entry believes.
+        list_members: Returns the live entries, this one included, in order.
+        owner: This instance.
+        clock: Source of time.
+        has_holder: Whether the store shows a holder of a service's lease.
+    """
+
+    _LOOK_S = 0.5
+    _TURN_S = 0.25
+
+    def __init__(
+        self,
+        make_controller: Callable[[ModelGroupId], MapController],
+        state: EntryState,
+        list_members: Callable[[], list[InstanceId]],
+        owner: InstanceId,
+        clock: Clock,
+        has_holder: Callable[[ModelGroupId], bool],
+    ) -> None:
+        self._make_controller = make_controller
+        self._state = state
+        self._list_members = list_members
+        self._owner = owner
+        self._clock = clock
+        self._has_holder = has_holder
+        self._tasks: dict[ModelGroupId, asyncio.Task] = {}
+        self._controllers: dict[ModelGroupId, MapController] = {}
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Begins to take part."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """Gives all leases up."""
+        tasks = [*self._tasks.values()]
+        if self._task is not None:
+            tasks.append(self._task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for controller in self._controllers.values():
+            await controller.lease.release()
+
+    async def _run(self) -> None:
+        while True:
+            configuration = self._state.configuration
+            if configuration is not None:
+                for service in configuration.services.values():
+                    if service.engine is None or not service.engine.experts:
+                        continue
+                    name = ModelGroupId(service.name)
+                    task = self._tasks.get(name)
+                    if task is None or task.done():
+                        self._tasks[name] = asyncio.create_task(
+                            self._control(name)
+                        )
+            await self._clock.sleep(timedelta(seconds=self._LOOK_S))
+
+    async def _control(self, name: ModelGroupId) -> None:
+        """Controls one service for as long as the lease allows."""
+        if self._state.is_draining or self._has_holder(name):
+            return
+        members = self._list_members()
+        if self._owner in members:
+            # Entries try one after the other, so that most need no call.
+            turn = members.index(self._owner)
+            await self._clock.sleep(timedelta(seconds=turn * self._TURN_S))
+        if self._state.is_draining or self._has_holder(name):
+            return
+        controller = self._controllers.get(name)
+        if controller is None:
+            controller = self._make_controller(name)
+            self._controllers[name] = controller
+        try:
+            if await controller.lease.acquire():
+                await controller.run()
+        except ChicoryplankError as error:
+            emit(Event.CONTROL_ROUND_FAILED, group=name, error=error.message)
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/refusals.py
@@ -0,0 +1,60 @@
+"""Answers of the entry's own: status, body and when to come back."""
+
+import json
+from datetime import timedelta
+
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.verdict import Verdict
+from chicoryplank_wire.raw_server import Reply
+
+_STATUSES = {
+    ErrorCode.MALFORMED_REQUEST: 400,
+    ErrorCode.UNKNOWN_ACCOUNT: 401,
+    ErrorCode.UNKNOWN_PATH: 404,
+    ErrorCode.RATE_LIMITED: 429,
+}
+_UNAVAILABLE = 503
+_BAD_GATEWAY = 502
+_GATEWAY_TIMEOUT = 504
+
+
+def find_status(error: ChicoryplankError) -> int:
+    """Returns the status that tells a caller what an error means.
+
+    Only a request that has not run and never will gets one of the statuses
+    that say so.
+    """
+    if error.verdict is Verdict.NOT_RUN:
+        return _STATUSES.get(error.code, _UNAVAILABLE)
+    if error.code is ErrorCode.DEADLINE_EXCEEDED:
+        return _GATEWAY_TIMEOUT
+    return _BAD_GATEWAY
+
+
+def send_error(
+    reply: Reply, error: ChicoryplankError, headers: list[tuple[str, str]]
+) -> int:
+    """Writes an error as the whole answer and returns its status.
+
+    Args:
+        reply: Answer that has not been started.
+        error: What went wrong.
+        headers: Further headers.
+    """
+    status = find_status(error)
+    fields = [("content-type", "application/json"), *headers]
+    if error.retry_after is not None:
+        fields.append(("retry-after", _format_delay(error.retry_after)))
+    document = {
+        "error": {
+            "code": error.code.value,
+            "message": error.message,
+            "verdict": error.verdict.value,
+        }
+    }
+    reply.send(status, fields, json.dumps(document).encode())
+    return status
+
+
+def _format_delay(delay: timedelta) -> str:
+    return f"{max(0.0, delay.total_seconds()):.3f}"
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -0,0 +1,260 @@
+"""What an entry believes: configuration, replicas, members, occupancy."""
+
+import dataclasses
+import random
+from collections.abc import Iterable
+from datetime import UTC, datetime, timedelta
+
+from chicoryplank.admission import (
+    Occupancy,
+    PlaceQueue,
+    RepeatBudget,
+    RepeatParameters,
+)
+from chicoryplank.clock import Clock
+from chicoryplank.ids import InstanceId, ServiceId, ZoneId
+from chicoryplank.routing import (
+    Candidate,
+    LoadReport,
+    Policy,
+    Progress,
+    RoutingParameters,
+    RoutingRequest,
+    make_balanced,
+)
+from chicoryplank.traffic import (
+    ClientLimits,
+    ReplicaRecord,
+    ReplicaRegistry,
+    ReplicaState,
+    RouteIndex,
+    TrafficConfiguration,
+)
+
+# Routing takes times as datetimes; this origin keeps them independent of the
+# time of day, which may jump.
+_ORIGIN = datetime(2026, 1, 1, tzinfo=UTC)
+# Every replica of a deployment of this size is compared.
+_ALL_CHOICES = 256
+# Load by which a replica in another zone must be better; a request costs a
+# few ms more there.
+_ZONE_PENALTY = 0.4
+# Counts of peers arrive several times a second and are exact.
+_REPORT_DECAY = timedelta(seconds=2)
+_MAX_WAITING = 512
+
+
+def make_parameters() -> RoutingParameters:
+    """Returns routing parameters for exact counts of few slots."""
+    return RoutingParameters(
+        choices=_ALL_CHOICES,
+        deciding_entries=1,
+        report_decay=_REPORT_DECAY,
+        recent_weight=0.0,
+        zone_penalty=_ZONE_PENALTY,
+        slow_start=timedelta(milliseconds=500),
+        stall_timeout=timedelta(milliseconds=1200),
+        max_failures=3,
+        ejection=timedelta(seconds=1),
+        min_in_service=0.5,
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceState:
+    """What an entry keeps for one service.
+
+    Attributes:
+        policy: Choice of replicas.
+        places: Requests that wait for a place.
+        repeats: Budget of repeats.
+        candidates: Replicas that may get requests.
+        slots: Slots of each of them.
+        progress_s: When any replica last produced output.
+        skew: Skew of the expert map in force, as far as known.
+    """
+
+    policy: Policy
+    places: PlaceQueue
+    repeats: RepeatBudget
+    candidates: tuple[Candidate, ...] = ()
+    slots: dict[InstanceId, int] = dataclasses.field(default_factory=dict)
+    progress_s: float = float("-inf")
+    skew: float = 1.0
+
+
+class EntryState:
+    """Shared state of one entry.
+
+    Args:
+        clock: Source of time.
+        zone: Availability zone of this entry.
+        source: Random numbers.
+        repeats: Bounds on repeats.
+        return_grace_s: Time in which registrations return after an outage.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        zone: ZoneId,
+        source: random.Random,
+        repeats: RepeatParameters,
+        return_grace_s: float,
+    ) -> None:
+        self.clock = clock
+        self.zone = zone
+        self.source = source
+        self.registry = ReplicaRegistry(return_grace_s)
+        self.occupancy = Occupancy()
+        self.configuration: TrafficConfiguration | None = None
+        self.routes: RouteIndex | None = None
+        self.repeat_parameters = repeats
+        self.entries = 1
+        self.is_draining = False
+        self._services: dict[ServiceId, ServiceState] = {}
+        self._gone: set[InstanceId] = set()
+
+    def now_s(self) -> float:
+        """Returns the time since boot in seconds."""
+        return self.clock.elapsed().total_seconds()
+
+    def make_moment(self, now_s: float) -> datetime:
+        """Returns a time for the routing policy."""
+        return _ORIGIN + timedelta(seconds=now_s)
+
+    def get_limits(self) -> ClientLimits:
+        """Returns the bounds for callers in force."""
+        if self.configuration is None:
+            return ClientLimits()
+        return self.configuration.limits
+
+    def apply(self, configuration: TrafficConfiguration) -> bool:
+        """Puts a newer configuration in force; returns whether it is newer."""
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return False
+        self.configuration = configuration
+        self.routes = RouteIndex(configuration)
+        return True
+
+    def get_service(self, service: ServiceId) -> ServiceState:
+        """Returns the state of a service, new if it is not known yet."""
+        state = self._services.get(service)
+        if state is None:
+            state = ServiceState(
+                make_balanced(self.zone, make_parameters(), self.source),
+                PlaceQueue(_MAX_WAITING),
+                RepeatBudget(self.repeat_parameters),
+            )
+            self._services[service] = state
+            self._refresh_service(service, state)
+        return state
+
+    def refresh_candidates(self) -> None:
+        """Takes the replicas of the registry."""
+        known = {record.instance for record in self.registry.list_all()}
+        self._gone &= known
+        for service, state in self._services.items():
+            self._refresh_service(service, state)
+
+    def exclude(self, instance: InstanceId) -> None:
+        """Leaves out a replica whose address belongs to another one now."""
+        if instance not in self._gone:
+            self._gone.add(instance)
+            self.refresh_candidates()
+
+    def readmit(self, instance: InstanceId) -> None:
+        """Takes a replica back that has registered anew."""
+        self._gone.discard(instance)
+
+    def _refresh_service(self, service: ServiceId, state: ServiceState) -> None:
+        records = [
+            record
+            for record in self.registry.list_service(service)
+            if record.instance not in self._gone
+        ]
+        candidates = tuple(make_candidate(record) for record in records)
+        state.slots = {record.instance: record.slots for record in records}
+        if candidates != state.candidates:
+            state.candidates = candidates
+
+    def find_full(
+        self, state: ServiceState, allowance: int, now_s: float
+    ) -> frozenset[InstanceId]:
+        """Returns the replicas of a service without a place.
+
+        Args:
+            state: The service.
+            allowance: Requests beyond its slots that a replica may queue.
+            now_s: Current time in seconds.
+        """
+        occupancy = self.occupancy
+        return frozenset(
+            instance
+            for instance, slots in state.slots.items()
+            if occupancy.count(instance) >= slots + allowance
+            or occupancy.is_refusing(instance, now_s)
+        )
+
+    def choose(
+        self,
+        state: ServiceState,
+        excluded: Iterable[InstanceId],
+        now_s: float,
+    ) -> ReplicaRecord | None:
+        """Returns the replica for a request, or None."""
+        instance = state.policy.choose(
+            RoutingRequest(excluded=frozenset(excluded)),
+            state.candidates,
+            self.make_moment(now_s),
+        )
+        return None if instance is None else self.registry.get(instance)
+
+    def begin(
+        self, state: ServiceState, instance: InstanceId, now_s: float
+    ) -> None:
+        """Counts a request that goes to a replica."""
+        self.occupancy.begin(instance)
+        state.policy.begin(instance, 1.0, self.make_moment(now_s))
+
+    def end(
+        self,
+        state: ServiceState,
+        instance: InstanceId,
+        succeeded: bool | None,
+        now_s: float,
+    ) -> None:
+        """Counts the end of a request and wakes those that wait."""
+        self.occupancy.end(instance)
+        state.policy.end(instance, 1.0, self.make_moment(now_s), succeeded)
+        if len(state.places):
+            state.places.grant(1)
+
+    def observe_progress(
+        self, state: ServiceState, instance: InstanceId, now_s: float
+    ) -> None:
+        """Records output of a replica."""
+        state.progress_s = now_s
+        state.policy.observe(Progress(instance, self.make_moment(now_s)))
+
+    def observe_counts(self, now_s: float) -> None:
+        """Passes the counts of all entries on to the routing policies."""
+        moment = self.make_moment(now_s)
+        for state in self._services.values():
+            free = 0
+            for instance, slots in state.slots.items():
+                running = self.occupancy.count(instance)
+                free += max(0, slots - running)
+                state.policy.observe(LoadReport(instance, running, 0, moment))
+            if free and len(state.places):
+                state.places.grant(free)
+
+
+def make_candidate(record: ReplicaRecord) -> Candidate:
+    """Returns the routing candidate of a registered replica."""
+    return Candidate(
+        record.instance,
+        record.zone,
+        leaving=record.state is ReplicaState.DRAINING,
+    )
--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -0,0 +1,18 @@
+"""Admission by the places of replicas; one module for each load pattern."""
+
+from chicoryplank.admission._occupancy import Occupancy
+from chicoryplank.admission._pace import compute_batch_limit, compute_pass_time
+from chicoryplank.admission._places import PlaceQueue, Waiter
+from chicoryplank.admission._repeats import RepeatBudget, RepeatParameters
+from chicoryplank.admission._returns import ReturnSpread
+
+__all__ = [
+    "Occupancy",
+    "PlaceQueue",
+    "RepeatBudget",
+    "RepeatParameters",
+    "ReturnSpread",
+    "Waiter",
+    "compute_batch_limit",
+    "compute_pass_time",
+]
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -128,6 +128,83 @@
         "group {group} has no expert map yet: {detail}",
     )
 
+    LINES_DROPPED = (
+        1005,
+        logbook.WARNING,
+        "{count} log lines were dropped",
+    )
+    DRAINING = (
+        1006,
+        logbook.INFO,
+        "stopping; {in_progress} requests are in progress",
+    )
+    SETTINGS_READ = (1007, logbook.INFO, "settings read from {path}")
+    SETTINGS_REJECTED = (
+        1008,
+        logbook.ERROR,
+        "settings of {path} are not used: {error}",
+    )
+    REQUEST_ANSWERED = (
+        1210,
+        logbook.INFO,
+        "request {request} on {route} was answered by {replica}",
+    )
+    REQUEST_REFUSED = (
+        1211,
+        logbook.INFO,
+        "request {request} on {route} ended with {code}: {detail}",
+    )
+    ATTEMPT_FAILED = (
+        1212,
+        logbook.INFO,
+        "request {request} failed at {replica} ({stage}): {detail}",
+    )
+    STREAM_RESUMED = (
+        1213,
+        logbook.INFO,
+        "request {request} goes on after event {after}: {error}",
+    )
+    CALLER_LEFT = (
+        1214,
+        logbook.INFO,
+        "the caller of request {request} on {route} has left",
+    )
+    STORE_LOST = (1304, logbook.WARNING, "the store is lost: {error}")
+    STORE_REGAINED = (
+        1305,
+        logbook.INFO,
+        "the store answers, revision {revision}",
+    )
+    STORE_HISTORY_GONE = (
+        1306,
+        logbook.INFO,
+        "all items are read anew after revision {revision}",
+    )
+    ITEM_REJECTED = (
+        1307,
+        logbook.WARNING,
+        "item {key} at revision {revision} is not used: {error}",
+    )
+    REGISTRATION_FAILED = (
+        1308,
+        logbook.WARNING,
+        "registration {key}: {error}",
+    )
+    MAP_LEFTOVER = (
+        1905,
+        logbook.WARNING,
+        "group {group} is held by an unfinished change of epoch {epoch}",
+    )
+    MAP_ARMED = (
+        1906,
+        logbook.INFO,
+        "every rank of group {group} is armed for change {change}",
+    )
+    MAP_CHANGE_WITHDRAWN = (
+        1907,
+        logbook.INFO,
+        "change {change} of group {group} ended as {result}",
+    )
     REPLICA_EJECTED = (
         1801,
         logbook.WARNING,
--- a/packages/chicoryplank/src/chicoryplank/orders/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/__init__.py
@@ -12,6 +12,15 @@
     get_map_key,
 )
 from chicoryplank.orders._fence import FenceGate, Order
+from chicoryplank.orders._group import (
+    Operation,
+    OrderResult,
+    RankCounts,
+    RankOrder,
+    RankPort,
+    RankState,
+    RankUnreachableError,
+)
 from chicoryplank.orders._lease import ControllerLease
 from chicoryplank.orders._map_change import (
     MapChange,
@@ -23,18 +32,35 @@
     record_token,
 )
 from chicoryplank.orders._rank import RankMap
+from chicoryplank.orders._switch import (
+    VERSIONS_PER_TOKEN,
+    GroupSwitch,
+    SwitchParameters,
+    SwitchResult,
+)
 
 __all__ = [
+    "VERSIONS_PER_TOKEN",
     "ControllerLease",
     "FenceGate",
+    "GroupSwitch",
     "MapChange",
     "MapDocument",
     "NextMap",
+    "Operation",
     "Order",
+    "OrderResult",
     "Phase",
     "Prepared",
+    "RankCounts",
     "RankMap",
+    "RankOrder",
+    "RankPort",
+    "RankState",
+    "RankUnreachableError",
     "SwitchDecision",
+    "SwitchParameters",
+    "SwitchResult",
     "TokenSource",
     "create_document",
     "decode_document",
--- a/packages/chicoryplank/src/chicoryplank/rebalance/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/__init__.py
@@ -6,6 +6,13 @@
     RebalanceSettings,
     make_settings,
 )
+from chicoryplank.rebalance._joint import (
+    JointDecision,
+    JointLimits,
+    JointSlots,
+    compute_joint_skew,
+    improve_joint_map,
+)
 from chicoryplank.rebalance._map import (
     ExpertMap,
     Move,
@@ -29,6 +36,9 @@
     "Decision",
     "ExpertMap",
     "IncrementalPolicy",
+    "JointDecision",
+    "JointLimits",
+    "JointSlots",
     "LoadEstimator",
     "Move",
     "Policy",
@@ -36,9 +46,11 @@
     "RebalanceSettings",
     "RepackPolicy",
     "StaticPolicy",
+    "compute_joint_skew",
     "compute_rank_loads",
     "compute_skew",
     "compute_skew_bound",
+    "improve_joint_map",
     "list_moves",
     "make_map",
     "make_settings",
--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/traffic/__init__.py
@@ -0,0 +1,32 @@
+"""Routes, services and replicas of a fleet that forwards plain requests."""
+
+from chicoryplank.traffic._model import (
+    ClientLimits,
+    EngineProfile,
+    RequestKind,
+    Route,
+    Service,
+    Share,
+    TrafficConfiguration,
+)
+from chicoryplank.traffic._replicas import (
+    ReplicaRecord,
+    ReplicaRegistry,
+    ReplicaState,
+)
+from chicoryplank.traffic._routes import RouteIndex, choose_service
+
+__all__ = [
+    "ClientLimits",
+    "EngineProfile",
+    "ReplicaRecord",
+    "ReplicaRegistry",
+    "ReplicaState",
+    "RequestKind",
+    "Route",
+    "RouteIndex",
+    "Service",
+    "Share",
+    "TrafficConfiguration",
+    "choose_service",
+]
