--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -4,6 +4,7 @@
 import enum
 
 from chicoryplank.traffic import ReplicaRecord
+from chicoryplank.verdict import Verdict
 from chicoryplank_entry.forwarding.backends import BackendAddress
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_wire.raw_http import ClientConnection, Response
@@ -44,6 +45,7 @@
         response: Response, as it arrives.
         started_s: When it was sent.
         was_kept: Whether the connection had served a request before.
+        earlier: Verdict on the attempts before this one.
     """
 
     replica: ReplicaRecord
@@ -52,6 +54,7 @@
     response: Response
     started_s: float
     was_kept: bool
+    earlier: Verdict
 
 
 def classify(names: HeaderNames, response: Response, request_id: str) -> Outcome:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -8,6 +8,7 @@
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
+from chicoryplank.traffic import ReplicaRecord
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry.forwarding import metrics
 from chicoryplank_entry.forwarding.answers import AnswerRelay
@@ -21,7 +22,11 @@
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_entry.forwarding.refusals import send_error
 from chicoryplank_entry.forwarding.state import EntryState
-from chicoryplank_wire.raw_http import Broken, ConnectionBrokenError
+from chicoryplank_wire.raw_http import (
+    Broken,
+    ClientConnection,
+    ConnectionBrokenError,
+)
 
 # Sends of one request, whatever became of them.
 _MAX_SENDS = 6
@@ -221,17 +226,26 @@
             except BaseException:
                 self._end(call, replica.instance, None)
                 raise
-            return self._write(call, Attempt(
-                replica, backend, connection, None, now_s, connection.used > 0
-            ))
+            return self._write(call, replica, backend, connection)
 
-    def _write(self, call: Call, attempt: Attempt) -> Attempt:
+    def _write(
+        self,
+        call: Call,
+        replica: ReplicaRecord,
+        backend: BackendAddress,
+        connection: ClientConnection,
+    ) -> Attempt:
         now_s = self._state.now_s()
-        attempt.started_s = now_s
-        attempt.response = attempt.connection.send(
-            call.encode(self._names, attempt.replica.instance, now_s),
+        was_kept = connection.used > 0
+        response = connection.send(
+            call.encode(self._names, replica.instance, now_s),
             call.request_id,
         )
+        attempt = Attempt(
+            replica, backend, connection, response, now_s, was_kept, call.verdict
+        )
+        # From here on only the replica can say that the request did not run.
+        call.verdict = Verdict.MAY_HAVE_RUN
         call.sends += 1
         call.tried.add(attempt.replica.instance)
         return attempt
@@ -358,6 +372,8 @@
         instance = attempt.replica.instance
         status = attempt.response.status
         self._note_failure(call, instance, f"status {status}", outcome.value)
+        if outcome in (Outcome.MISDIRECTED, Outcome.FULL):
+            call.verdict = attempt.earlier
         if outcome is Outcome.MISDIRECTED:
             answered = attempt.response.get(self._names.at_fault)
             if answered in (None, instance):
@@ -367,7 +383,6 @@
             self._state.occupancy.observe_full(instance, self._state.now_s())
             return None
         call.runs += 1
-        call.verdict = Verdict.MAY_HAVE_RUN
         return False
 
     def _take_break(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -30,9 +30,11 @@
 from chicoryplank.traffic import EngineProfile, ReplicaRecord
 from chicoryplank_entry.forwarding.state import EntryState
 
-_LEASE = timedelta(seconds=3)
-_LEASE_MARGIN = timedelta(milliseconds=600)
-_RENEW_S = 0.8
+# A controller that dies is replaced after this time. A renewal costs a tenth
+# of a read.
+_LEASE = timedelta(seconds=2)
+_LEASE_MARGIN = timedelta(milliseconds=500)
+_RENEW_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,13 +45,16 @@
         period_s: Time between two looks at the ranks.
         memory_s: Time in which the weight of past choices falls to 37 %.
         least_gain: Least relative reduction of the time of a pass.
+        calm_share: Part of the longest pause in time below which a pass is
+            short enough as it is.
         least_choices: Choices in the memory below which nothing is decided.
         rest_s: Least time between two changes.
     """
 
     period_s: float = 0.4
     memory_s: float = 0.8
-    least_gain: float = 0.05
+    least_gain: float = 0.08
+    calm_share: float = 0.5
     least_choices: int = 2_000
     rest_s: float = 0.6
 
@@ -125,7 +130,7 @@
     pending_slots: JointSlots = ()
     changed_s: float = float("-inf")
     passes: collections.deque = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=6)
+        default_factory=lambda: collections.deque(maxlen=3)
     )
 
 
@@ -347,6 +352,8 @@
             return
         if (skew - 1.0) * engine.expert_share < parameters.least_gain:
             return
+        if _find_pass_s(view) < parameters.calm_share * self._find_pause_s():
+            return
         decision = await _search(view.slots, loads, engine)
         share = engine.expert_share
         before = (1 - share) + share * decision.current_skew
@@ -355,6 +362,16 @@
             return
         await self._change(name, view, ports, states, decision)
 
+    def _find_pause_s(self) -> float:
+        """Returns the longest pause between events that is in time."""
+        pauses = [
+            route.gap_target.total_seconds()
+            for route in self._state.configuration.routes
+            if route.gap_target is not None
+            and any(share.service == self._service for share in route.shares)
+        ]
+        return min(pauses, default=0.0)
+
     async def _change(
         self,
         name: str,
@@ -501,6 +518,7 @@
         self._owner = owner
         self._clock = clock
         self._has_holder = has_holder
+        self._tried: set[ModelGroupId] = set()
         self._tasks: dict[ModelGroupId, asyncio.Task] = {}
         self._controllers: dict[ModelGroupId, MapController] = {}
         self._task: asyncio.Task | None = None
@@ -537,8 +555,16 @@
 
     async def _control(self, name: ModelGroupId) -> None:
         """Controls one service for as long as the lease allows."""
-        if self._state.is_draining or self._has_holder(name):
+        if self._state.is_draining:
             return
+        if self._has_holder(name) and name in self._tried:
+            return
+        if self._has_holder(name):
+            # The lease may be that of an earlier process of this instance.
+            self._tried.add(name)
+            await self._acquire(name)
+            return
+        self._tried.add(name)
         members = self._list_members()
         if self._owner in members:
             # Entries try one after the other, so that most need no call.
@@ -546,6 +572,9 @@
             await self._clock.sleep(timedelta(seconds=turn * self._TURN_S))
         if self._state.is_draining or self._has_holder(name):
             return
+        await self._acquire(name)
+
+    async def _acquire(self, name: ModelGroupId) -> None:
         controller = self._controllers.get(name)
         if controller is None:
             controller = self._make_controller(name)
--- a/packages/chicoryplank/src/chicoryplank/orders/_lease.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/_lease.py
@@ -81,14 +81,36 @@
                 return False
             outcome, revision = SwapOutcome.SWAPPED, record.revision
         if outcome is SwapOutcome.CONFLICT:
-            await self._revoke(lease)
-            return False
+            revision = await self._succeed_self(key, value, lease)
+            if revision is None:
+                await self._revoke(lease)
+                return False
         self._lease = lease
         self._token = FencingToken(revision)
         self._deadline = start + self._duration - self._margin
         emit(Event.LEASE_ACQUIRED, group=self._group, token=revision)
         return True
 
+    async def _succeed_self(
+        self, key: str, value: bytes, lease: int
+    ) -> int | None:
+        """Takes over from an earlier process of this instance.
+
+        An instance runs one process of its kind, so the earlier one has
+        ended and need not be waited for.
+
+        Returns:
+            The revision of the lease key; None if another instance holds it.
+        """
+        record = await self._store.read(key)
+        owner = f"{self._owner} ".encode()
+        if record is None or not record.value.startswith(owner):
+            return None
+        outcome, revision = await self._store.swap(
+            key, value, record.revision, lease
+        )
+        return revision if outcome is SwapOutcome.SWAPPED else None
+
     async def renew(self) -> bool:
         """Renews the lease; returns False if it is lost.
 
--- a/packages/chicoryplank/src/chicoryplank/rebalance/_joint.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_joint.py
@@ -15,9 +15,9 @@
 # Ranks that are tried as targets of one move, the least loaded first.
 _TARGETS = 6
 # Load of the slowest rank over the mean that is left as it is.
-_GOOD_SKEW = 1.03
+_GOOD_SKEW = 1.1
 # Least relative improvement of the slowest rank that one move must bring.
-_LEAST_GAIN = 0.004
+_LEAST_GAIN = 0.03
 _MAX_MOVES = 96
 
 
