--- a/packages/chicoryplank-agent/src/chicoryplank_agent/rank_relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/rank_relay.py
@@ -21,7 +21,11 @@
     RankUnreachableError,
 )
 from chicoryplank.traffic import ClientLimits
-from chicoryplank_wire.raw_http import CallClient, ConnectionBrokenError
+from chicoryplank_wire.raw_http import (
+    Broken,
+    CallClient,
+    ConnectionBrokenError,
+)
 from chicoryplank_wire.raw_server import (
     CallerConnection,
     ListenerHooks,
@@ -33,7 +37,10 @@
 _COUNTS_PATH = "/counts"
 _EXPERTS_PATH = "/experts"
 _ORDER_PATH = "/order"
-_TIMEOUT_S = 0.4
+# Longest wait for an agent, in seconds; its replica answers in a few ms.
+_TIMEOUT_S = 0.15
+# Time for which an agent that did not answer is passed over, in seconds.
+_AWAY_S = 1.5
 _OK = 200
 _BAD_REQUEST = 400
 _BAD_GATEWAY = 502
@@ -107,9 +114,12 @@
     ) -> None:
         self._instance = instance
         self._direct = direct
-        self._client = CallClient(
-            agent_address, _TIMEOUT_S, lambda: clock.elapsed().total_seconds()
-        )
+        self._clock = clock
+        self._away_until_s = float("-inf")
+        self._client = CallClient(agent_address, _TIMEOUT_S, self._now_s)
+
+    def _now_s(self) -> float:
+        return self._clock.elapsed().total_seconds()
 
     async def read_state(self) -> RankState:
         """Returns the present state."""
@@ -127,6 +137,9 @@
         try:
             document = await self._call("GET", path)
         except ConnectionBrokenError as error:
+            if with_experts:
+                return await self._direct.read_counts(with_experts)
+            # A read from here would pause the whole group.
             raise RankUnreachableError(str(error)) from error
         experts = document["experts"]
         return RankCounts(
@@ -151,7 +164,13 @@
         return OrderResult(answer["result"])
 
     async def _call(self, method: str, path: str, body: bytes = b"") -> dict:
-        status, content = await self._client.call(method, path, body)
+        if self._now_s() < self._away_until_s:
+            raise ConnectionBrokenError(Broken.CLOSED, "the agent is away")
+        try:
+            status, content = await self._client.call(method, path, body)
+        except ConnectionBrokenError:
+            self._away_until_s = self._now_s() + _AWAY_S
+            raise
         try:
             document = json.loads(content)
         except ValueError as error:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
@@ -6,7 +6,6 @@
 from chicoryplank.ids import InstanceId
 from chicoryplank_entry.forwarding import metrics
 from chicoryplank_entry.forwarding.attempts import Attempt
-from chicoryplank_wire.raw_server import Reply
 from chicoryplank_entry.forwarding.calls import Call
 from chicoryplank_entry.forwarding.events_stream import (
     EventSplitter,
@@ -20,6 +19,7 @@
 )
 from chicoryplank_entry.forwarding.state import EntryState
 from chicoryplank_wire.raw_http import Broken, ConnectionBrokenError, Response
+from chicoryplank_wire.raw_server import Reply
 
 if TYPE_CHECKING:
     from chicoryplank_entry.forwarding.exchange import ExchangeParameters
@@ -238,7 +238,5 @@
     """Returns the end-to-end headers of a response."""
     dropped = HOP_BY_HOP | list_connection_headers(response.get("connection"))
     return [
-        (name, value)
-        for name, value in response.headers
-        if name not in dropped
+        (name, value) for name, value in response.headers if name not in dropped
     ]
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -17,12 +17,6 @@
 from chicoryplank.lifecycle import Application
 from chicoryplank.store import Store
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
-from chicoryplank_wire.raw_server import (
-    CallerConnection,
-    ListenerHooks,
-    ReceivedRequest,
-    Reply,
-)
 from chicoryplank_entry.forwarding.exchange import Exchange
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_entry.forwarding.logs import LineWriter
@@ -39,6 +33,12 @@
     Decoder,
     StoreView,
 )
+from chicoryplank_wire.raw_server import (
+    CallerConnection,
+    ListenerHooks,
+    ReceivedRequest,
+    Reply,
+)
 
 # Time in which registrations of replicas return after an outage; the platform
 # promises about two seconds.
@@ -252,9 +252,7 @@
         else:
             reply.send(200 if self.is_ready else 503, (), b"")
 
-    def _answer_directory(
-        self, request: ReceivedRequest, reply: Reply
-    ) -> None:
+    def _answer_directory(self, request: ReceivedRequest, reply: Reply) -> None:
         self._ports.answer_directory(
             request,
             reply,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -57,7 +57,9 @@
     earlier: Verdict
 
 
-def classify(names: HeaderNames, response: Response, request_id: str) -> Outcome:
+def classify(
+    names: HeaderNames, response: Response, request_id: str
+) -> Outcome:
     """Returns what the head of a response means."""
     status = response.status
     if status == _MISDIRECTED:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
@@ -6,7 +6,6 @@
 from chicoryplank.ids import AccountId, InstanceId, ServiceId
 from chicoryplank.traffic import RequestKind, Route, choose_service
 from chicoryplank.verdict import Verdict
-from chicoryplank_wire.raw_server import ReceivedRequest
 from chicoryplank_entry.forwarding.fields import (
     HOP_BY_HOP,
     HeaderNames,
@@ -14,6 +13,7 @@
 )
 from chicoryplank_entry.forwarding.state import EntryState, ServiceState
 from chicoryplank_wire.raw_http import encode_request
+from chicoryplank_wire.raw_server import ReceivedRequest
 
 _BEARER = "bearer "
 _MAX_DEADLINE_S = 3_600.0
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -14,10 +14,6 @@
 from chicoryplank_entry.forwarding.answers import AnswerRelay
 from chicoryplank_entry.forwarding.attempts import Attempt, Outcome, classify
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
-from chicoryplank_wire.raw_server import (
-    ReceivedRequest,
-    Reply,
-)
 from chicoryplank_entry.forwarding.calls import Call, make_call
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_entry.forwarding.refusals import send_error
@@ -27,6 +23,10 @@
     ClientConnection,
     ConnectionBrokenError,
 )
+from chicoryplank_wire.raw_server import (
+    ReceivedRequest,
+    Reply,
+)
 
 # Sends of one request, whatever became of them.
 _MAX_SENDS = 6
@@ -41,8 +41,12 @@
     """Bounds on waiting.
 
     Attributes:
-        wait_share: Part of a route's target that a request may wait for a
-            place.
+        patience_share: Part of the caller's time left that a request may wait
+            for a place.
+        patience_s: Longest wait for a place, in seconds. Callers leave a
+            stream whose first event does not come in two seconds.
+        fresh_share: Part of a route's target within which a place must be
+            found for the answer to be in time.
         queue_allowance: Requests beyond its slots that a replica may queue.
         silence_s: Time without output after which a repeatable request tries
             another replica, if others make progress.
@@ -50,7 +54,9 @@
             before a repeatable request tries another one.
     """
 
-    wait_share: float = 0.125
+    patience_share: float = 0.3
+    patience_s: float = 1.4
+    fresh_share: float = 0.5
     queue_allowance: int = 0
     silence_s: float = 0.9
     first_share: float = 0.45
@@ -242,7 +248,13 @@
             call.request_id,
         )
         attempt = Attempt(
-            replica, backend, connection, response, now_s, was_kept, call.verdict
+            replica,
+            backend,
+            connection,
+            response,
+            now_s,
+            was_kept,
+            call.verdict,
         )
         # From here on only the replica can say that the request did not run.
         call.verdict = Verdict.MAY_HAVE_RUN
@@ -278,36 +290,64 @@
             )
 
     async def _wait_place(self, call: Call) -> None:
-        """Waits a short time for a place at any replica.
+        """Waits for a place at any replica, if one will come soon enough.
 
         Raises:
             ChicoryplankError: If there is none in time.
         """
         state = self._state
-        allowance = self._parameters.queue_allowance
-        full = state.find_full(call.state, allowance, state.now_s())
-        if len(full) < len(call.state.slots):
+        now_s = state.now_s()
+        if self._has_place(call, now_s):
             return
-        wait_s = call.route.target.total_seconds() * self._parameters.wait_share
-        granted = asyncio.get_running_loop().create_future()
-        waiter = None
-        if call.state.slots:
-            waiter = call.state.places.add(
-                call.priority, lambda: _resolve(granted)
+        patience_s = self._find_patience(call, now_s)
+        wait_s = call.state.places.estimate_wait(now_s)
+        if wait_s is not None and wait_s > patience_s:
+            raise self._make_refusal(
+                call, ErrorCode.QUEUE_FULL, f"a place takes {wait_s:.1f} s"
             )
+        granted = asyncio.get_running_loop().create_future()
+        target_s = call.route.target.total_seconds()
+        waiter = call.state.places.add(
+            call.priority,
+            call.request.received_s + target_s * self._parameters.fresh_share,
+            lambda: _resolve(granted),
+        )
         if waiter is not None:
             try:
-                async with asyncio.timeout(wait_s):
+                async with asyncio.timeout(patience_s) as limit:
                     await granted
                 return
             except TimeoutError:
-                pass  # Refused below.
+                if not limit.expired():
+                    raise
             finally:
                 call.state.places.withdraw(waiter)
         raise self._make_refusal(
             call,
             ErrorCode.NO_REPLICA,
-            f"all {len(call.state.slots)} replicas are full",
+            f"none of {len(call.state.slots)} replicas has a place",
+        )
+
+    def _has_place(self, call: Call, now_s: float) -> bool:
+        service = call.state
+        if service.outage.is_down:
+            return service.outage.take_probe(now_s)
+        if len(service.places):
+            return False
+        allowance = self._parameters.queue_allowance
+        full = self._state.find_full(service, allowance, now_s)
+        return len(full) < len(service.slots)
+
+    def _find_patience(self, call: Call, now_s: float) -> float:
+        """Returns how long a request may wait for a place, in seconds."""
+        left_s = call.client_deadline_s - now_s
+        waited_s = now_s - call.request.received_s
+        return max(
+            0.0,
+            min(
+                left_s * self._parameters.patience_share,
+                self._parameters.patience_s - waited_s,
+            ),
         )
 
     def _make_refusal(
@@ -332,9 +372,7 @@
         instance = attempt.replica.instance
         try:
             await relay.wait_head(attempt)
-            outcome = classify(
-                self._names, attempt.response, call.request_id
-            )
+            outcome = classify(self._names, attempt.response, call.request_id)
             if outcome is Outcome.ANSWER or (
                 outcome is Outcome.FAILURE and not self._is_worth_repeat(call)
             ):
@@ -371,16 +409,25 @@
         """Records an answer that is not passed on."""
         instance = attempt.replica.instance
         status = attempt.response.status
-        self._note_failure(call, instance, f"status {status}", outcome.value)
+        at_fault = attempt.response.get(self._names.at_fault)
+        self._note_failure(
+            call,
+            instance,
+            f"status {status}, at fault {at_fault}",
+            outcome.value,
+        )
         if outcome in (Outcome.MISDIRECTED, Outcome.FULL):
             call.verdict = attempt.earlier
         if outcome is Outcome.MISDIRECTED:
-            answered = attempt.response.get(self._names.at_fault)
-            if answered in (None, instance):
+            if at_fault in (None, instance):
                 self._state.exclude(instance)
             return None
         if outcome is Outcome.FULL:
-            self._state.occupancy.observe_full(instance, self._state.now_s())
+            now_s = self._state.now_s()
+            self._state.occupancy.observe_full(instance, now_s)
+            if call.state.is_lockstep and at_fault is not None:
+                emit(Event.SERVICE_DOWN, replica=at_fault)
+                call.state.outage.observe_down(now_s)
             return None
         call.runs += 1
         return False
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -14,6 +14,7 @@
     VERSIONS_PER_TOKEN,
     ControllerLease,
     GroupSwitch,
+    RankCounts,
     RankPort,
     RankState,
     RankUnreachableError,
@@ -194,9 +195,7 @@
             while self.lease.get_token() is not None:
                 started_s = self._now_s()
                 await self._look()
-                left_s = self._parameters.period_s - (
-                    self._now_s() - started_s
-                )
+                left_s = self._parameters.period_s - (self._now_s() - started_s)
                 await self._clock.sleep(timedelta(seconds=max(0.05, left_s)))
         finally:
             renewal.cancel()
@@ -273,7 +272,10 @@
             name, Demand(self._parameters.memory_s)
         )
         demand.observe(
-            {states[rank].instance: item.counts for rank, item in counts.items()},
+            {
+                states[rank].instance: item.counts
+                for rank, item in counts.items()
+            },
             self._now_s(),
         )
         if view is None or view.epoch != epoch:
@@ -399,9 +401,7 @@
         view.changed_s = self._now_s()
         took_ms = round((view.changed_s - started_s) * 1000)
         if result is SwitchResult.SWITCHED:
-            emit(
-                Event.MAP_ARMED, group=name, change=version, took_ms=took_ms
-            )
+            emit(Event.MAP_ARMED, group=name, change=version, took_ms=took_ms)
             self._state.get_service(
                 self._service
             ).skew = decision.predicted_skew
@@ -433,11 +433,23 @@
     }
 
 
-async def _read_counts(ports: RankPorts, with_experts: bool):
-    found = await asyncio.gather(
-        *(port.read_counts(with_experts) for port in ports.values())
-    )
-    return dict(zip(ports, found, strict=True))
+async def _read_counts(
+    ports: RankPorts, with_experts: bool
+) -> dict[RankId, RankCounts]:
+    """Returns the counts of the ranks that answer."""
+
+    async def read(port: RankPort) -> RankCounts | None:
+        try:
+            return await port.read_counts(with_experts)
+        except RankUnreachableError:
+            return None
+
+    found = await asyncio.gather(*map(read, ports.values()))
+    return {
+        rank: counts
+        for rank, counts in zip(ports, found, strict=True)
+        if counts is not None
+    }
 
 
 def _make_view(
@@ -445,9 +457,13 @@
 ) -> _GroupView | None:
     """Returns the view of a group from what its ranks hold, if they agree."""
     versions = {state.map_version for state in states.values()}
-    if len(versions) != 1 or any(
-        item.experts is None or len(item.experts) != engine.layer_sets
-        for item in counts.values()
+    if (
+        len(versions) != 1
+        or len(counts) < len(states)
+        or any(
+            item.experts is None or len(item.experts) != engine.layer_sets
+            for item in counts.values()
+        )
     ):
         return None
     ranks = sorted(counts)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -158,9 +158,7 @@
     def list_members(self) -> list[InstanceId]:
         """Returns the ids of all entries that seem alive, in order."""
         now_s = self._state.now_s()
-        alive = [
-            name for name in self._members if self._is_usable(name, now_s)
-        ]
+        alive = [name for name in self._members if self._is_usable(name, now_s)]
         return sorted([*alive, self._own.instance])
 
     def _is_usable(self, name: InstanceId, now_s: float) -> bool:
@@ -183,7 +181,9 @@
             period_s = max(_LEAST_PERIOD_S, count / _SENDS_PER_S)
             await asyncio.sleep(period_s * self._source.uniform(0.9, 1.1))
             self.announce()
-            self._state.occupancy.forget_peers(self._state.now_s())
+            now_s = self._state.now_s()
+            self._state.occupancy.forget_peers(now_s)
+            self._state.check_services(now_s)
 
     def _encode(self) -> bytes:
         configuration = self._state.configuration
@@ -191,7 +191,9 @@
             {
                 "member": self._own.instance,
                 "leaving": self._state.is_draining,
-                "version": 0 if configuration is None else configuration.version,
+                "version": 0
+                if configuration is None
+                else configuration.version,
                 "revision": self.revision,
                 "counts": self._state.occupancy.list_own(),
             },
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -7,11 +7,13 @@
 
 from chicoryplank.admission import (
     Occupancy,
+    OutageGate,
     PlaceQueue,
     RepeatBudget,
     RepeatParameters,
 )
 from chicoryplank.clock import Clock
+from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId, ServiceId, ZoneId
 from chicoryplank.routing import (
     Candidate,
@@ -68,9 +70,12 @@
         policy: Choice of replicas.
         places: Requests that wait for a place.
         repeats: Budget of repeats.
+        outage: Whether its replicas run requests at all.
         candidates: Replicas that may get requests.
         slots: Slots of each of them.
+        in_flight: Own requests at its replicas.
         progress_s: When any replica last produced output.
+        is_lockstep: Whether its replicas run all passes together.
         skew: Skew of the expert map in force, as far as known.
     """
 
@@ -79,7 +84,10 @@
     repeats: RepeatBudget
     candidates: tuple[Candidate, ...] = ()
     slots: dict[InstanceId, int] = dataclasses.field(default_factory=dict)
+    outage: OutageGate = dataclasses.field(default_factory=OutageGate)
+    in_flight: int = 0
     progress_s: float = float("-inf")
+    is_lockstep: bool = False
     skew: float = 1.0
 
 
@@ -136,6 +144,7 @@
             return False
         self.configuration = configuration
         self.routes = RouteIndex(configuration)
+        self.refresh_candidates()
         return True
 
     def get_service(self, service: ServiceId) -> ServiceState:
@@ -176,6 +185,10 @@
         ]
         candidates = tuple(make_candidate(record) for record in records)
         state.slots = {record.instance: record.slots for record in records}
+        if self.configuration is not None:
+            known = self.configuration.services.get(service)
+            engine = None if known is None else known.engine
+            state.is_lockstep = engine is not None and engine.experts > 0
         if candidates != state.candidates:
             state.candidates = candidates
 
@@ -216,6 +229,7 @@
     ) -> None:
         """Counts a request that goes to a replica."""
         self.occupancy.begin(instance)
+        state.in_flight += 1
         state.policy.begin(instance, 1.0, self.make_moment(now_s))
 
     def end(
@@ -227,9 +241,11 @@
     ) -> None:
         """Counts the end of a request and wakes those that wait."""
         self.occupancy.end(instance)
+        state.in_flight -= 1
         state.policy.end(instance, 1.0, self.make_moment(now_s), succeeded)
-        if len(state.places):
-            state.places.grant(1)
+        state.places.observe_freed(now_s)
+        if len(state.places) and not state.outage.is_down:
+            state.places.grant(1, now_s)
 
     def observe_progress(
         self, state: ServiceState, instance: InstanceId, now_s: float
@@ -237,18 +253,46 @@
         """Records output of a replica."""
         state.progress_s = now_s
         state.policy.observe(Progress(instance, self.make_moment(now_s)))
+        if state.outage.observe_progress(now_s):
+            emit(Event.SERVICE_RUNS, replica=instance)
+            self._grant_free(state, now_s)
 
     def observe_counts(self, now_s: float) -> None:
         """Passes the counts of all entries on to the routing policies."""
         moment = self.make_moment(now_s)
         for state in self._services.values():
-            free = 0
-            for instance, slots in state.slots.items():
+            for instance in state.slots:
                 running = self.occupancy.count(instance)
-                free += max(0, slots - running)
                 state.policy.observe(LoadReport(instance, running, 0, moment))
-            if free and len(state.places):
-                state.places.grant(free)
+            if len(state.places):
+                self._grant_free(state, now_s)
+
+    def _grant_free(self, state: ServiceState, now_s: float) -> None:
+        """Grants the places that are free, or one try during an outage."""
+        if state.outage.is_down:
+            if len(state.places) and state.outage.take_probe(now_s):
+                state.places.grant(1, now_s)
+            return
+        full = self.find_full(state, 0, now_s)
+        free = sum(
+            max(0, slots - self.occupancy.count(instance))
+            for instance, slots in state.slots.items()
+            if instance not in full
+        )
+        if free:
+            state.places.grant(free, now_s)
+
+    def check_services(self, now_s: float) -> None:
+        """Grants what has become possible by the passing of time."""
+        for state in self._services.values():
+            if state.is_lockstep and state.outage.check_still(
+                state.in_flight, now_s
+            ):
+                if not state.outage.is_down:
+                    emit(Event.SERVICE_STANDS, in_flight=state.in_flight)
+                state.outage.observe_down(now_s)
+            if len(state.places):
+                self._grant_free(state, now_s)
 
 
 def make_candidate(record: ReplicaRecord) -> Candidate:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
@@ -65,7 +65,9 @@
 class Decoder(Protocol):
     """Translates items of the store; the adapter of a platform is one."""
 
-    def decode_configuration(self, change: Change) -> TrafficConfiguration | None:
+    def decode_configuration(
+        self, change: Change
+    ) -> TrafficConfiguration | None:
         """Returns the configuration in an item, or None if it holds none."""
 
     def decode_replica(self, change: Change) -> ReplicaRecord | None:
@@ -178,9 +180,7 @@
     async def _wait_changes(self) -> tuple[list[Change], int]:
         """Waits for changes; ends early if other entries know newer ones."""
         loop = asyncio.get_running_loop()
-        self._wait = loop.create_task(
-            self._source.wait_changes(self._revision)
-        )
+        self._wait = loop.create_task(self._source.wait_changes(self._revision))
         try:
             return await self._wait
         except asyncio.CancelledError:
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/raw_http.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/raw_http.py
@@ -294,7 +294,9 @@
             return
         self._keep = self._parser.should_keep_alive()
         values = dict(self._head)
-        answered = values.get(self._match_header) if self._match_header else None
+        answered = (
+            values.get(self._match_header) if self._match_header else None
+        )
         self._skipping = answered is not None and answered != self._expected
         if self._skipping:
             self._skipped += 1
--- a/packages/chicoryplank/src/chicoryplank/admission/_places.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_places.py
@@ -1,26 +1,31 @@
-"""Short wait for a place, in order of urgency.
+"""Wait for a place, in order of urgency.
 
 Answers the pattern "all slots are taken for a moment": a request whose place
-comes soon waits for it, the most urgent first.
+comes soon waits for it. Among equally urgent requests those that can still be
+in time go first, since the others are late in any case.
 """
 
+import collections
 import dataclasses
-import heapq
-import itertools
 from collections.abc import Callable
 
+# Span over which the rate of granted places is measured, in seconds.
+_RATE_SPAN_S = 1.0
+
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Waiter:
     """A request that waits for a place.
 
     Attributes:
+        priority: 0 is the most urgent.
+        fresh_until_s: Until when its answer can still be in time.
         grant: Called once when the place is there.
-        is_done: Whether it was granted or withdrawn.
     """
 
+    priority: int
+    fresh_until_s: float
     grant: Callable[[], None]
-    is_done: bool = False
 
 
 class PlaceQueue:
@@ -31,48 +36,66 @@
 
     Example:
         >>> queue = PlaceQueue(max_waiting=1)
-        >>> queue.add(0, lambda: None) is not None
+        >>> queue.add(0, 1.0, lambda: None) is not None
         True
-        >>> queue.add(0, lambda: None) is None
+        >>> queue.add(0, 1.0, lambda: None) is None
         True
     """
 
     def __init__(self, max_waiting: int) -> None:
         self._max_waiting = max_waiting
-        self._heap: list[tuple[int, int, Waiter]] = []
-        self._numbers = itertools.count()
-        self._waiting = 0
+        self._waiters: list[Waiter] = []
+        self._freed: collections.deque[float] = collections.deque()
 
     def __len__(self) -> int:
-        return self._waiting
+        return len(self._waiters)
 
-    def add(self, priority: int, grant: Callable[[], None]) -> Waiter | None:
+    def add(
+        self, priority: int, fresh_until_s: float, grant: Callable[[], None]
+    ) -> Waiter | None:
         """Adds a request; returns None if too many wait already.
 
         Args:
             priority: 0 is the most urgent.
+            fresh_until_s: Until when its answer can still be in time.
             grant: Called when the request has a place.
         """
-        if self._waiting >= self._max_waiting:
+        if len(self._waiters) >= self._max_waiting:
             return None
-        waiter = Waiter(grant)
-        heapq.heappush(self._heap, (priority, next(self._numbers), waiter))
-        self._waiting += 1
+        waiter = Waiter(priority, fresh_until_s, grant)
+        self._waiters.append(waiter)
         return waiter
 
     def withdraw(self, waiter: Waiter) -> None:
         """Removes a request that no longer waits."""
-        if not waiter.is_done:
-            waiter.is_done = True
-            self._waiting -= 1
-
-    def grant(self, places: int) -> None:
-        """Grants places to the most urgent requests, oldest first."""
-        while places > 0 and self._heap:
-            _, _, waiter = heapq.heappop(self._heap)
-            if waiter.is_done:
-                continue
-            waiter.is_done = True
-            self._waiting -= 1
-            places -= 1
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
+    def observe_freed(self, now_s: float) -> None:
+        """Counts a place that became free."""
+        self._freed.append(now_s)
+        while self._freed and now_s - self._freed[0] > _RATE_SPAN_S:
+            self._freed.popleft()
+
+    def estimate_wait(self, now_s: float) -> float | None:
+        """Returns the wait of one more request in seconds.
+
+        Returns:
+            The places that are waited for, over the rate at which they became
+            free of late; None if none did.
+        """
+        while self._freed and now_s - self._freed[0] > _RATE_SPAN_S:
+            self._freed.popleft()
+        if not self._freed:
+            return None
+        return (len(self._waiters) + 1) * _RATE_SPAN_S / len(self._freed)
+
+    def grant(self, places: int, now_s: float) -> None:
+        """Grants places: by priority, then to those in time, then by age."""
+        for _ in range(min(places, len(self._waiters))):
+            waiter = min(
+                self._waiters,
+                key=lambda item: (item.priority, item.fresh_until_s < now_s),
+            )
+            self._waiters.remove(waiter)
             waiter.grant()
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -205,6 +205,17 @@
         logbook.INFO,
         "change {change} of group {group} ended as {result}",
     )
+    SERVICE_STANDS = (
+        1803,
+        logbook.WARNING,
+        "all replicas stand still with {in_flight} requests",
+    )
+    SERVICE_DOWN = (
+        1804,
+        logbook.WARNING,
+        "replica {replica} says that its group does not run",
+    )
+    SERVICE_RUNS = (1805, logbook.INFO, "replica {replica} runs again")
     REPLICA_EJECTED = (
         1801,
         logbook.WARNING,
--- a/packages/chicoryplank/src/chicoryplank/orders/_switch.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/_switch.py
@@ -114,7 +114,11 @@
         self._last_step = 0
 
     async def change(
-        self, slots: JointSlots, current: JointSlots, version: int, pass_s: float
+        self,
+        slots: JointSlots,
+        current: JointSlots,
+        version: int,
+        pass_s: float,
     ) -> SwitchResult:
         """Brings a map into force.
 
@@ -384,7 +388,9 @@
     }
 
 
-async def _gather(works: Iterable[Coroutine[None, None, Result]]) -> list[Result]:
+async def _gather(
+    works: Iterable[Coroutine[None, None, Result]],
+) -> list[Result]:
     """Runs works together; if one fails, none of the others goes on."""
     tasks = [asyncio.ensure_future(work) for work in works]
     try:
--- a/packages/chicoryplank/src/chicoryplank/rebalance/_joint.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_joint.py
@@ -96,9 +96,7 @@
         copies += search.count_copies()
         improved.append(search.make_slots())
     size = max(1, len(slots))
-    return JointDecision(
-        tuple(improved), copies, before / size, after / size
-    )
+    return JointDecision(tuple(improved), copies, before / size, after / size)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,9 +160,7 @@
         """Makes the best move for the slowest rank; False if none helps."""
         if self._mean <= 0 or self.skew <= _GOOD_SKEW:
             return False
-        slowest = max(
-            range(len(self._totals)), key=self._totals.__getitem__
-        )
+        slowest = max(range(len(self._totals)), key=self._totals.__getitem__)
         bound = self._totals[slowest] * (1 - _LEAST_GAIN)
         best = None
         for edit in self._list_edits(slowest):
