--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -300,8 +300,8 @@
         if self._has_place(call, now_s):
             return
         patience_s = self._find_patience(call, now_s)
-        wait_s = call.state.places.estimate_wait(now_s)
-        if wait_s is not None and wait_s > patience_s:
+        wait_s = state.estimate_wait(call.state)
+        if wait_s > patience_s:
             raise self._make_refusal(
                 call, ErrorCode.QUEUE_FULL, f"a place takes {wait_s:.1f} s"
             )
@@ -378,6 +378,9 @@
             ):
                 call.verdict = Verdict.RAN
                 await relay.pass_on(attempt, reply)
+                call.state.places.observe_duration(
+                    self._state.now_s() - attempt.started_s
+                )
                 succeeded = outcome is Outcome.ANSWER
                 return True
             succeeded = self._take_outcome(call, attempt, outcome)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -192,6 +192,15 @@
         if candidates != state.candidates:
             state.candidates = candidates
 
+    def estimate_wait(self, state: ServiceState) -> float:
+        """Returns how long one more request waits for a place, in seconds."""
+        share = 1.0 / self.entries
+        total = sum(state.slots.values())
+        free = total
+        if not state.outage.is_down:
+            free = max(0, total - self.occupancy.count_all(state.slots))
+        return state.places.estimate_wait(total * share, free * share)
+
     def find_full(
         self, state: ServiceState, allowance: int, now_s: float
     ) -> frozenset[InstanceId]:
@@ -243,7 +252,6 @@
         self.occupancy.end(instance)
         state.in_flight -= 1
         state.policy.end(instance, 1.0, self.make_moment(now_s), succeeded)
-        state.places.observe_freed(now_s)
         if len(state.places) and not state.outage.is_down:
             state.places.grant(1, now_s)
 
--- a/packages/chicoryplank/src/chicoryplank/admission/_places.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_places.py
@@ -5,12 +5,11 @@
 in time go first, since the others are late in any case.
 """
 
-import collections
 import dataclasses
 from collections.abc import Callable
 
-# Span over which the rate of granted places is measured, in seconds.
-_RATE_SPAN_S = 1.0
+# Weight of the newest duration in the mean.
+_DURATION_GAIN = 0.05
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -45,7 +44,7 @@
     def __init__(self, max_waiting: int) -> None:
         self._max_waiting = max_waiting
         self._waiters: list[Waiter] = []
-        self._freed: collections.deque[float] = collections.deque()
+        self._duration_s: float | None = None
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -71,24 +70,24 @@
         if waiter in self._waiters:
             self._waiters.remove(waiter)
 
-    def observe_freed(self, now_s: float) -> None:
-        """Counts a place that became free."""
-        self._freed.append(now_s)
-        while self._freed and now_s - self._freed[0] > _RATE_SPAN_S:
-            self._freed.popleft()
+    def observe_duration(self, duration_s: float) -> None:
+        """Takes how long a request kept its place."""
+        if self._duration_s is None:
+            self._duration_s = duration_s
+        else:
+            self._duration_s += _DURATION_GAIN * (duration_s - self._duration_s)
 
-    def estimate_wait(self, now_s: float) -> float | None:
+    def estimate_wait(self, places: float, free: float) -> float:
         """Returns the wait of one more request in seconds.
 
-        Returns:
-            The places that are waited for, over the rate at which they became
-            free of late; None if none did.
+        Args:
+            places: Places of this entry, free or not: its part of all.
+            free: Those of them that are free.
         """
-        while self._freed and now_s - self._freed[0] > _RATE_SPAN_S:
-            self._freed.popleft()
-        if not self._freed:
-            return None
-        return (len(self._waiters) + 1) * _RATE_SPAN_S / len(self._freed)
+        ahead = len(self._waiters) + 1 - free
+        if self._duration_s is None or ahead <= 0:
+            return 0.0
+        return ahead * self._duration_s / max(places, 1.0)
 
     def grant(self, places: int, now_s: float) -> None:
         """Grants places: by priority, then to those in time, then by age."""
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -205,6 +205,21 @@
         logbook.INFO,
         "change {change} of group {group} ended as {result}",
     )
+    RANK_REFUSED = (
+        1908,
+        logbook.WARNING,
+        "rank {rank} answers {result} to {operation} of version {version}",
+    )
+    ORDER_UNKNOWN = (
+        1910,
+        logbook.WARNING,
+        "{operation} of version {version} at {replica} is open: {detail}",
+    )
+    RANKS_MISSING = (
+        1909,
+        logbook.WARNING,
+        "ranks {ranks} have not followed in epoch {epoch}",
+    )
     SERVICE_STANDS = (
         1803,
         logbook.WARNING,
--- a/packages/chicoryplank/src/chicoryplank/orders/_switch.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/_switch.py
@@ -27,6 +27,7 @@
 from typing import TypeVar
 
 from chicoryplank.clock import Clock
+from chicoryplank.events import Event, emit
 from chicoryplank.ids import FencingToken, RankId
 from chicoryplank.orders._group import (
     Operation,
@@ -276,6 +277,14 @@
 
         async def place(rank: RankId) -> bool:
             result = await self._order(rank, order, deadline_s)
+            if result is not OrderResult.ACCEPTED:
+                emit(
+                    Event.RANK_REFUSED,
+                    rank=rank,
+                    operation=order.operation.value,
+                    version=order.version,
+                    result=result.value,
+                )
             return result is OrderResult.ACCEPTED
 
         return all(await _gather(map(place, self._ranks)))
@@ -321,6 +330,11 @@
             if not missing:
                 return True
             if self._now_s() >= deadline_s:
+                emit(
+                    Event.RANKS_MISSING,
+                    ranks=sorted(missing),
+                    epoch=self._epoch,
+                )
                 return False
             await self._pause(self._parameters.poll_s)
 
