--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,13 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 PACKAGES := chicoryplank chicoryplank-wire chicoryplank-entry chicoryplank-agent chicoryplank-standins
-SOURCES := packages tools benchmarks
+SOURCES := packages platform tools benchmarks
 
 # The sources of this checkout come first, so that a second checkout can share
 # one environment.
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src))
+export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src)):$(CURDIR)/platform
 
 .PHONY: setup test check format unit demo generate soak soak-quick soak-maps fuzz
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -144,25 +144,27 @@
             ports.changes,
             ports.decoder,
             self.state,
-            self.peers,
-            source,
-            self._retain_backends,
-            self.registration.renew,
+            peers=self.peers,
+            random_source=source,
+            on_replicas=self._retain_backends,
+            on_connected=self.registration.renew,
         )
         self.election = Election(
             self._make_controller,
             self.state,
-            self.peers.list_members,
-            own.instance,
-            clock,
-            self.view.has_holder,
+            list_members=self.peers.list_members,
+            owner=own.instance,
+            clock=clock,
+            has_holder=self.view.has_holder,
         )
         self._connections: set[CallerConnection] = set()
         self._side_connections: set[CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
+        self._checks: asyncio.Task | None = None
         self.application = Application(f"entry {own.instance}")
         for name, start, stop in (
             ("peers", self.peers.start, self.peers.stop),
+            ("checks", self._start_checks, self._stop_checks),
             ("listeners", self._listen, self._close_listeners),
             ("store view", self.view.start, self.view.stop),
             ("registration", self.registration.start, self.registration.stop),
@@ -170,6 +172,13 @@
         ):
             self.application.add_hooks(name, start, stop)
 
+    async def _start_checks(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._checks = loop.create_task(self.state.run_checks())
+
+    async def _stop_checks(self) -> None:
+        self._checks.cancel()
+
     def _observe_newer(self, revision: int) -> None:
         self.view.observe_newer(revision)
 
@@ -186,9 +195,9 @@
             self._ports.store,
             self._clock,
             self.state,
-            service,
-            self._parameters.own.instance,
-            self._ports.make_rank,
+            service=service,
+            owner=self._parameters.own.instance,
+            make_rank=self._ports.make_rank,
         )
 
     async def _listen(self) -> None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/events_stream.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/events_stream.py
@@ -14,7 +14,7 @@
 
 
 class EventSplitter:
-    """Cuts a byte stream after whole events.
+    r"""Cuts a byte stream after whole events.
 
     A replica may stop in the middle of an event. A stream that goes on at
     another replica repeats that event from its start, so the caller must not
@@ -25,8 +25,8 @@
 
     Example:
         >>> splitter = EventSplitter()
-        >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
-        [b'id: 1\\ndata: a\\n\\n']
+        >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+        [b'id: 1\ndata: a\n\n']
         >>> splitter.last_id
         '1'
     """
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -157,6 +157,7 @@
         store: Store,
         clock: Clock,
         state: EntryState,
+        *,
         service: ModelGroupId,
         owner: InstanceId,
         make_rank: MakeRank,
@@ -299,7 +300,9 @@
                 return
             view.version, view.slots = version, view.pending_slots
             view.pending_version = None
-        await self._rebalance(name, view, ports, states, demand, engine)
+        await self._rebalance(
+            name, view, ports, states, demand=demand, engine=engine
+        )
 
     def _make_version(self, states: Mapping[RankId, RankState]) -> int:
         """Returns an unused version; two in a row are free."""
@@ -340,6 +343,7 @@
         view: _GroupView,
         ports: RankPorts,
         states: Mapping[RankId, RankState],
+        *,
         demand: Demand,
         engine: EngineProfile,
     ) -> None:
@@ -523,6 +527,7 @@
         self,
         make_controller: Callable[[ModelGroupId], MapController],
         state: EntryState,
+        *,
         list_members: Callable[[], list[InstanceId]],
         owner: InstanceId,
         clock: Clock,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -181,9 +181,7 @@
             period_s = max(_LEAST_PERIOD_S, count / _SENDS_PER_S)
             await asyncio.sleep(period_s * self._source.uniform(0.9, 1.1))
             self.announce()
-            now_s = self._state.now_s()
-            self._state.occupancy.forget_peers(now_s)
-            self._state.check_services(now_s)
+            self._state.occupancy.forget_peers(self._state.now_s())
 
     def _encode(self) -> bytes:
         configuration = self._state.configuration
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -1,5 +1,6 @@
 """What an entry believes: configuration, replicas, members, occupancy."""
 
+import asyncio
 import dataclasses
 import random
 from collections.abc import Iterable
@@ -44,6 +45,8 @@
 # Counts of peers arrive several times a second and are exact.
 _REPORT_DECAY = timedelta(seconds=2)
 _MAX_WAITING = 512
+# Time between two looks at what has become possible, in seconds.
+_CHECK_S = 0.1
 
 
 def make_parameters() -> RoutingParameters:
@@ -290,6 +293,12 @@
         if free:
             state.places.grant(free, now_s)
 
+    async def run_checks(self) -> None:
+        """Checks all services again and again."""
+        while True:
+            await asyncio.sleep(_CHECK_S)
+            self.check_services(self.now_s())
+
     def check_services(self, now_s: float) -> None:
         """Grants what has become possible by the passing of time."""
         for state in self._services.values():
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
@@ -102,6 +102,7 @@
         source: ChangeSource,
         decoder: Decoder,
         state: EntryState,
+        *,
         peers: Peers,
         random_source: random.Random,
         on_replicas: Callable[[], None],
--- a/packages/chicoryplank/src/chicoryplank/admission/_repeats.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_repeats.py
@@ -37,9 +37,9 @@
         parameters: Bounds of all entries together.
 
     Example:
-        >>> budget = RepeatBudget(RepeatParameters(0.0, 10))
+        >>> budget = RepeatBudget(RepeatParameters(0.0, 20))
         >>> [budget.take(entries=10, now_s=0.0) for _ in range(2)]
-        [False, False]
+        [True, False]
     """
 
     def __init__(self, parameters: RepeatParameters) -> None:
--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/test_places.py
@@ -0,0 +1,59 @@
+"""Load pattern: all slots are taken for a moment."""
+
+import testtools
+
+from chicoryplank.admission import PlaceQueue
+
+
+class TestPlaceQueue(testtools.TestCase):
+    """Places go to the most urgent, then to those that can be in time."""
+
+    def setUp(self):
+        super().setUp()
+        self.queue = PlaceQueue(max_waiting=8)
+        self.granted = []
+
+    def _add(self, name, priority=1, fresh_until_s=1.0):
+        return self.queue.add(
+            priority, fresh_until_s, lambda: self.granted.append(name)
+        )
+
+    def test_order(self):
+        """Guards against late requests that make fresh ones late too."""
+        self._add("late", fresh_until_s=0.1)
+        self._add("fresh", fresh_until_s=0.9)
+        self._add("urgent", priority=0, fresh_until_s=0.1)
+        self.queue.grant(1, 0.5)
+        self.queue.grant(2, 0.5)
+        self.assertEqual(["urgent", "fresh", "late"], self.granted)
+
+    def test_equal_requests_are_served_by_age(self):
+        """Guards against a request that newer ones overtake for ever."""
+        for name in "abc":
+            self._add(name)
+        self.queue.grant(5, 0.5)
+        self.assertEqual(["a", "b", "c"], self.granted)
+
+    def test_withdrawn_request_gets_no_place(self):
+        """Guards against a place that is given to a caller who left."""
+        waiter = self._add("gone")
+        self._add("here")
+        self.queue.withdraw(waiter)
+        self.queue.withdraw(waiter)
+        self.queue.grant(1, 0.5)
+        self.assertEqual(["here"], self.granted)
+
+    def test_queue_is_bounded(self):
+        """Guards against a queue that grows without limit."""
+        for number in range(8):
+            self._add(number)
+        self.assertIsNone(self._add("over"))
+
+    def test_wait_follows_places_and_durations(self):
+        """Guards against refusals although places are free."""
+        self.assertEqual(0.0, self.queue.estimate_wait(4, 0))
+        self.queue.observe_duration(2.0)
+        self.assertEqual(0.0, self.queue.estimate_wait(4, 1))
+        self.assertEqual(0.5, self.queue.estimate_wait(4, 0))
+        self._add("a")
+        self.assertEqual(1.0, self.queue.estimate_wait(4, 0))
--- a/packages/chicoryplank/src/chicoryplank/traffic/_routes.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_routes.py
@@ -21,7 +21,10 @@
         ...     (Share(ServiceId("llm"), 1.0),), timedelta(seconds=1),
         ...     timedelta(seconds=1),
         ... )
-        >>> index = RouteIndex(TrafficConfiguration(ConfigVersion(1), (route,), {}))
+        >>> configuration = TrafficConfiguration(
+        ...     ConfigVersion(1), (route,), {}
+        ... )
+        >>> index = RouteIndex(configuration)
         >>> index.find("shop.example", "/notes/1").name
         'notes'
     """
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -28,9 +28,10 @@
 
 
 def find_tests(pattern: str) -> unittest.TestSuite:
-    """Collects the tests below each package's source folder."""
+    """Collects the tests below the source folder of each package."""
     suite = unittest.TestSuite()
-    for folder in sorted(ROOT.glob("packages/*/src/*/")):
+    folders = [*ROOT.glob("packages/*/src/*/"), *ROOT.glob("platform/*/")]
+    for folder in sorted(folders):
         if not (folder / "__init__.py").exists():
             continue
         loader = unittest.TestLoader()
