--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
@@ -106,14 +106,21 @@
             except TimeoutError as error:
                 if not task.expired():
                     raise
-                now_s = self._state.now_s()
-                progress_s = now_s - self._call.state.progress_s
-                if progress_s < _PROGRESS_S and self._may_move():
+                if self._is_alone_silent(attempt) and self._may_move():
                     attempt.connection.abort()
                     raise ConnectionBrokenError(
                         Broken.TIMED_OUT, "the replica is silent"
                     ) from error
 
+    def _is_alone_silent(self, attempt: Attempt) -> bool:
+        """Whether others produce output while this replica does not."""
+        now_s = self._state.now_s()
+        service = self._call.state
+        if now_s - service.progress_s > _PROGRESS_S:
+            return False
+        own_s = service.replica_progress_s.get(attempt.replica.instance)
+        return own_s is None or now_s - own_s > self._parameters.silence_s
+
     def _may_move(self) -> bool:
         call = self._call
         return (
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -18,6 +18,7 @@
 from chicoryplank.store import Store
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
 from chicoryplank_entry.forwarding.exchange import Exchange
+from chicoryplank_entry.forwarding.feed import FeedServer, FeedSource
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_entry.forwarding.logs import LineWriter
 from chicoryplank_entry.forwarding.maps import (
@@ -140,12 +141,14 @@
             ports.store, clock, parameters.registration_key, own.encode()
         )
         self.peers = Peers(own, self.state, source, self._observe_newer)
+        self.feed = FeedServer(lambda: self.view.is_current)
         self.view = StoreView(
-            ports.changes,
+            FeedSource(ports.changes, self.peers.find_source, self.state.now_s),
             ports.decoder,
             self.state,
             peers=self.peers,
             random_source=source,
+            feed=self.feed,
             on_replicas=self._retain_backends,
             on_connected=self.registration.renew,
         )
@@ -212,6 +215,11 @@
             parameters.directory_address, self._answer_directory
         )
         await self._open_side(parameters.metrics_address, _answer_metrics)
+        await self._open(
+            parameters.own.peer_address,
+            self.feed.handle,
+            self._side_connections,
+        )
 
     async def _open_side(self, address: str, answer: AnswerSide) -> None:
         if not address:
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/feed.py
@@ -0,0 +1,187 @@
+"""Passes what one entry reads from the store on to the others.
+
+Each call of the store is counted, so few entries follow it, and the others
+follow one of those. An entry that cannot hear its source, or whose source
+cannot hear the store, asks the store itself.
+"""
+
+import asyncio
+import base64
+import collections
+import json
+import urllib.parse
+from collections.abc import Callable, Iterable
+
+from chicoryplank_entry.forwarding.views import (
+    Change,
+    ChangeSource,
+    HistoryGoneError,
+)
+from chicoryplank_wire.raw_http import CallClient, ConnectionBrokenError
+from chicoryplank_wire.raw_server import ReceivedRequest, Reply
+
+_ITEMS_PATH = "/items"
+_CHANGES_PATH = "/changes"
+# Longest wait for a change in one call, in seconds, and the time beyond it
+# in which the answer must arrive. A source that freezes is noticed after both.
+_WAIT_S = 0.6
+_SLACK_S = 0.3
+# Time for which a source that failed is passed over, in seconds.
+_AWAY_S = 1.0
+_MAX_HISTORY = 1_024
+_OK = 200
+_BAD_REQUEST = 400
+_GONE = 410
+_UNAVAILABLE = 503
+
+
+class FeedServer:
+    """Serves the items and changes that this entry knows.
+
+    Args:
+        is_current: Whether this entry hears the store.
+    """
+
+    def __init__(self, is_current: Callable[[], bool]) -> None:
+        self._is_current = is_current
+        self._items: dict[str, Change] = {}
+        self._history: collections.deque[Change] = collections.deque(
+            maxlen=_MAX_HISTORY
+        )
+        self._revision = 0
+        self._oldest = 0
+        self._changed = asyncio.Event()
+
+    def replace(self, items: Iterable[Change], revision: int) -> None:
+        """Takes a full list of items."""
+        self._items = {item.key: item for item in items}
+        self._history.clear()
+        self._oldest = self._revision = revision
+        self._wake()
+
+    def append(self, changes: Iterable[Change], revision: int) -> None:
+        """Takes changes in order."""
+        for change in changes:
+            if len(self._history) == _MAX_HISTORY:
+                self._oldest = self._history[0].revision
+            self._history.append(change)
+            if change.value is None:
+                self._items.pop(change.key, None)
+            else:
+                self._items[change.key] = change
+        if changes or revision != self._revision:
+            self._revision = max(self._revision, revision)
+            self._wake()
+
+    def notify(self) -> None:
+        """Wakes those that wait, after the store was lost."""
+        self._wake()
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def handle(self, request: ReceivedRequest, reply: Reply) -> None:
+        """Answers another entry."""
+        path, _, query = request.target.partition("?")
+        fields = urllib.parse.parse_qs(query)
+        if path == _ITEMS_PATH:
+            self._answer(reply, self._items.values())
+            return
+        after = fields.get("after", [""])[0]
+        if path != _CHANGES_PATH or not after.isdigit():
+            reply.send(_BAD_REQUEST, (), b"")
+            return
+        if self._is_current() and int(after) >= self._revision:
+            try:
+                async with asyncio.timeout(_WAIT_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass  # There is no change; the answer says so.
+        if int(after) < self._oldest:
+            reply.send(_GONE, (), b"")
+            return
+        self._answer(
+            reply,
+            [item for item in self._history if item.revision > int(after)],
+        )
+
+    def _answer(self, reply: Reply, changes: Iterable[Change]) -> None:
+        if not self._is_current():
+            reply.send(_UNAVAILABLE, (), b"")
+            return
+        document = {
+            "changes": [_encode_change(change) for change in changes],
+            "revision": self._revision,
+        }
+        reply.send(_OK, (), json.dumps(document).encode())
+
+
+class FeedSource:
+    """Follows another entry, or the store where there is none to follow.
+
+    Args:
+        store: The store.
+        find_source: Returns the peer address of the entry to follow, or None.
+        now_s: Returns the current time in seconds.
+    """
+
+    def __init__(
+        self,
+        store: ChangeSource,
+        find_source: Callable[[], str | None],
+        now_s: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._find_source = find_source
+        self._now_s = now_s
+        self._client: CallClient | None = None
+        self._away: dict[str, float] = {}
+
+    async def read_all(self) -> tuple[list[Change], int]:
+        """Returns all items and a revision from which to watch.
+
+        They come from the store itself, since an entry that starts must not
+        begin with less than the store has acknowledged.
+        """
+        return await self._store.read_all()
+
+    async def wait_changes(self, after: int) -> tuple[list[Change], int]:
+        """Returns the changes after a revision; waits a short time for one."""
+        address = self._find_source()
+        if address is not None and self._now_s() >= self._away.get(
+            address, 0.0
+        ):
+            try:
+                return await self._ask(address, after)
+            except (ConnectionBrokenError, ValueError, KeyError, TypeError):
+                self._away[address] = self._now_s() + _AWAY_S
+        return await self._store.wait_changes(after)
+
+    async def _ask(self, address: str, after: int) -> tuple[list[Change], int]:
+        if self._client is None or self._client.address != address:
+            if self._client is not None:
+                self._client.close()
+            self._client = CallClient(address, _WAIT_S + _SLACK_S, self._now_s)
+        status, content = await self._client.call(
+            "GET", f"{_CHANGES_PATH}?after={after}"
+        )
+        if status == _GONE:
+            raise HistoryGoneError
+        if status != _OK:
+            raise ValueError(f"status {status}")
+        document = json.loads(content)
+        changes = [_decode_change(item) for item in document["changes"]]
+        return changes, max(after, int(document["revision"]))
+
+
+def _encode_change(change: Change) -> list:
+    value = change.value
+    text = None if value is None else base64.b64encode(value).decode()
+    return [change.key, text, change.revision]
+
+
+def _decode_change(item: list) -> Change:
+    key, text, revision = item
+    value = None if text is None else base64.b64decode(text)
+    return Change(str(key), value, int(revision))
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/registration.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/registration.py
@@ -9,8 +9,8 @@
 
 # The other entries notice a silent one by themselves, so the lease may be
 # long and is seldom renewed.
-_LEASE = timedelta(seconds=10)
-_RENEW_S = 3.0
+_LEASE = timedelta(seconds=15)
+_RENEW_S = 5.0
 _RETRY_S = 0.5
 _STOP_S = 0.3
 
@@ -81,10 +81,13 @@
 
     async def _register(self) -> None:
         lease = await self._store.grant_lease(_LEASE)
-        record = await self._store.read(self._key)
-        revision = 0 if record is None else record.revision
-        outcome, _ = await self._store.swap(
-            self._key, self._value, revision, lease
-        )
+        outcome, _ = await self._store.swap(self._key, self._value, 0, lease)
+        if outcome is SwapOutcome.CONFLICT:
+            # The registration of an earlier process has not lapsed yet.
+            record = await self._store.read(self._key)
+            revision = 0 if record is None else record.revision
+            outcome, _ = await self._store.swap(
+                self._key, self._value, revision, lease
+            )
         if outcome is SwapOutcome.SWAPPED:
             self._lease = lease
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -78,6 +78,7 @@
         slots: Slots of each of them.
         in_flight: Own requests at its replicas.
         progress_s: When any replica last produced output.
+        replica_progress_s: The same for each replica.
         is_lockstep: Whether its replicas run all passes together.
         skew: Skew of the expert map in force, as far as known.
     """
@@ -90,6 +91,9 @@
     outage: OutageGate = dataclasses.field(default_factory=OutageGate)
     in_flight: int = 0
     progress_s: float = float("-inf")
+    replica_progress_s: dict[InstanceId, float] = dataclasses.field(
+        default_factory=dict
+    )
     is_lockstep: bool = False
     skew: float = 1.0
 
@@ -188,6 +192,11 @@
         ]
         candidates = tuple(make_candidate(record) for record in records)
         state.slots = {record.instance: record.slots for record in records}
+        state.replica_progress_s = {
+            instance: progress_s
+            for instance, progress_s in state.replica_progress_s.items()
+            if instance in state.slots
+        }
         if self.configuration is not None:
             known = self.configuration.services.get(service)
             engine = None if known is None else known.engine
@@ -263,6 +272,7 @@
     ) -> None:
         """Records output of a replica."""
         state.progress_s = now_s
+        state.replica_progress_s[instance] = now_s
         state.policy.observe(Progress(instance, self.make_moment(now_s)))
         if state.outage.observe_progress(now_s):
             emit(Event.SERVICE_RUNS, replica=instance)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Protocol
 
 from chicoryplank.events import Event, emit
@@ -83,6 +83,19 @@
         """Returns the entry whose key this is, or None."""
 
 
+class Feed(Protocol):
+    """Takes what this entry reads, in order."""
+
+    def replace(self, items: Iterable[Change], revision: int) -> None:
+        """Takes a full list of items."""
+
+    def append(self, changes: Iterable[Change], revision: int) -> None:
+        """Takes changes."""
+
+    def notify(self) -> None:
+        """Takes that the store was lost."""
+
+
 class StoreView:
     """Follows the store and applies what it says.
 
@@ -92,6 +105,7 @@
         state: What this entry believes.
         peers: The other entries.
         random_source: Random numbers for the backoff.
+        feed: Takes what is read, for the other entries.
         on_replicas: Called after the replicas have changed.
         on_connected: Called when the store answers, at first and after each
             outage.
@@ -105,6 +119,7 @@
         *,
         peers: Peers,
         random_source: random.Random,
+        feed: Feed,
         on_replicas: Callable[[], None],
         on_connected: Callable[[], Awaitable[None]],
     ) -> None:
@@ -113,6 +128,7 @@
         self._state = state
         self._peers = peers
         self._random = random_source
+        self._feed = feed
         self._on_replicas = on_replicas
         self._on_connected = on_connected
         self._members: dict[InstanceId, Member] = {}
@@ -175,6 +191,7 @@
                 must_read = True
                 self._state.registry.observe_outage()
                 self.is_current = False
+                self._feed.notify()
                 await asyncio.sleep(backoff_s * self._random.uniform(0.5, 1.0))
                 backoff_s = min(2 * backoff_s, _MOST_BACKOFF_S)
 
@@ -208,7 +225,7 @@
             elif now_s - since_s > _BEHIND_S and self._wait is not None:
                 self._wait.cancel()
 
-    def _take_all(self, items: Iterable[Change], revision: int) -> None:
+    def _take_all(self, items: Sequence[Change], revision: int) -> None:
         now_s = self._state.now_s()
         if not self.is_current:
             emit(Event.STORE_REGAINED, revision=revision)
@@ -224,8 +241,9 @@
             self._take_member(item)
         self._state.registry.replace(replicas, now_s)
         self._finish(revision, replicas_changed=True)
+        self._feed.replace(items, revision)
 
-    def _take_changes(self, changes: Iterable[Change], revision: int) -> None:
+    def _take_changes(self, changes: Sequence[Change], revision: int) -> None:
         now_s = self._state.now_s()
         self._state.registry.observe_return(now_s)
         replicas_changed = False
@@ -245,6 +263,7 @@
                 self._state.readmit(instance)
                 self._state.registry.put(record)
         self._finish(revision, replicas_changed)
+        self._feed.append(changes, revision)
 
     def _finish(self, revision: int, replicas_changed: bool) -> None:
         self._revision = max(self._revision, revision)
