--- /dev/null
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_rank_relay.py
@@ -0,0 +1,140 @@
+"""Tests of the relay beside a replica, on loopback."""
+
+import asyncio
+
+import testtools
+
+from chicoryplank.clock import SystemClock
+from chicoryplank.ids import FencingToken, InstanceId, RankId
+from chicoryplank.orders import (
+    Operation,
+    OrderResult,
+    RankCounts,
+    RankOrder,
+    RankState,
+    RankUnreachableError,
+)
+from chicoryplank.traffic import ClientLimits
+from chicoryplank_agent.rank_relay import RankRelay, RelayedRank
+from chicoryplank_wire.raw_server import CallerConnection, ListenerHooks
+
+_STATE = RankState(
+    InstanceId("i-1"), "g", 2, RankId(3), 16, True, 40, 7, 8, 8, 44, 44
+)
+_COUNTS = RankCounts(2, 40, (1, 2, 3), ((0, 1), (2, 3)))
+_ORDER = RankOrder(
+    Operation.PREPARE, 2, FencingToken(5), 9, 0, (((0, 1), (2, 3)),)
+)
+
+
+class _Rank:
+    """A rank that remembers its orders."""
+
+    def __init__(self):
+        self.orders = []
+        self.fails = False
+
+    async def read_state(self):
+        if self.fails:
+            raise RankUnreachableError("gone")
+        return _STATE
+
+    async def read_counts(self, with_experts):
+        if with_experts:
+            return _COUNTS
+        return RankCounts(2, 40, (1, 2, 3))
+
+    async def place(self, order):
+        self.orders.append(order)
+        return OrderResult.CONFLICT
+
+
+class TestRankRelay(testtools.TestCase):
+    """The relay changes nothing, and its absence is no obstacle."""
+
+    def _run(self, work, is_up=True):
+        async def run():
+            loop = asyncio.get_running_loop()
+            local, direct = _Rank(), _Rank()
+            hooks = ListenerHooks(
+                RankRelay(local).handle,
+                ClientLimits,
+                loop.time,
+                lambda: False,
+                set(),
+            )
+            server = await loop.create_server(
+                lambda: CallerConnection(hooks), "127.0.0.1", 0
+            )
+            port = server.sockets[0].getsockname()[1]
+            if not is_up:
+                server.close()
+            rank = RelayedRank(
+                InstanceId("i-1"), f"127.0.0.1:{port}", direct, SystemClock()
+            )
+            try:
+                return await work(rank, local, direct)
+            finally:
+                server.close()
+
+        return asyncio.run(run())
+
+    def test_calls_reach_the_local_rank(self):
+        """Guards against a field that is lost between two processes."""
+
+        async def work(rank, local, direct):
+            self.assertEqual(_STATE, await rank.read_state())
+            self.assertEqual(_COUNTS, await rank.read_counts(True))
+            self.assertIsNone((await rank.read_counts(False)).experts)
+            self.assertIs(OrderResult.CONFLICT, await rank.place(_ORDER))
+            self.assertEqual(([_ORDER], []), (local.orders, direct.orders))
+
+        self._run(work)
+
+    def test_absent_agent_is_passed_over(self):
+        """Guards against a held group because one agent is away."""
+
+        async def work(rank, local, direct):
+            self.assertEqual(_STATE, await rank.read_state())
+            await rank.place(_ORDER)
+            self.assertEqual([_ORDER], direct.orders)
+
+        self._run(work, is_up=False)
+
+    def test_counts_are_not_read_from_afar(self):
+        """Guards against reads that pause the whole group."""
+
+        async def work(rank, local, direct):
+            try:
+                await rank.read_counts(False)
+            except RankUnreachableError:
+                return True
+            return False
+
+        self.assertTrue(self._run(work, is_up=False))
+
+    def test_unreachable_replica_is_said(self):
+        """Guards against a state that nobody has reported."""
+
+        async def work(rank, local, direct):
+            local.fails = True
+            try:
+                await rank.read_state()
+            except RankUnreachableError:
+                return True
+            return False
+
+        self.assertTrue(self._run(work))
+
+    def test_malformed_call_is_answered(self):
+        """Guards against a call that stops the agent."""
+
+        async def work(rank, local, direct):
+            client = rank._client
+            for body in (b"", b"[]", b"{}", b'{"operation": "x"}'):
+                status, _ = await client.call("POST", "/order", body)
+                self.assertEqual(400, status)
+            status, _ = await client.call("GET", "/other")
+            self.assertEqual(400, status)
+
+        self._run(work)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -110,6 +110,7 @@
         self._since_s: dict[InstanceId, float] = {}
         self._heard: dict[InstanceId, _Heard] = {}
         self._zones: dict[str, tuple[float, Counts]] = {}
+        self._zone_absent: dict[str, frozenset[str]] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._task: asyncio.Task | None = None
         self._malformed = 0
@@ -226,11 +227,15 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(_PERIOD_S * self._source.uniform(0.9, 1.1))
-            if self._is_direct:
-                self.announce()
-            else:
-                self._tell_hub()
-            self._state.occupancy.forget_peers(self._state.now_s())
+            self.tell()
+
+    def tell(self) -> None:
+        """Sends what the others need to know now."""
+        if self._is_direct:
+            self.announce()
+        else:
+            self._tell_hub()
+        self._state.occupancy.forget_peers(self._state.now_s())
 
     def _tell_hub(self) -> None:
         """Sends the counts up to the hub, or from the hub to all others."""
@@ -299,15 +304,16 @@
         return not heard.leaving and now_s - heard.at_s <= _SILENT_S
 
     def _list_absent(self, now_s: float) -> list[InstanceId]:
-        return [
-            name
-            for name, member in self._members.items()
-            if not (
-                self._is_usable_here(name, now_s)
-                if member.zone == self._own.zone
-                else self._is_usable(name, now_s)
-            )
-        ]
+        """Returns the entries that are silent, as their own hubs say it."""
+        absent = []
+        for name, member in self._members.items():
+            if member.zone == self._own.zone:
+                is_absent = not self._is_usable_here(name, now_s)
+            else:
+                is_absent = name in self._zone_absent.get(member.zone, ())
+            if is_absent:
+                absent.append(name)
+        return absent
 
     def _sum_zone(self, neighbours: Iterable[Member], now_s: float) -> Counts:
         total = collections.Counter(self._state.occupancy.list_own())
@@ -405,10 +411,12 @@
     ) -> None:
         """Takes who is alive, as a hub says it."""
         member = self._members.get(hub)
+        if kind == _ZONE and member is not None:
+            self._zone_absent[member.zone] = absent
         for name, other in self._members.items():
-            if name in absent or name == hub:
-                continue
-            if kind == _ZONE and (member is None or other.zone != member.zone):
+            if name == hub or (
+                kind == _ZONE and (member is None or other.zone != member.zone)
+            ):
                 continue
             heard = self._heard.setdefault(name, _Heard(now_s, False))
-            heard.at_s = now_s
+            heard.at_s = float("-inf") if name in absent else now_s
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_feed.py
@@ -0,0 +1,122 @@
+"""Tests of the changes that one entry passes on to the others."""
+
+import asyncio
+
+import testtools
+
+from chicoryplank.store import StoreError
+from chicoryplank.traffic import ClientLimits
+from chicoryplank.verdict import Verdict
+from chicoryplank_entry.forwarding.feed import FeedServer, FeedSource
+from chicoryplank_entry.forwarding.views import Change, HistoryGoneError
+from chicoryplank_wire.raw_server import CallerConnection, ListenerHooks
+
+
+class _Store:
+    """Store that counts its calls."""
+
+    def __init__(self):
+        self.waits = 0
+
+    async def read_all(self):
+        return [], 10
+
+    async def wait_changes(self, after):
+        self.waits += 1
+        raise StoreError("away", Verdict.NOT_RUN)
+
+
+class TestFeed(testtools.TestCase):
+    """Changes arrive once, in order, or the store is asked."""
+
+    def _run(self, work):
+        async def run():
+            loop = asyncio.get_running_loop()
+            self.current = True
+            feed = FeedServer(lambda: self.current)
+            feed.replace([Change("a", b"1", 10)], 10)
+            hooks = ListenerHooks(
+                feed.handle, ClientLimits, loop.time, lambda: False, set()
+            )
+            server = await loop.create_server(
+                lambda: CallerConnection(hooks), "127.0.0.1", 0
+            )
+            port = server.sockets[0].getsockname()[1]
+            store = _Store()
+            source = FeedSource(store, lambda: f"127.0.0.1:{port}", loop.time)
+            try:
+                return await work(feed, source, store)
+            finally:
+                server.close()
+
+        return asyncio.run(run())
+
+    def test_change_is_passed_on_at_once(self):
+        """Guards against a configuration that arrives late or changed."""
+
+        async def work(feed, source, store):
+            waiting = asyncio.create_task(source.wait_changes(10))
+            await asyncio.sleep(0.05)
+            feed.append([Change("a", b"\x00\xff", 11)], 11)
+            feed.append([Change("a", None, 12)], 12)
+            changes, revision = await asyncio.wait_for(waiting, 0.3)
+            more, newest = await source.wait_changes(revision)
+            return [*changes, *more], newest, store.waits
+
+        changes, newest, waits = self._run(work)
+        self.assertEqual(
+            [Change("a", b"\x00\xff", 11), Change("a", None, 12)], changes
+        )
+        self.assertEqual((12, 0), (newest, waits))
+
+    def test_quiet_feed_says_so(self):
+        """Guards against calls of the store while nothing changes."""
+
+        async def work(feed, source, store):
+            return await source.wait_changes(10), store.waits
+
+        self.assertEqual((([], 10), 0), self._run(work))
+
+    def test_missed_history_is_told(self):
+        """Guards against changes that are skipped without notice."""
+
+        async def work(feed, source, store):
+            try:
+                await source.wait_changes(5)
+            except HistoryGoneError:
+                return True
+            return False
+
+        self.assertTrue(self._run(work))
+
+    def test_source_without_store_is_not_followed(self):
+        """Guards against a stale configuration at entries in touch."""
+
+        async def work(feed, source, store):
+            waiting = asyncio.create_task(source.wait_changes(10))
+            await asyncio.sleep(0.05)
+            self.current = False
+            feed.notify()
+            try:
+                await waiting
+            except StoreError:
+                return store.waits
+            return 0
+
+        self.assertEqual(1, self._run(work))
+
+    def test_dead_source_is_passed_over(self):
+        """Guards against an entry that waits for a dead one."""
+
+        async def run():
+            loop = asyncio.get_running_loop()
+            store = _Store()
+            source = FeedSource(store, lambda: "127.0.0.1:1", loop.time)
+            for _ in range(3):
+                try:
+                    await source.wait_changes(10)
+                except StoreError:
+                    continue
+            return store.waits
+
+        self.assertEqual(3, asyncio.run(run()))
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
@@ -0,0 +1,247 @@
+"""Load pattern: many entries fill the same slots and must know of each other.
+
+Entries are joined by a network in memory; time is moved by hand.
+"""
+
+import json
+import random
+from datetime import timedelta
+
+import testtools
+
+from chicoryplank.admission import RepeatParameters
+from chicoryplank.clock import ManualClock
+from chicoryplank.ids import InstanceId, ZoneId
+from chicoryplank_entry.forwarding.peers import (
+    Member,
+    Peers,
+    decode_member,
+)
+from chicoryplank_entry.forwarding.state import EntryState
+
+_REPLICA = InstanceId("replica")
+_TICK = timedelta(milliseconds=100)
+
+
+class _Transport:
+    """Delivers datagrams between peers in memory and counts them."""
+
+    def __init__(self, network, address):
+        self._network = network
+        self._address = address
+
+    def sendto(self, data, address):
+        self._network.deliver(data, self._address, f"{address[0]}:{address[1]}")
+
+
+class _Network:
+    """Entries of several zones on one clock."""
+
+    def __init__(self, zones, entries_per_zone):
+        self.clock = ManualClock()
+        self.sent = 0
+        self.newer = []
+        self.dead = set()
+        self.peers = {}
+        self.states = {}
+        members = {}
+        number = 0
+        for zone in zones:
+            for index in range(entries_per_zone):
+                number += 1
+                name = InstanceId(f"{zone}-{index}")
+                address = f"10.0.0.1:{number}"
+                members[name] = Member(
+                    name, zone, f"10.0.1.1:{number}", address
+                )
+        for name, member in members.items():
+            state = EntryState(
+                self.clock,
+                ZoneId(member.zone),
+                random.Random(number),
+                RepeatParameters(),
+                2.0,
+            )
+            peers = Peers(member, state, random.Random(1), self.newer.append)
+            peers.connection_made(_Transport(self, member.peer_address))
+            self.peers[name] = peers
+            self.states[name] = state
+        self._by_address = {
+            member.peer_address: name for name, member in members.items()
+        }
+        for peers in self.peers.values():
+            peers.replace(members)
+
+    def deliver(self, data, sender, receiver):
+        name = self._by_address[receiver]
+        if name in self.dead or self._by_address[sender] in self.dead:
+            return
+        self.sent += 1
+        self.peers[name].datagram_received(data, ("10.0.0.1", 1))
+
+    def run(self, ticks):
+        for _ in range(ticks):
+            self.clock.advance(_TICK)
+            for name, peers in self.peers.items():
+                if name not in self.dead:
+                    peers.tell()
+
+    def count(self, name):
+        return self.states[name].occupancy.count(_REPLICA)
+
+
+class TestDirect(testtools.TestCase):
+    """Few entries tell each other directly."""
+
+    def test_all_know_all_counts(self):
+        """Guards against entries that each see free slots."""
+        network = _Network(["a", "b"], 3)
+        for state in network.states.values():
+            state.occupancy.begin(_REPLICA)
+        network.run(2)
+        self.assertEqual({6}, {network.count(name) for name in network.peers})
+
+    def test_dead_entry_is_not_named_to_callers(self):
+        """Guards against callers that are sent to a dead entry."""
+        network = _Network(["a", "b"], 2)
+        network.run(30)
+        network.dead.add("b-1")
+        network.run(14)
+        addresses = network.peers["a-0"].list_addresses("a", 64)
+        self.assertEqual(3, len(addresses))
+
+    def test_own_zone_comes_first(self):
+        """Guards against callers that cross zones without need."""
+        network = _Network(["a", "b"], 2)
+        network.run(2)
+        addresses = network.peers["b-0"].list_addresses("a", 2)
+        self.assertEqual(["10.0.1.1:1", "10.0.1.1:2"], addresses)
+
+    def test_leaving_entry_is_left_out_at_once(self):
+        """Guards against callers that are sent to a stopping entry."""
+        network = _Network(["a", "b"], 2)
+        network.run(2)
+        network.states["a-1"].is_draining = True
+        network.peers["a-1"].announce()
+        for name in ("a-0", "a-1", "b-0"):
+            addresses = network.peers[name].list_addresses("a", 64)
+            self.assertNotIn("10.0.1.1:2", addresses)
+
+    def test_malformed_datagrams_are_ignored(self):
+        """Guards against a datagram that stops an entry."""
+        peers = _Network(["a", "b"], 2).peers["a-0"]
+        message = {
+            "kind": "own",
+            "member": "a-1",
+            "leaving": False,
+            "revision": 5,
+            "counts": {},
+            "absent": [],
+        }
+        for change in (
+            {"counts": []},
+            {"counts": {"r": "x"}},
+            {"revision": None},
+            {"absent": 5},
+        ):
+            data = json.dumps({**message, **change}).encode()
+            peers.datagram_received(data, ("10.0.0.9", 1))
+        for data in (b"", b"\xff", b"[]", b"{}", b"null"):
+            peers.datagram_received(data, ("10.0.0.9", 1))
+
+    def test_newer_revision_is_told(self):
+        """Guards against an entry that stays behind without notice."""
+        network = _Network(["a", "b"], 2)
+        network.peers["a-1"].revision = 7
+        network.run(1)
+        self.assertIn(7, network.newer)
+
+
+class TestHubs(testtools.TestCase):
+    """Many entries tell a hub of their zone."""
+
+    def test_all_know_all_counts(self):
+        """Guards against entries that see only their own zone."""
+        network = _Network(["a", "b", "c"], 6)
+        for state in network.states.values():
+            state.occupancy.begin(_REPLICA)
+        network.run(5)
+        self.assertEqual({18}, {network.count(name) for name in network.peers})
+        for state in network.states.values():
+            state.occupancy.end(_REPLICA)
+        network.run(5)
+        self.assertEqual({0}, {network.count(name) for name in network.peers})
+
+    def test_messages_grow_with_the_entries(self):
+        """Guards against messages that grow with the square of the entries."""
+        sent = []
+        for size in (6, 12):
+            network = _Network(["a", "b", "c"], size)
+            network.run(5)
+            network.sent = 0
+            network.run(10)
+            sent.append(network.sent)
+        self.assertLess(sent[1], 2.5 * sent[0])
+
+    def test_lost_hub_is_replaced(self):
+        """Guards against a zone that is not heard any more."""
+        network = _Network(["a", "b", "c"], 6)
+        network.run(30)
+        network.dead.add("a-0")
+        network.run(30)
+        for state in network.states.values():
+            state.occupancy.begin(_REPLICA)
+        network.run(5)
+        alive = [name for name in network.peers if name not in network.dead]
+        self.assertEqual({17}, {network.count(name) for name in alive})
+        for name in alive:
+            addresses = network.peers[name].list_addresses("a", 64)
+            self.assertEqual(17, len(addresses), name)
+
+    def test_callers_keep_their_addresses_while_a_hub_is_replaced(self):
+        """Guards against a zone that is left out because of one entry."""
+        network = _Network(["a", "b", "c"], 6)
+        network.run(30)
+        network.dead.add("a-0")
+        for _ in range(40):
+            network.run(1)
+            addresses = network.peers["c-3"].list_addresses("a", 64)
+            self.assertGreaterEqual(len(addresses), 17)
+
+    def test_dead_entry_is_left_out(self):
+        """Guards against callers that are sent to a dead entry for long."""
+        network = _Network(["a", "b", "c"], 6)
+        network.run(30)
+        network.dead.add("b-4")
+        network.run(50)
+        for name in ("a-3", "b-3", "c-0"):
+            addresses = network.peers[name].list_addresses("b", 64)
+            self.assertEqual(17, len(addresses), name)
+
+    def test_one_entry_of_a_zone_follows_the_store(self):
+        """Guards against a call of the store for each entry."""
+        network = _Network(["a", "b", "c"], 6)
+        network.run(5)
+        followers = [
+            name
+            for name, peers in network.peers.items()
+            if peers.find_source() is None
+        ]
+        self.assertEqual(["a-0", "b-0", "c-0"], followers)
+
+
+class TestMember(testtools.TestCase):
+    """Registrations are checked where they are read."""
+
+    def test_malformed_registrations_are_rejected(self):
+        """Guards against a registration that stops an entry."""
+        member = Member(InstanceId("a"), "z", "10.0.0.1:1", "10.0.0.1:2")
+        self.assertEqual(member, decode_member(member.encode()))
+        for value in (
+            b"",
+            b"[]",
+            b"{}",
+            member.encode().replace(b"10.0.0.1:1", b"10.0.0.1"),
+            member.encode().replace(b'"z"', b"5"),
+        ):
+            self.assertRaises(ValueError, decode_member, value)
--- a/packages/chicoryplank/src/chicoryplank/orders/tests/test_orders.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/tests/test_orders.py
@@ -266,6 +266,19 @@
 
         asyncio.run(run())
 
+    def test_restarted_holder_takes_its_own_lease(self):
+        """Guards against a group without controller until a lease lapses."""
+
+        async def run():
+            lease = self.make_lease()
+            self.assertTrue(await lease.acquire())
+            restarted = self.make_lease()
+            self.assertTrue(await restarted.acquire())
+            self.assertGreater(restarted.get_token(), lease.get_token())
+            self.assertFalse(await self.make_lease("b").acquire())
+
+        asyncio.run(run())
+
     def test_bad_margin(self):
         """Guards against a holder that never stops in time."""
         self.assertRaises(
