Use the latest start of an address, probe with unsent requests, hold at start

Requests that reached a starting entry before its configuration were refused without a time to come back.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
@@ -1,6 +1,7 @@
 """One request of a caller on its way through the entry."""
 
 import dataclasses
+from datetime import timedelta
 
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.ids import AccountId, InstanceId, ServiceId
@@ -16,6 +17,8 @@
 from chicoryplank_wire.raw_server import ReceivedRequest
 
 _BEARER = "bearer "
+# Delay after which a starting entry, or another one, is likely ready.
+_RETURN_WHEN_READY = timedelta(milliseconds=300)
 _MAX_DEADLINE_S = 3_600.0
 # Urgency at the replica by priority of the route; a stream that goes on after
 # a break comes first, since its caller waits in the middle of an answer.
@@ -115,7 +118,9 @@
     configuration = state.configuration
     if configuration is None:
         raise ChicoryplankError(
-            ErrorCode.NOT_READY, "no configuration is known yet"
+            ErrorCode.NOT_READY,
+            "no configuration is known yet",
+            retry_after=_RETURN_WHEN_READY,
         )
     route = state.routes.find(request.get("host") or "", request.target)
     if route is None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -32,6 +32,8 @@
 _MAX_SENDS = 6
 # Time left below which another send cannot bring an answer, in seconds.
 _LEAST_LEFT_S = 0.02
+# Longest wait for the first configuration of a starting entry, in seconds.
+_START_S = 0.8
 # Delay after which a caller that met a draining entry finds another one.
 _RETURN_SOON = timedelta(milliseconds=30)
 
@@ -98,6 +100,7 @@
                     "this entry is shutting down; use another address",
                     retry_after=_RETURN_SOON,
                 )
+            await self._state.wait_configuration(_START_S)
             call = make_call(self._state, self._names, request)
             call.state.repeats.observe_request(self._state.now_s())
             await self._serve(call, reply)
@@ -311,6 +314,7 @@
             call.priority,
             call.request.received_s + target_s * self._parameters.fresh_share,
             lambda: _resolve(granted),
+            call.sends,
         )
         if waiter is not None:
             try:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -127,6 +127,7 @@
         self.repeat_parameters = repeats
         self.entries = 1
         self.is_draining = False
+        self._configured = asyncio.Event()
         self._services: dict[ServiceId, ServiceState] = {}
         self._gone: set[InstanceId] = set()
 
@@ -152,8 +153,19 @@
         self.configuration = configuration
         self.routes = RouteIndex(configuration)
         self.refresh_candidates()
+        self._configured.set()
         return True
 
+    async def wait_configuration(self, limit_s: float) -> None:
+        """Waits a short time for the first configuration."""
+        if self.configuration is not None:
+            return
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._configured.wait()
+        except TimeoutError:
+            return  # The request is refused as not ready.
+
     def get_service(self, service: ServiceId) -> ServiceState:
         """Returns the state of a service, new if it is not known yet."""
         state = self._services.get(service)
@@ -292,7 +304,7 @@
         """Grants the places that are free, or one try during an outage."""
         if state.outage.is_down:
             if len(state.places) and state.outage.take_probe(now_s):
-                state.places.grant(1, now_s)
+                state.places.grant_probe()
             return
         full = self.find_full(state, 0, now_s)
         free = sum(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
@@ -218,6 +218,7 @@
         kind=RequestKind.IDEMPOTENT,
         parameters=None,
         engine=None,
+        is_configured=True,
         **route,
     ):
         self.replicas = replicas
@@ -233,17 +234,17 @@
             self.state, NAMES, self.pool, parameters or ExchangeParameters()
         )
         service = Service(SERVICE, engine=engine)
-        self.state.apply(
-            TrafficConfiguration(
-                ConfigVersion(1),
-                (make_route(kind, **route),),
-                {SERVICE: service},
-                ClientLimits(max_head_bytes=4096, max_body_bytes=10_000),
-                {"key-1": AccountId("quotes")},
-                {},
-                keyed=True,
-            )
+        self.configuration = TrafficConfiguration(
+            ConfigVersion(1),
+            (make_route(kind, **route),),
+            {SERVICE: service},
+            ClientLimits(max_head_bytes=4096, max_body_bytes=10_000),
+            {"key-1": AccountId("quotes")},
+            {},
+            keyed=True,
         )
+        if is_configured:
+            self.state.apply(self.configuration)
         self._server = None
         self._connections = set()
         self.port = 0
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
@@ -280,6 +280,33 @@
         self.assertLess(took_s, 1.0)
 
 
+class TestStart(ExchangeCase):
+    """A starting entry holds requests until it has a configuration."""
+
+    def test_request_waits_for_the_configuration(self):
+        """Guards against refusals while all entries start together."""
+
+        async def run():
+            async with Site(Replica(answer()), is_configured=False) as site:
+                asking = asyncio.create_task(site.ask())
+                await asyncio.sleep(0.1)
+                site.state.apply(site.configuration)
+                return (await asking)[0]
+
+        self.assertEqual(200, asyncio.run(run()))
+
+    def test_wait_for_the_configuration_is_bounded(self):
+        """Guards against holding requests while the store is away."""
+
+        async def run():
+            async with Site(Replica(answer()), is_configured=False) as site:
+                return await site.ask()
+
+        status, headers, body = asyncio.run(run())
+        self.assertEqual((503, "not_run"), (status, self.get_verdict(body)))
+        self.assertIn("retry-after", headers)
+
+
 class TestStreams(ExchangeCase):
     """Streams reach the caller whole, also from two replicas."""
 
--- a/packages/chicoryplank/src/chicoryplank/admission/_places.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_places.py
@@ -20,11 +20,13 @@
         priority: 0 is the most urgent.
         fresh_until_s: Until when its answer can still be in time.
         grant: Called once when the place is there.
+        sends: How often the request was sent before.
     """
 
     priority: int
     fresh_until_s: float
     grant: Callable[[], None]
+    sends: int = 0
 
 
 class PlaceQueue:
@@ -50,7 +52,11 @@
         return len(self._waiters)
 
     def add(
-        self, priority: int, fresh_until_s: float, grant: Callable[[], None]
+        self,
+        priority: int,
+        fresh_until_s: float,
+        grant: Callable[[], None],
+        sends: int = 0,
     ) -> Waiter | None:
         """Adds a request; returns None if too many wait already.
 
@@ -58,10 +64,11 @@
             priority: 0 is the most urgent.
             fresh_until_s: Until when its answer can still be in time.
             grant: Called when the request has a place.
+            sends: How often the request was sent before.
         """
         if len(self._waiters) >= self._max_waiting:
             return None
-        waiter = Waiter(priority, fresh_until_s, grant)
+        waiter = Waiter(priority, fresh_until_s, grant, sends)
         self._waiters.append(waiter)
         return waiter
 
@@ -98,3 +105,14 @@
             )
             self._waiters.remove(waiter)
             waiter.grant()
+
+    def grant_probe(self) -> None:
+        """Lets one request try a service that is down.
+
+        A request that was never sent goes first, since its send is not a
+        repeat.
+        """
+        if self._waiters:
+            waiter = min(self._waiters, key=lambda item: item.sends)
+            self._waiters.remove(waiter)
+            waiter.grant()
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/test_places.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/test_places.py
@@ -57,3 +57,13 @@
         self.assertEqual(0.5, self.queue.estimate_wait(4, 0))
         self._add("a")
         self.assertEqual(1.0, self.queue.estimate_wait(4, 0))
+
+    def test_probe_is_a_request_that_was_never_sent(self):
+        """Guards against an outage that uses up the budget of repeats."""
+        for name, sends in (("sent", 1), ("new", 0), ("twice", 2)):
+            self.queue.add(
+                1, 1.0, lambda name=name: self.granted.append(name), sends
+            )
+        self.queue.grant_probe()
+        self.queue.grant_probe()
+        self.assertEqual(["new", "sent"], self.granted)
--- a/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
@@ -42,7 +42,9 @@
 
     Registrations are leased, so they all lapse together when the store is
     away. A registration that vanishes during an outage or shortly after it
-    is therefore kept until the replica has had time to register again.
+    is therefore kept until the replica has had time to register again. Of
+    several registrations of one address the latest start counts, since the
+    others belong to processes that have ended.
 
     Args:
         return_grace_s: Time after an outage in which registrations return.
@@ -131,9 +133,16 @@
             del self._records[instance]
 
     def _index(self) -> None:
+        latest: dict[str, ReplicaRecord] = {}
+        for record in self._records.values():
+            other = latest.get(record.address)
+            if other is None or record.started_ms >= other.started_ms:
+                latest[record.address] = record
         services: dict[ServiceId, list[ReplicaRecord]] = {}
         for instance in sorted(self._records):
             record = self._records[instance]
+            if latest[record.address] is not record:
+                continue
             services.setdefault(record.service, []).append(record)
         self._services = {
             service: tuple(records) for service, records in services.items()
--- a/packages/chicoryplank/src/chicoryplank/traffic/tests/test_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/tests/test_replicas.py
@@ -12,14 +12,15 @@
 _SERVICE = ServiceId("llm")
 
 
-def _make_record(name, state=ReplicaState.READY):
+def _make_record(name, state=ReplicaState.READY, address=None, started_ms=0):
     return ReplicaRecord(
         InstanceId(name),
         _SERVICE,
-        "10.0.0.1:80",
+        address or f"{name}:80",
         ZoneId("hall-a"),
         6,
         state,
+        started_ms,
     )
 
 
@@ -69,6 +70,19 @@
         self.registry.replace([_make_record("b")], 20.1)
         self.assertEqual(["b"], self._list())
 
+    def test_restarted_replica_replaces_the_one_before(self):
+        """Guards against requests that expect a process that has ended.
+
+        After a power loss the old registrations are still there when the new
+        ones appear; each request to an old one is a repeat that is lost.
+        """
+        old = _make_record("old", address="10.0.0.9:80", started_ms=1000)
+        new = _make_record("new", address="10.0.0.9:80", started_ms=2000)
+        self.registry.replace([new, old], 6.0)
+        self.assertEqual(["new"], self._list())
+        self.registry.remove(InstanceId("new"), 7.0)
+        self.assertEqual(["old"], self._list())
+
     def test_replicas_stay_while_the_store_is_away(self):
         """Guards against a sweep that takes silence for an end."""
         self.registry.observe_outage()
