--- a/packages/chicoryplank-agent/src/chicoryplank_agent/rank_relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/rank_relay.py
@@ -40,8 +40,9 @@
 _COUNTS_PATH = "/counts"
 _EXPERTS_PATH = "/experts"
 _ORDER_PATH = "/order"
-# Longest wait for an agent, in seconds; its replica answers in a few ms.
-_TIMEOUT_S = 0.15
+# Longest wait for an agent, in seconds; longer than the agent waits for its
+# replica, so that a silent replica is not taken for a silent agent.
+_TIMEOUT_S = 0.25
 # Time for which an agent that did not answer is passed over, in seconds.
 _AWAY_S = 1.5
 _OK = 200
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -43,7 +43,9 @@
     """When a map is changed.
 
     Attributes:
-        period_s: Time between two looks at the ranks.
+        period_s: Least time between two looks at the ranks.
+        period_per_rank_s: Time between two looks for each rank, so that the
+            messages of a large group stay bounded.
         memory_s: Time in which the weight of past choices falls to 37 %.
         least_gain: Least relative reduction of the time of a pass.
         calm_share: Part of the longest pause in time below which a pass is
@@ -52,12 +54,13 @@
         rest_s: Least time between two changes.
     """
 
-    period_s: float = 0.4
-    memory_s: float = 0.8
+    period_s: float = 0.25
+    period_per_rank_s: float = 0.006
+    memory_s: float = 0.6
     least_gain: float = 0.08
     calm_share: float = 0.5
     least_choices: int = 2_000
-    rest_s: float = 0.6
+    rest_s: float = 0.5
 
 
 class Demand:
@@ -131,7 +134,7 @@
     pending_slots: JointSlots = ()
     changed_s: float = float("-inf")
     passes: collections.deque = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=3)
+        default_factory=lambda: collections.deque(maxlen=4)
     )
 
 
