Of several registrations of an address use the one created last

Cause: after a power loss old and new registrations of an address stood side by side, and where the start time is not told the choice between them went by name. Requests to the old one were answered 421 (94 in 3 s) until it lapsed; waiting requests were refused at once when their replica was gone.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -211,8 +211,9 @@
         Raises:
             ChicoryplankError: If it can be sent to none.
         """
+        must_wait = False
         while True:
-            await self._wait_place(call)
+            await self._wait_place(call, must_wait)
             now_s = self._state.now_s()
             self._check_repeat(call, now_s)
             allowance = self._parameters.queue_allowance
@@ -220,10 +221,9 @@
             replica = self._state.choose(call.state, full | call.tried, now_s)
             if replica is None:
                 replica = self._state.choose(call.state, full, now_s)
+            must_wait = replica is None
             if replica is None:
-                raise self._make_refusal(
-                    call, ErrorCode.NO_REPLICA, "no replica has a place"
-                )
+                continue
             backend = BackendAddress(replica.instance, replica.address)
             self._state.begin(call.state, replica.instance, now_s)
             try:
@@ -295,15 +295,19 @@
                 "the budget of repeats is used up",
             )
 
-    async def _wait_place(self, call: Call) -> None:
+    async def _wait_place(self, call: Call, must_wait: bool) -> None:
         """Waits for a place at any replica, if one will come soon enough.
 
+        Args:
+            call: The request.
+            must_wait: Whether a place that seemed free was not.
+
         Raises:
             ChicoryplankError: If there is none in time.
         """
         state = self._state
         now_s = state.now_s()
-        if self._has_place(call, now_s):
+        if not must_wait and self._has_place(call, now_s):
             return
         patience_s = self._find_patience(call, now_s)
         wait_s = state.estimate_wait(call.state)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/feed.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/feed.py
@@ -178,10 +178,10 @@
 def _encode_change(change: Change) -> list:
     value = change.value
     text = None if value is None else base64.b64encode(value).decode()
-    return [change.key, text, change.revision]
+    return [change.key, text, change.revision, change.created]
 
 
 def _decode_change(item: list) -> Change:
-    key, text, revision = item
+    key, text, revision, created = item
     value = None if text is None else base64.b64decode(text)
-    return Change(str(key), value, int(revision))
+    return Change(str(key), value, int(revision), int(created))
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -48,6 +48,9 @@
 # Counts of peers arrive several times a second and are exact.
 _REPORT_DECAY = timedelta(seconds=2)
 _MAX_WAITING = 512
+# Time after which a replica that seemed to be another one is tried again, in
+# seconds; a registration that is wrong has lapsed by then.
+_GONE_S = 10.0
 # Time between two looks at what has become possible, in seconds.
 _CHECK_S = 0.1
 
@@ -140,7 +143,7 @@
         self.is_draining = False
         self._configured = asyncio.Event()
         self._services: dict[ServiceId, ServiceState] = {}
-        self._gone: set[InstanceId] = set()
+        self._gone: dict[InstanceId, float] = {}
 
     def now_s(self) -> float:
         """Returns the time since boot in seconds."""
@@ -195,19 +198,20 @@
     def refresh_candidates(self) -> None:
         """Takes the replicas of the registry."""
         known = {record.instance for record in self.registry.list_all()}
-        self._gone &= known
+        for instance in self._gone.keys() - known:
+            del self._gone[instance]
         for service, state in self._services.items():
             self._refresh_service(service, state)
 
     def exclude(self, instance: InstanceId) -> None:
         """Leaves out a replica whose address belongs to another one now."""
         if instance not in self._gone:
-            self._gone.add(instance)
+            self._gone[instance] = self.now_s() + _GONE_S
             self.refresh_candidates()
 
     def readmit(self, instance: InstanceId) -> None:
-        """Takes a replica back that has registered anew."""
-        self._gone.discard(instance)
+        """Takes a replica back that has just registered, or registered anew."""
+        self._gone.pop(instance, None)
 
     def _refresh_service(self, service: ServiceId, state: ServiceState) -> None:
         records = [
@@ -241,7 +245,7 @@
     def find_full(
         self, state: ServiceState, allowance: int, now_s: float
     ) -> frozenset[InstanceId]:
-        """Returns the replicas of a service without a place.
+        """Returns the replicas of a service that can take nothing now.
 
         Args:
             state: The service.
@@ -336,6 +340,11 @@
 
     def check_services(self, now_s: float) -> None:
         """Grants what has become possible by the passing of time."""
+        over = [name for name, at_s in self._gone.items() if now_s >= at_s]
+        for instance in over:
+            del self._gone[instance]
+        if over:
+            self.refresh_candidates()
         for state in self._services.values():
             if state.is_lockstep and state.outage.check_still(
                 state.in_flight, now_s
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
@@ -32,11 +32,13 @@
         key: Key.
         value: Bytes; None if it was deleted.
         revision: Revision of the store at which it changed.
+        created: Revision at which it was created; 0 if deleted.
     """
 
     key: str
     value: bytes | None
     revision: int
+    created: int = 0
 
 
 class HistoryGoneError(Exception):
@@ -260,7 +262,9 @@
             if record is None:
                 self._state.registry.remove(instance, now_s)
             else:
-                self._state.readmit(instance)
+                known = self._state.registry.get(instance)
+                if known is None or known.started_ms != record.started_ms:
+                    self._state.readmit(instance)
                 self._state.registry.put(record)
         self._finish(revision, replicas_changed)
         self._feed.append(changes, revision)
--- a/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
@@ -26,6 +26,8 @@
         slots: Requests that it processes at once.
         state: Whether it takes new requests.
         started_ms: Unix time of its start in milliseconds; 0 if unknown.
+        created_revision: Revision of the store at which it registered; 0 if
+            unknown.
     """
 
     instance: InstanceId
@@ -35,6 +37,12 @@
     slots: int
     state: ReplicaState
     started_ms: int = 0
+    created_revision: int = 0
+
+    @property
+    def start_order(self) -> tuple[int, int]:
+        """Greater for the later of two starts."""
+        return self.started_ms, self.created_revision
 
 
 class ReplicaRegistry:
@@ -136,7 +144,7 @@
         latest: dict[str, ReplicaRecord] = {}
         for record in self._records.values():
             other = latest.get(record.address)
-            if other is None or record.started_ms >= other.started_ms:
+            if other is None or record.start_order >= other.start_order:
                 latest[record.address] = record
         services: dict[ServiceId, list[ReplicaRecord]] = {}
         for instance in sorted(self._records):
--- a/packages/chicoryplank/src/chicoryplank/traffic/tests/test_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/tests/test_replicas.py
@@ -1,5 +1,7 @@
 """Tests of the registry of replicas."""
 
+import dataclasses
+
 import testtools
 
 from chicoryplank.ids import InstanceId, ServiceId, ZoneId
@@ -83,6 +85,15 @@
         self.registry.remove(InstanceId("new"), 7.0)
         self.assertEqual(["old"], self._list())
 
+    def test_later_registration_counts_where_starts_are_unknown(self):
+        """Guards against a choice by name between two starts."""
+        old = _make_record("z-old", address="10.0.0.9:80")
+        new = dataclasses.replace(
+            _make_record("a-new", address="10.0.0.9:80"), created_revision=9
+        )
+        self.registry.replace([old, new], 6.0)
+        self.assertEqual(["a-new"], self._list())
+
     def test_replicas_stay_while_the_store_is_away(self):
         """Guards against a sweep that takes silence for an end."""
         self.registry.observe_outage()
