--- a/packages/chicoryplank-agent/src/chicoryplank_agent/rank_relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/rank_relay.py
@@ -22,11 +22,8 @@
     RankUnreachableError,
 )
 from chicoryplank.traffic import ClientLimits
-from chicoryplank_wire.raw_http import (
-    Broken,
-    CallClient,
-    ConnectionBrokenError,
-)
+from chicoryplank_wire.calls import CallClient
+from chicoryplank_wire.raw_http import Broken, ConnectionBrokenError
 from chicoryplank_wire.raw_server import (
     CallerConnection,
     ListenerHooks,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -17,15 +17,12 @@
 from chicoryplank.lifecycle import Application
 from chicoryplank.store import Store
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
+from chicoryplank_entry.forwarding.election import Election
 from chicoryplank_entry.forwarding.exchange import Exchange
 from chicoryplank_entry.forwarding.feed import FeedServer, FeedSource
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_entry.forwarding.logs import LineWriter
-from chicoryplank_entry.forwarding.maps import (
-    Election,
-    MakeRank,
-    MapController,
-)
+from chicoryplank_entry.forwarding.maps import MakeRank, MapController
 from chicoryplank_entry.forwarding.peers import Member, Peers
 from chicoryplank_entry.forwarding.registration import Registration
 from chicoryplank_entry.forwarding.state import EntryState
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/feed.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/feed.py
@@ -17,7 +17,8 @@
     ChangeSource,
     HistoryGoneError,
 )
-from chicoryplank_wire.raw_http import CallClient, ConnectionBrokenError
+from chicoryplank_wire.calls import CallClient
+from chicoryplank_wire.raw_http import ConnectionBrokenError
 from chicoryplank_wire.raw_server import ReceivedRequest, Reply
 
 _ITEMS_PATH = "/items"
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_maps.py
@@ -32,11 +32,9 @@
     Share,
     TrafficConfiguration,
 )
-from chicoryplank_entry.forwarding.maps import (
-    Demand,
-    Election,
-    MapController,
-)
+from chicoryplank_entry.forwarding.demand import Demand
+from chicoryplank_entry.forwarding.election import Election
+from chicoryplank_entry.forwarding.maps import MapController
 from chicoryplank_entry.forwarding.state import EntryState
 
 _SERVICE = ServiceId("llm")
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/tests/test_raw_http.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/tests/test_raw_http.py
@@ -4,9 +4,9 @@
 
 import testtools
 
+from chicoryplank_wire.calls import CallClient
 from chicoryplank_wire.raw_http import (
     Broken,
-    CallClient,
     ConnectionBrokenError,
     connect,
     encode_request,
