--- a/packages/chicoryplank-wire/src/chicoryplank_wire/raw_http.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/raw_http.py
@@ -187,11 +187,6 @@
             and not self._transport.get_write_buffer_size()
         )
 
-    @property
-    def is_closed(self) -> bool:
-        """Whether the connection is gone."""
-        return self._closed
-
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Takes the transport and sets the time limits of the kernel."""
         self._transport = transport
