--- a/Makefile
+++ b/Makefile
@@ -60,3 +60,15 @@
 # One group on four engines whose expert map changes under seeded faults.
 soak-maps: setup
 	$(PYTHON) tools/soak_maps.py --seed $(SEED) --seconds $(SECONDS) $(SOAK_FLAGS)
+
+# A calm day on the users' bench, where their kit is at hand.
+KIT ?= ../given/kit/more/system
+DAY ?= quiet-1
+SITE ?= brennan-kwinana
+
+bench-platform:
+	@if [ -x $(KIT)/bin/fleetbench ]; then \
+		$(KIT)/bin/fleetbench run $(KIT)/sites/$(SITE).toml $(DAY); \
+	else \
+		echo "bench-platform: not run, the users' kit is not at $(KIT)"; \
+	fi
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
@@ -1,7 +1,6 @@
 """Passes the answer of a replica on to the caller, byte for byte."""
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from chicoryplank.ids import InstanceId
 from chicoryplank_entry.forwarding import metrics
@@ -17,13 +16,11 @@
     HeaderNames,
     list_connection_headers,
 )
+from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.state import EntryState
 from chicoryplank_wire.raw_http import Broken, ConnectionBrokenError, Response
 from chicoryplank_wire.raw_server import Reply
 
-if TYPE_CHECKING:
-    from chicoryplank_entry.forwarding.exchange import ExchangeParameters
-
 # Answers up to this size are read whole before the caller gets a byte, so
 # that one that breaks off can be tried again.
 _MAX_HELD_BYTES = 262_144
@@ -54,7 +51,7 @@
         self,
         state: EntryState,
         names: HeaderNames,
-        parameters: "ExchangeParameters",
+        parameters: ExchangeParameters,
         call: Call,
     ) -> None:
         self._state = state
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -1,7 +1,6 @@
 """Takes requests of callers to replicas and their answers back."""
 
 import asyncio
-import dataclasses
 from datetime import timedelta
 
 from chicoryplank.admission import ReturnSpread
@@ -16,6 +15,7 @@
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
 from chicoryplank_entry.forwarding.calls import Call, make_call
 from chicoryplank_entry.forwarding.fields import HeaderNames
+from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.refusals import send_error
 from chicoryplank_entry.forwarding.state import EntryState
 from chicoryplank_wire.raw_http import (
@@ -38,35 +38,6 @@
 _RETURN_SOON = timedelta(milliseconds=30)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ExchangeParameters:
-    """Bounds on waiting.
-
-    Attributes:
-        patience_share: Part of the caller's time left that a request may wait
-            for a place.
-        patience_s: Longest wait for a place, in seconds. Callers leave a
-            stream whose first event does not come in two seconds.
-        fresh_share: Part of a route's target within which a place must be
-            found for the answer to be in time.
-        queue_allowance: Requests beyond its slots that a replica may queue.
-        silence_s: Time without output after which a stream goes on at another
-            replica, if others make progress.
-        first_silence_s: The same before its first output, which may have to
-            wait for a slot.
-        first_share: Part of a plain request's time left that a replica has
-            before a repeatable request tries another one.
-    """
-
-    patience_share: float = 0.3
-    patience_s: float = 1.4
-    fresh_share: float = 0.5
-    queue_allowance: int = 0
-    silence_s: float = 0.9
-    first_silence_s: float = 1.3
-    first_share: float = 0.45
-
-
 class Exchange:
     """Answers the requests of callers.
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/logs.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/logs.py
@@ -4,14 +4,17 @@
 import collections
 import json
 import os
-import sys
+from collections.abc import Callable
 from datetime import datetime
 
 import logbook
 
+from chicoryplank.events import Event
+
 # Lines that wait for the output; further ones are counted and dropped.
 _MAX_WAITING = 4_000
 _FLUSH_S = 0.2
+_STANDARD_OUTPUT = 1
 # Bytes of one write; pipes take at least as much once they are drained.
 _WRITE_BYTES = 65_536
 
@@ -26,7 +29,10 @@
     """
 
     def __init__(
-        self, now, name: str, descriptor: int = sys.__stdout__.fileno()
+        self,
+        now: Callable[[], datetime],
+        name: str,
+        descriptor: int = _STANDARD_OUTPUT,
     ) -> None:
         super().__init__(level=logbook.INFO)
         self._now = now
@@ -76,7 +82,11 @@
     def flush(self) -> None:
         """Writes waiting lines as far as the output takes them at once."""
         if self._dropped:
-            notice = {"event": 1005, "dropped_lines": self._dropped}
+            notice = {
+                "process": self._name,
+                "event": Event.LINES_DROPPED.number,
+                "count": self._dropped,
+            }
             self._dropped = 0
             self._lines.append(json.dumps(notice).encode() + b"\n")
         while self._lines or self._rest:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -356,7 +356,6 @@
             return
         loads = demand.list_sets(engine.layer_sets)
         skew = compute_joint_skew(view.slots, loads)
-        self._state.get_service(self._service).skew = skew
         if now_s - view.changed_s < parameters.rest_s:
             return
         if (skew - 1.0) * engine.expert_share < parameters.least_gain:
@@ -409,9 +408,6 @@
         took_ms = round((view.changed_s - started_s) * 1000)
         if result is SwitchResult.SWITCHED:
             emit(Event.MAP_ARMED, group=name, change=version, took_ms=took_ms)
-            self._state.get_service(
-                self._service
-            ).skew = decision.predicted_skew
         else:
             emit(
                 Event.MAP_CHANGE_WITHDRAWN,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -94,7 +94,6 @@
         progress_s: When any replica last produced output.
         replica_progress_s: The same for each replica.
         is_lockstep: Whether its replicas run all passes together.
-        skew: Skew of the expert map in force, as far as known.
     """
 
     policy: Policy
@@ -109,7 +108,6 @@
         default_factory=dict
     )
     is_lockstep: bool = False
-    skew: float = 1.0
 
 
 class EntryState:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
@@ -25,8 +25,9 @@
     TrafficConfiguration,
 )
 from chicoryplank_entry.forwarding.backends import BackendPool
-from chicoryplank_entry.forwarding.exchange import Exchange, ExchangeParameters
+from chicoryplank_entry.forwarding.exchange import Exchange
 from chicoryplank_entry.forwarding.fields import HeaderNames
+from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.state import EntryState
 from chicoryplank_wire.raw_server import CallerConnection, ListenerHooks
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
@@ -6,7 +6,7 @@
 import testtools
 
 from chicoryplank.traffic import RequestKind
-from chicoryplank_entry.forwarding.exchange import ExchangeParameters
+from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.tests.harness import (
     LOCKSTEP,
     Replica,
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -2,7 +2,6 @@
 
 from chicoryplank.admission._occupancy import Occupancy
 from chicoryplank.admission._outage import OutageGate
-from chicoryplank.admission._pace import compute_batch_limit, compute_pass_time
 from chicoryplank.admission._places import PlaceQueue, Waiter
 from chicoryplank.admission._repeats import RepeatBudget, RepeatParameters
 from chicoryplank.admission._returns import ReturnSpread
@@ -15,6 +14,4 @@
     "RepeatParameters",
     "ReturnSpread",
     "Waiter",
-    "compute_batch_limit",
-    "compute_pass_time",
 ]
