--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -96,6 +96,7 @@
         self.members: dict[str, Member] = {}
         self._folder = folder
         paths = sorted(str(path) for path in ROOT.glob("packages/*/src"))
+        paths.append(str(ROOT / "platform"))
         self._environment = os.environ | {"PYTHONPATH": os.pathsep.join(paths)}
 
     def __enter__(self) -> "Fleet":
@@ -164,15 +165,15 @@
 
     def terminate(self, name: str) -> None:
         """Asks a process to stop; `wait_for_end` waits for it."""
-        self._send(name, signal.SIGTERM)
+        self.send(name, signal.SIGTERM)
 
     def pause(self, name: str) -> None:
         """Stops a process without ending it."""
-        self._send(name, signal.SIGSTOP)
+        self.send(name, signal.SIGSTOP)
 
     def resume(self, name: str) -> None:
         """Continues a paused process."""
-        self._send(name, signal.SIGCONT)
+        self.send(name, signal.SIGCONT)
 
     async def wait_for_end(self, name: str, limit_s: float) -> int:
         """Waits for the end of a process and returns its exit code."""
@@ -200,8 +201,8 @@
             member for member in self.members.values() if member.is_running
         ]
         for member in running:
-            self._send(member.name, signal.SIGTERM)
-            self._send(member.name, signal.SIGCONT)
+            self.send(member.name, signal.SIGTERM)
+            self.send(member.name, signal.SIGCONT)
         deadline_s = time.monotonic() + limit_s
         for member in running:
             left_s = max(0.0, deadline_s - time.monotonic())
@@ -211,7 +212,8 @@
                 member.process.kill()
                 member.process.wait()
 
-    def _send(self, name: str, number: signal.Signals) -> None:
+    def send(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process."""
         process = self.members[name].process
         if process is not None:
             process.send_signal(number)
