Apply changed settings to a running entry, with a signal and without

Until now a changed file was only checked on SIGHUP. The lifetime of address answers is decided in the product now, not in the adapter.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(CURDIR)/packages/$(package)/src)):$(CURDIR)/platform
 
-.PHONY: setup test check format unit demo generate soak soak-quick soak-maps fuzz
+.PHONY: setup test check format unit demo generate soak soak-forwarding soak-quick soak-maps fuzz
 
 setup: $(VENV)/.installed
 
@@ -50,6 +50,10 @@
 soak: setup
 	$(PYTHON) tools/soak.py --seed $(SEED) --seconds $(SECONDS)
 
+# Forwarding entries as real processes, seeded faults from outside.
+soak-forwarding: setup
+	$(PYTHON) tools/soak_forwarding.py --seed $(SEED) --seconds $(SECONDS)
+
 # Mutated messages against a small site. Not part of make test.
 fuzz: setup
 	$(PYTHON) tools/fuzz.py --seed $(SEED) --seconds $(SECONDS)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -25,6 +25,7 @@
 from chicoryplank_entry.forwarding.maps import MakeRank, MapController
 from chicoryplank_entry.forwarding.peers import Member, Peers
 from chicoryplank_entry.forwarding.registration import Registration
+from chicoryplank_entry.forwarding.reload import SettingsReload
 from chicoryplank_entry.forwarding.state import EntryState
 from chicoryplank_entry.forwarding.views import (
     ChangeSource,
@@ -47,6 +48,11 @@
 # Time before the forced end at which the last answers are cut, in seconds.
 _END_MARGIN_S = 0.4
 _POLL_S = 0.05
+# Time that callers keep an address answer, in seconds. Some keep it three
+# times as long, and a stopping entry takes requests for about three seconds.
+_ADDRESS_LIFETIME_S = 2.0
+# Parameters that a running entry can change.
+_CHANGEABLE = frozenset({"stop_grace", "address_lifetime", "repeats"})
 _BACKLOG = 512
 _NOT_FOUND = 404
 
@@ -64,6 +70,7 @@
         metrics_address: Where its metrics are served.
         registration_key: Key of its registration in the store.
         stop_grace: Time from the request to stop to the forced end.
+        address_lifetime: Longest time that callers keep an address answer.
         repeats: Bounds on repeats.
     """
 
@@ -73,6 +80,7 @@
     metrics_address: str
     registration_key: str
     stop_grace: timedelta
+    address_lifetime: timedelta
     repeats: RepeatParameters
 
 
@@ -87,7 +95,7 @@
         decoder: Translation of its items.
         make_rank: Returns the port of a replica of a lock-step group.
         answer_directory: Answers a request for addresses; takes the function
-            that lists them by zone.
+            that lists them by zone, and how long they may be kept.
         ready_path: Path of the readiness question.
     """
 
@@ -97,7 +105,7 @@
     decoder: Decoder
     make_rank: MakeRank
     answer_directory: Callable[
-        [ReceivedRequest, Reply, Callable[[str], list[str]]], None
+        [ReceivedRequest, Reply, Callable[[str], list[str]], timedelta], None
     ]
     ready_path: str
 
@@ -271,8 +279,32 @@
             request,
             reply,
             lambda zone: self.peers.list_addresses(zone, self._MAX_ADDRESSES),
+            min(
+                timedelta(seconds=_ADDRESS_LIFETIME_S),
+                self._parameters.address_lifetime,
+            ),
         )
 
+    def apply_parameters(self, parameters: EntryParameters) -> list[str]:
+        """Puts changed parameters in force.
+
+        Returns:
+            Names of the changed fields that take effect at the next start.
+        """
+        current = self._parameters
+        delayed = [
+            field.name
+            for field in dataclasses.fields(EntryParameters)
+            if field.name not in _CHANGEABLE
+            and getattr(current, field.name) != getattr(parameters, field.name)
+        ]
+        self._parameters = dataclasses.replace(
+            current,
+            **{name: getattr(parameters, name) for name in _CHANGEABLE},
+        )
+        self.state.set_repeats(parameters.repeats)
+        return delayed
+
     async def drain(self) -> None:
         """Leaves the address answers, then ends what is in progress."""
         started_s = self.state.now_s()
@@ -304,25 +336,33 @@
 
 
 async def run_entry(
-    make_entry: Callable[[], ForwardingEntry],
+    make_entry: Callable[[EntryParameters], ForwardingEntry],
     writer: LineWriter,
-    reload: Callable[[], None],
+    read_parameters: Callable[[], EntryParameters],
 ) -> None:
     """Runs an entry until the process is told to stop.
 
     Args:
         make_entry: Returns the entry; called in the event loop.
         writer: Output of log lines.
-        reload: Reads the settings again.
+        read_parameters: Reads the settings; raises ChicoryplankError.
+
+    Raises:
+        ChicoryplankError: If the settings are invalid at the start.
     """
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    parameters = read_parameters()
     with writer.applicationbound():
         await writer.start()
-        entry = make_entry()
+        entry = make_entry(parameters)
+        reload = SettingsReload(
+            read_parameters, entry.apply_parameters, parameters
+        )
+        entry.application.add_hooks("settings", reload.start, reload.stop)
+        loop.add_signal_handler(signal.SIGHUP, reload.check)
         await entry.application.start()
         # What lives now lives as long as the process.
         gc.collect()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -178,6 +178,12 @@
         except TimeoutError:
             return  # The request is refused as not ready.
 
+    def set_repeats(self, parameters: RepeatParameters) -> None:
+        """Puts other bounds on repeats in force; what was counted stays."""
+        self.repeat_parameters = parameters
+        for state in self._services.values():
+            state.repeats.parameters = parameters
+
     def get_service(self, service: ServiceId) -> ServiceState:
         """Returns the state of a service, new if it is not known yet."""
         state = self._services.get(service)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_logs.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_logs.py
@@ -35,20 +35,20 @@
     def test_event_is_one_json_object(self):
         """Guards against lines that tools cannot read."""
         with self.lines.applicationbound():
-            emit(Event.SETTINGS_READ, path="a\nb")
+            emit(Event.SETTINGS_READ, delayed="a\nb")
         self.lines.flush()
         (line,) = self.read().splitlines()
         document = json.loads(line)
         self.assertEqual(
             (1007, "a\nb", "entry-1"),
-            (document["event"], document["path"], document["process"]),
+            (document["event"], document["delayed"], document["process"]),
         )
 
     def test_full_output_does_not_block(self):
         """Guards against an entry that stops because nobody reads its log."""
         with self.lines.applicationbound():
             for number in range(6000):
-                emit(Event.SETTINGS_READ, path=f"{number} {'x' * 60}")
+                emit(Event.SETTINGS_READ, delayed=f"{number} {'x' * 60}")
                 if number % 500 == 0:
                     self.lines.flush()
         seen = b""
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -138,11 +138,15 @@
         logbook.INFO,
         "stopping; {in_progress} requests are in progress",
     )
-    SETTINGS_READ = (1007, logbook.INFO, "settings read from {path}")
+    SETTINGS_READ = (
+        1007,
+        logbook.INFO,
+        "changed settings are in force; only at the next start: [{delayed}]",
+    )
     SETTINGS_REJECTED = (
         1008,
         logbook.ERROR,
-        "settings of {path} are not used: {error}",
+        "changed settings are not used: {error}",
     )
     REQUEST_ANSWERED = (
         1210,
--- a/tools/soak_forwarding_faults.py
+++ b/tools/soak_forwarding_faults.py
@@ -148,9 +148,12 @@
     path = world.places[name].settings
     text = path.read_text()
     interval = world.timeline.begin("reload", "settings")
-    path.write_text(text if world.source.random() < 0.5 else "no settings\n")
-    world.fleet.send(name, signal.SIGHUP)
-    await asyncio.sleep(0.3)
+    extra = world.source.randrange(80, 90)
+    changed = f"{text}bounds.retry-budget-extra={extra}\n"
+    path.write_text(world.source.choice((changed, "no settings\n", "")))
+    if world.source.random() < 0.5:
+        world.fleet.send(name, signal.SIGHUP)
+    await asyncio.sleep(world.draw_s(0.1, 3.0))
     path.write_text(text)
     world.timeline.end(interval)
 
