--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from chicoryplank.ids import InstanceId
-from chicoryplank_entry.forwarding import metrics
 from chicoryplank_entry.forwarding.attempts import Attempt
 from chicoryplank_entry.forwarding.calls import Call
 from chicoryplank_entry.forwarding.events_stream import (
@@ -16,6 +15,7 @@
     HeaderNames,
     list_connection_headers,
 )
+from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.state import EntryState
 from chicoryplank_wire.raw_http import Broken, ConnectionBrokenError, Response
@@ -160,7 +160,7 @@
 
     def _observe_first(self) -> None:
         self.first_s = self._state.now_s() - self._call.request.received_s
-        metrics.observe_first(self._call.route.name, self.first_s)
+        METRICS.observe_first(self._call.route.name, self.first_s)
 
     async def _pass_body(self, attempt: Attempt, reply: Reply) -> None:
         response = attempt.response
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -5,11 +5,10 @@
 import gc
 import random
 import signal
-from collections.abc import Awaitable, Callable
+import socket
+from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 
-import prometheus_client
-
 from chicoryplank.admission import RepeatParameters
 from chicoryplank.clock import Clock
 from chicoryplank.events import Event, emit
@@ -23,6 +22,7 @@
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_entry.forwarding.logs import LineWriter
 from chicoryplank_entry.forwarding.maps import MakeRank, MapController
+from chicoryplank_entry.forwarding.metrics import render_metrics
 from chicoryplank_entry.forwarding.peers import Member, Peers
 from chicoryplank_entry.forwarding.registration import Registration
 from chicoryplank_entry.forwarding.reload import SettingsReload
@@ -32,6 +32,7 @@
     Decoder,
     StoreView,
 )
+from chicoryplank_wire.listeners import BACKLOG, open_listener
 from chicoryplank_wire.raw_server import (
     CallerConnection,
     ListenerHooks,
@@ -53,7 +54,6 @@
 _ADDRESS_LIFETIME_S = 2.0
 # Parameters that a running entry can change.
 _CHANGEABLE = frozenset({"stop_grace", "address_lifetime", "repeats"})
-_BACKLOG = 512
 _NOT_FOUND = 404
 
 AnswerSide = Callable[[ReceivedRequest, Reply], None]
@@ -97,6 +97,7 @@
         answer_directory: Answers a request for addresses; takes the function
             that lists them by zone, and how long they may be kept.
         ready_path: Path of the readiness question.
+        listeners: Sockets that listen already, by address.
     """
 
     names: HeaderNames
@@ -108,6 +109,9 @@
         [ReceivedRequest, Reply, Callable[[str], list[str]], timedelta], None
     ]
     ready_path: str
+    listeners: Mapping[str, socket.socket] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class ForwardingEntry:
@@ -248,9 +252,11 @@
             lambda: self.state.is_draining,
             connections,
         )
-        host, _, port = address.rpartition(":")
+        listener = self._ports.listeners.get(address)
+        if listener is None:
+            listener = open_listener(address)
         server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(hooks), host, int(port), backlog=_BACKLOG
+            lambda: CallerConnection(hooks), sock=listener, backlog=BACKLOG
         )
         self._servers.append(server)
 
@@ -331,7 +337,7 @@
     reply.send(
         200,
         (("content-type", "text/plain; version=0.0.4"),),
-        prometheus_client.generate_latest(),
+        render_metrics(),
     )
 
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -9,12 +9,12 @@
 from chicoryplank.ids import InstanceId
 from chicoryplank.traffic import ReplicaRecord
 from chicoryplank.verdict import Verdict
-from chicoryplank_entry.forwarding import metrics
 from chicoryplank_entry.forwarding.answers import AnswerRelay
 from chicoryplank_entry.forwarding.attempts import Attempt, Outcome, classify
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
 from chicoryplank_entry.forwarding.calls import Call, make_call
 from chicoryplank_entry.forwarding.fields import HeaderNames
+from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.refusals import send_error
 from chicoryplank_entry.forwarding.state import EntryState
@@ -122,7 +122,7 @@
             status = send_error(
                 reply, error, [(self._names.request_id, request_id)]
             )
-        metrics.count_refusal(error.code, error.verdict)
+        METRICS.count_refusal(error.code, error.verdict)
         emit(
             Event.REQUEST_REFUSED,
             request=request_id,
@@ -159,7 +159,7 @@
                 "the time for this request has passed",
                 call.verdict,
             ) from error
-        metrics.observe_answer(
+        METRICS.observe_answer(
             call.route.name,
             call.account,
             self._state.now_s() - call.request.received_s,
@@ -465,7 +465,7 @@
     def _note_failure(
         self, call: Call, instance: InstanceId, detail: object, stage: str
     ) -> None:
-        metrics.count_failure(stage)
+        METRICS.count_failure(stage)
         emit(
             Event.ATTEMPT_FAILED,
             request=call.request_id,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
@@ -1,6 +1,15 @@
-"""Counters and latency histograms of forwarding."""
+"""Counters and latency histograms of forwarding.
 
-import prometheus_client
+The figures are kept in plain tables. The library that renders them takes long
+to import, and an entry that restarts has callers waiting, so it is imported
+when the metrics are first asked for.
+"""
+
+import bisect
+import collections
+import dataclasses
+import functools
+from collections.abc import Callable, Iterator
 
 from chicoryplank.errors import ErrorCode
 from chicoryplank.ids import AccountId
@@ -8,60 +17,133 @@
 
 _MAX_LABELS = 256
 _OTHER = "other"
+# Upper bounds of the buckets of latencies, in seconds.
 _LATENCY_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8, 16)
 
-_REFUSALS = prometheus_client.Counter(
-    "chicoryplank_forwarding_refusals_total",
-    "Requests that got an answer of the entry's own, by code and verdict.",
-    ["code", "verdict"],
-)
-_FAILURES = prometheus_client.Counter(
-    "chicoryplank_forwarding_failures_total",
-    "Attempts that failed, by stage.",
-    ["stage"],
-)
-_FIRST = prometheus_client.Histogram(
-    "chicoryplank_forwarding_first_seconds",
-    "Time to the first output by route.",
-    ["route"],
-    buckets=_LATENCY_S,
-)
-_TOTAL = prometheus_client.Histogram(
-    "chicoryplank_forwarding_seconds",
-    "Time to the end of the answer by client account.",
-    ["account"],
-    buckets=_LATENCY_S,
-)
-_labels: set[str] = set()
-
-
-def _bound_label(value: str) -> str:
-    """Returns a label; beyond a number of values all share one."""
-    if value not in _labels:
-        if len(_labels) >= _MAX_LABELS:
-            return _OTHER
-        _labels.add(value)
-    return value
-
-
-def count_refusal(code: ErrorCode, verdict: Verdict) -> None:
-    """Counts an answer of the entry's own."""
-    _REFUSALS.labels(code.value, verdict.value).inc()
-
-
-def count_failure(stage: str) -> None:
-    """Counts a failed attempt."""
-    _FAILURES.labels(stage).inc()
-
-
-def observe_first(route: str, elapsed_s: float) -> None:
-    """Takes the time to the first output."""
-    _FIRST.labels(_bound_label(route)).observe(elapsed_s)
-
-
-def observe_answer(
-    route: str, account: AccountId | None, elapsed_s: float
-) -> None:
-    """Takes the time to the end of an answer."""
-    name = route if account is None else account
-    _TOTAL.labels(_bound_label(name)).observe(elapsed_s)
+
+@dataclasses.dataclass(slots=True)
+class _Latencies:
+    """Histogram of one label; the last bucket has no bound."""
+
+    buckets: list[int] = dataclasses.field(
+        default_factory=lambda: [0] * (len(_LATENCY_S) + 1)
+    )
+    sum_s: float = 0.0
+
+    def observe(self, elapsed_s: float) -> None:
+        self.buckets[bisect.bisect_left(_LATENCY_S, elapsed_s)] += 1
+        self.sum_s += elapsed_s
+
+
+class ForwardingMetrics:
+    """What one entry has counted."""
+
+    def __init__(self) -> None:
+        self._refusals: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._failures: collections.Counter[str] = collections.Counter()
+        self._first: dict[str, _Latencies] = {}
+        self._total: dict[str, _Latencies] = {}
+
+    def count_refusal(self, code: ErrorCode, verdict: Verdict) -> None:
+        """Counts an answer of the entry's own."""
+        self._refusals[code.value, verdict.value] += 1
+
+    def count_failure(self, stage: str) -> None:
+        """Counts a failed attempt."""
+        self._failures[stage] += 1
+
+    def observe_first(self, route: str, elapsed_s: float) -> None:
+        """Takes the time to the first output."""
+        _find_latencies(self._first, route).observe(elapsed_s)
+
+    def observe_answer(
+        self, route: str, account: AccountId | None, elapsed_s: float
+    ) -> None:
+        """Takes the time to the end of an answer."""
+        name = route if account is None else account
+        _find_latencies(self._total, name).observe(elapsed_s)
+
+    def collect(self) -> Iterator[object]:
+        """Yields the metric families, as a collector of the library does."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        refusals = CounterMetricFamily(
+            "chicoryplank_forwarding_refusals",
+            "Requests that got an answer of the entry's own, by code and "
+            "verdict.",
+            labels=["code", "verdict"],
+        )
+        for labels, count in self._refusals.items():
+            refusals.add_metric(labels, count)
+        failures = CounterMetricFamily(
+            "chicoryplank_forwarding_failures",
+            "Attempts that failed, by stage.",
+            labels=["stage"],
+        )
+        for stage, count in self._failures.items():
+            failures.add_metric([stage], count)
+        yield refusals
+        yield failures
+        for name, text, label, table in (
+            (
+                "chicoryplank_forwarding_first_seconds",
+                "Time to the first output by route.",
+                "route",
+                self._first,
+            ),
+            (
+                "chicoryplank_forwarding_seconds",
+                "Time to the end of the answer by client account.",
+                "account",
+                self._total,
+            ),
+        ):
+            family = HistogramMetricFamily(name, text, labels=[label])
+            for value, latencies in table.items():
+                family.add_metric(
+                    [value],
+                    buckets=_accumulate(latencies.buckets),
+                    sum_value=latencies.sum_s,
+                )
+            yield family
+
+
+def _find_latencies(table: dict[str, _Latencies], label: str) -> _Latencies:
+    """Returns the histogram of a label; beyond a number all share one."""
+    if label not in table and len(table) >= _MAX_LABELS:
+        label = _OTHER
+    return table.setdefault(label, _Latencies())
+
+
+def _accumulate(buckets: list[int]) -> list[tuple[str, int]]:
+    bounds = [str(float(bound)) for bound in _LATENCY_S] + ["+Inf"]
+    total = 0
+    counts = []
+    for bound, count in zip(bounds, buckets, strict=True):
+        total += count
+        counts.append((bound, total))
+    return counts
+
+
+@functools.cache
+def _get_renderer() -> Callable[[], bytes]:
+    """Registers the metrics of this process and returns what renders all."""
+    import prometheus_client
+
+    prometheus_client.REGISTRY.register(METRICS)
+    return prometheus_client.generate_latest
+
+
+def render_metrics() -> bytes:
+    """Returns all metrics of this process in the text format."""
+    return _get_renderer()()
+
+
+METRICS = ForwardingMetrics()
+
+__all__ = ["METRICS", "ForwardingMetrics", "render_metrics"]
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_metrics.py
@@ -0,0 +1,65 @@
+"""Tests of the metrics of forwarding."""
+
+import prometheus_client
+import testtools
+
+from chicoryplank.errors import ErrorCode
+from chicoryplank.ids import AccountId
+from chicoryplank.verdict import Verdict
+from chicoryplank_entry.forwarding.metrics import (
+    ForwardingMetrics,
+    render_metrics,
+)
+
+
+class TestForwardingMetrics(testtools.TestCase):
+    """Counters and histograms reach the text that is served."""
+
+    def setUp(self):
+        super().setUp()
+        self.metrics = ForwardingMetrics()
+
+    def _render(self):
+        registry = prometheus_client.CollectorRegistry()
+        registry.register(self.metrics)
+        return prometheus_client.generate_latest(registry).decode()
+
+    def test_refusals_by_code_and_verdict(self):
+        """Guards against refusals that cannot be told apart."""
+        for _ in range(2):
+            self.metrics.count_refusal(ErrorCode.QUEUE_FULL, Verdict.NOT_RUN)
+        self.metrics.count_failure("connect")
+        text = self._render()
+        code = ErrorCode.QUEUE_FULL.value
+        self.assertIn(
+            f'chicoryplank_forwarding_refusals_total{{code="{code}",'
+            'verdict="not_run"} 2.0',
+            text,
+        )
+        self.assertIn('failures_total{stage="connect"} 1.0', text)
+
+    def test_buckets_count_what_is_below_their_bound(self):
+        """Guards against a latency that falls into a lower bucket."""
+        for elapsed_s in (0.02, 0.021, 0.4, 20.0):
+            self.metrics.observe_first("cards", elapsed_s)
+        text = self._render()
+        for bound, count in (("0.02", 1), ("0.05", 2), ("0.4", 3), ("+Inf", 4)):
+            self.assertIn(
+                "chicoryplank_forwarding_first_seconds_bucket"
+                f'{{le="{bound}",route="cards"}} {count}.0',
+                text,
+            )
+        self.assertIn('first_seconds_count{route="cards"} 4.0', text)
+
+    def test_labels_are_bounded(self):
+        """Guards against memory that grows with the accounts."""
+        for number in range(400):
+            account = AccountId(f"account-{number}")
+            self.metrics.observe_answer("cards", account, 0.1)
+        text = self._render()
+        self.assertIn('forwarding_seconds_count{account="other"} 144.0', text)
+
+    def test_metrics_of_the_process_are_rendered_twice(self):
+        """Guards against a registry that takes the same metrics again."""
+        for _ in range(2):
+            self.assertIn(b"chicoryplank_forwarding_seconds", render_metrics())
--- a/packages/chicoryplank/src/chicoryplank/invariants.py
+++ b/packages/chicoryplank/src/chicoryplank/invariants.py
@@ -1,16 +1,22 @@
 """Invariants that are asserted while the program runs."""
 
-import prometheus_client
+import functools
 
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.events import Event, emit
 from chicoryplank.verdict import Verdict
 
-_VIOLATIONS = prometheus_client.Counter(
-    "chicoryplank_invariant_violations_total",
-    "Violated invariants by name.",
-    ["name"],
-)
+
+@functools.cache
+def _make_counter():
+    """Returns the counter of violations; none is expected in most processes."""
+    import prometheus_client
+
+    return prometheus_client.Counter(
+        "chicoryplank_invariant_violations_total",
+        "Violated invariants by name.",
+        ["name"],
+    )
 
 
 def require(
@@ -33,7 +39,7 @@
     if condition:
         return
     emit(Event.INVARIANT_VIOLATED, name=name, detail=detail)
-    _VIOLATIONS.labels(name).inc()
+    _make_counter().labels(name).inc()
     raise ChicoryplankError(
         ErrorCode.INVARIANT_VIOLATED, f"{name}: {detail}", verdict
     )
