Restart an entry in the soak as often as its platform would

The entry was killed while its settings were damaged, said so and ended with 2; the platform starts it again, the soak did not.

--- a/tools/soak_forwarding_faults.py
+++ b/tools/soak_forwarding_faults.py
@@ -82,9 +82,16 @@
 
 
 async def _restart(world: World, name: str) -> None:
-    await asyncio.sleep(RESTART_S)
-    world.fleet.restart(name)
-    await world.places[name].wait_ready()
+    """Restarts an entry until it is ready; damaged settings end it again."""
+    ready = asyncio.create_task(world.places[name].wait_ready())
+    try:
+        while not ready.done():
+            await asyncio.sleep(RESTART_S)
+            if not world.fleet.members[name].is_running:
+                world.fleet.restart(name)
+    finally:
+        ready.cancel()
+    await ready
 
 
 async def kill_entry(world: World) -> None:
