Let late requests leave places to fresh ones of other entries

The queue prefers fresh requests, but only those of its own entry; entries with a backlog take each place that comes free before a fresh request of another entry gets it. A request that is late in any case now takes a place only while 8 in 100 of all places are free besides, and a fresh request does not queue behind late ones.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -314,7 +314,7 @@
         service = call.state
         if service.outage.is_down:
             return service.outage.take_probe(now_s)
-        if len(service.places):
+        if service.places.has_fresh(now_s):
             return False
         allowance = self._parameters.queue_allowance
         full = self._state.find_full(service, allowance, now_s)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from collections.abc import Iterable
 from datetime import UTC, datetime, timedelta
@@ -51,6 +52,9 @@
 # Time after which a replica that seemed to be another one is tried again, in
 # seconds; a registration that is wrong has lapsed by then.
 _GONE_S = 10.0
+# Part of all places that requests which are late in any case leave free, so
+# that entries without a backlog need not wait behind those that have one.
+_FRESH_SHARE = 0.08
 # Time between two looks at what has become possible, in seconds.
 _CHECK_S = 0.1
 
@@ -298,7 +302,7 @@
         state.in_flight -= 1
         state.policy.end(instance, 1.0, self.make_moment(now_s), succeeded)
         if len(state.places) and not state.outage.is_down:
-            state.places.grant(1, now_s)
+            self._grant_free(state, now_s)
 
     def observe_progress(
         self, state: ServiceState, instance: InstanceId, now_s: float
@@ -333,8 +337,8 @@
             for instance, slots in state.slots.items()
             if instance not in full
         )
-        if free:
-            state.places.grant(free, now_s)
+        reserve = math.ceil(_FRESH_SHARE * sum(state.slots.values()))
+        state.places.grant(free, now_s, reserve)
 
     async def run_checks(self) -> None:
         """Checks all services again and again."""
--- a/packages/chicoryplank/src/chicoryplank/admission/_places.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_places.py
@@ -96,13 +96,32 @@
             return 0.0
         return ahead * self._duration_s / max(places, 1.0)
 
-    def grant(self, places: int, now_s: float) -> None:
-        """Grants places: by priority, then to those in time, then by age."""
-        for _ in range(min(places, len(self._waiters))):
+    def has_fresh(self, now_s: float) -> bool:
+        """Tells whether a request waits that can still be in time."""
+        return any(item.fresh_until_s >= now_s for item in self._waiters)
+
+    def grant(self, places: int, now_s: float, reserve: int = 0) -> None:
+        """Grants places: by priority, then to those in time, then by age.
+
+        Args:
+            places: Places that are free.
+            now_s: Current time in seconds.
+            reserve: Free places that requests which are late in any case
+                leave to those that other entries may have.
+        """
+        while places > 0 and self._waiters:
             waiter = min(
-                self._waiters,
+                (
+                    item
+                    for item in self._waiters
+                    if places > reserve or item.fresh_until_s >= now_s
+                ),
                 key=lambda item: (item.priority, item.fresh_until_s < now_s),
+                default=None,
             )
+            if waiter is None:
+                return
+            places -= 1
             self._waiters.remove(waiter)
             waiter.grant()
 
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/test_places.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/test_places.py
@@ -27,6 +27,29 @@
         self.queue.grant(2, 0.5)
         self.assertEqual(["urgent", "fresh", "late"], self.granted)
 
+    def test_late_requests_leave_a_reserve(self):
+        """Guards against a backlog whose late requests take every place.
+
+        Answers the pattern "one entry has a backlog after an outage, and the
+        fresh requests of all others find no place".
+        """
+        for name in ("late-1", "late-2"):
+            self._add(name, fresh_until_s=0.1)
+        self._add("fresh", fresh_until_s=0.9)
+        self.queue.grant(1, 0.5, reserve=2)
+        self.assertEqual(["fresh"], self.granted)
+        self.queue.grant(2, 0.5, reserve=2)
+        self.assertEqual(["fresh"], self.granted)
+        self.queue.grant(4, 0.5, reserve=2)
+        self.assertEqual(["fresh", "late-1", "late-2"], self.granted)
+
+    def test_fresh_requests_are_noticed(self):
+        """Guards against a new request that waits behind late ones."""
+        self._add("late", fresh_until_s=0.1)
+        self.assertFalse(self.queue.has_fresh(0.5))
+        self._add("fresh", fresh_until_s=0.9)
+        self.assertTrue(self.queue.has_fresh(0.5))
+
     def test_equal_requests_are_served_by_age(self):
         """Guards against a request that newer ones overtake for ever."""
         for name in "abc":
