--- a/packages/chicoryplank/src/chicoryplank/tests/test_store.py
+++ b/packages/chicoryplank/src/chicoryplank/tests/test_store.py
@@ -1,6 +1,7 @@
 """Tests of the in-memory store that other tests rely on."""
 
 import asyncio
+import contextlib
 from datetime import timedelta
 
 import testtools
@@ -8,9 +9,37 @@
 from chicoryplank.clock import ManualClock
 from chicoryplank.fakes import MemoryStore
 from chicoryplank.store import StoreError, SwapOutcome
+from chicoryplank.tests.store_contract import StoreContract
 from chicoryplank.verdict import Verdict
 
 
+class _MemoryControl:
+    """Faults of a store in memory."""
+
+    def __init__(self, store, clock):
+        self._store = store
+        self._clock = clock
+
+    async def pass_time(self, duration):
+        self._clock.advance(duration)
+
+    def lose_answers(self, count):
+        self._store.lose_answers = count
+
+    def set_down(self, is_down):
+        self._store.available = not is_down
+
+
+class TestMemoryStoreContract(StoreContract, testtools.TestCase):
+    """The store of the tests does what the port promises."""
+
+    @contextlib.asynccontextmanager
+    async def open_store(self):
+        clock = ManualClock()
+        store = MemoryStore(clock)
+        yield store, _MemoryControl(store, clock)
+
+
 class TestMemoryStore(testtools.TestCase):
     """Compare-and-swap, leases and lost answers."""
 
