Look often at a group that forms, and wait a little longer while it is down

Requests that reached the restarted entries at 35.0 s were refused at 36.4 s, when the group opened. Counts are read while the group forms, looks come every 0.1 s until the first change, and a request waits 1.6 s; callers leave a stream after 2 s. The soak also checks that new routes are in force and that no replica works for a caller that has left.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -46,8 +46,9 @@
 
     Attributes:
         period_s: Least time between two looks at the ranks.
-        period_per_rank_s: Time between two looks for each rank, so that the
-            messages of a large group stay bounded.
+        urgent_period_s: The same while a group forms and until its first
+            change: its first map is the slowest, and requests have waited.
+        urgent_s: Longest time for which a new group counts as urgent.
         memory_s: Time in which the weight of past choices falls to 37 %.
         least_gain: Least relative reduction of the time of a pass.
         calm_share: Part of the longest pause in time below which a pass is
@@ -57,7 +58,8 @@
     """
 
     period_s: float = 0.25
-    period_per_rank_s: float = 0.006
+    urgent_period_s: float = 0.1
+    urgent_s: float = 2.0
     memory_s: float = 0.6
     least_gain: float = 0.08
     calm_share: float = 0.5
@@ -126,6 +128,7 @@
         self._views: dict[str, _GroupView] = {}
         self._versions = 0
         self._version_token = 0
+        self._urgent_until_s = float("-inf")
 
     def forget(self) -> None:
         """Drops what may be wrong once another controller has been at work."""
@@ -141,7 +144,10 @@
             while self.lease.get_token() is not None:
                 started_s = self._now_s()
                 await self._look()
-                left_s = self._parameters.period_s - (self._now_s() - started_s)
+                period_s = self._parameters.period_s
+                if started_s < self._urgent_until_s:
+                    period_s = self._parameters.urgent_period_s
+                left_s = period_s - (self._now_s() - started_s)
                 await self._clock.sleep(timedelta(seconds=max(0.05, left_s)))
         finally:
             renewal.cancel()
@@ -197,7 +203,11 @@
                 state.epoch == first.epoch and state.is_open
                 for state, _ in members.values()
             )
-            if complete:
+            if not complete:
+                # Counts from before a group opens make its first ones useful.
+                self._note_urgent()
+                await self._observe_demand(name, members)
+            else:
                 try:
                     await self._act(name, members, service.engine)
                 except RankUnreachableError as error:
@@ -217,18 +227,11 @@
         ports = {rank: port for rank, (_, port) in members.items()}
         epoch = next(iter(states.values())).epoch
         view = self._views.get(name)
-        counts = await _read_counts(ports, view is None or view.epoch != epoch)
-        demand = self._demands.setdefault(
-            name, Demand(self._parameters.memory_s)
-        )
-        demand.observe(
-            {
-                states[rank].instance: item.counts
-                for rank, item in counts.items()
-            },
-            self._now_s(),
-        )
-        if view is None or view.epoch != epoch:
+        is_new = view is None or view.epoch != epoch
+        counts = await self._observe_demand(name, members, is_new)
+        demand = self._demands[name]
+        if is_new:
+            self._note_urgent()
             view = _make_view(epoch, states, counts, engine)
             if view is None:
                 return
@@ -253,6 +256,30 @@
             name, view, ports, states, demand=demand, engine=engine
         )
 
+    def _note_urgent(self) -> None:
+        self._urgent_until_s = self._now_s() + self._parameters.urgent_s
+
+    async def _observe_demand(
+        self,
+        name: str,
+        members: Mapping[RankId, tuple[RankState, RankPort]],
+        with_experts: bool = False,
+    ) -> dict[RankId, RankCounts]:
+        """Reads the counts of a group's ranks and adds them to its demand."""
+        ports = {rank: port for rank, (_, port) in members.items()}
+        counts = await _read_counts(ports, with_experts)
+        demand = self._demands.setdefault(
+            name, Demand(self._parameters.memory_s)
+        )
+        demand.observe(
+            {
+                members[rank][0].instance: item.counts
+                for rank, item in counts.items()
+            },
+            self._now_s(),
+        )
+        return counts
+
     def _make_version(self, states: Mapping[RankId, RankState]) -> int:
         """Returns an unused version; two in a row are free."""
         token = self.lease.get_token() or 0
@@ -352,6 +379,7 @@
         )
         view.changed_s = self._now_s()
         took_ms = round((view.changed_s - started_s) * 1000)
+        self._urgent_until_s = float("-inf")
         if result is SwitchResult.SWITCHED:
             emit(Event.MAP_ARMED, group=name, change=version, took_ms=took_ms)
         else:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/parameters.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/parameters.py
@@ -24,7 +24,7 @@
     """
 
     patience_share: float = 0.3
-    patience_s: float = 1.4
+    patience_s: float = 1.6
     fresh_share: float = 0.5
     queue_allowance: int = 0
     silence_s: float = 0.9
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_maps.py
@@ -270,6 +270,36 @@
         self.assertGreater(step, 20)
 
 
+class TestGroupThatForms(testtools.TestCase):
+    """Load pattern: a group opens anew, and requests have waited for it."""
+
+    def test_first_change_comes_soon(self):
+        """Guards against a group that begins with its slowest map for long.
+
+        Callers that waited for the group give up after 2 s of silence; the
+        change must come within the first half of that.
+        """
+
+        async def run():
+            world = _World()
+            world.weights = [8.0] * 4 + [1.0] * 12
+            world.group.is_open = False
+            controller = world.make_controller()
+            await controller.lease.acquire()
+            task = asyncio.ensure_future(controller.run())
+            await world.run(25, passes=False)
+            world.group.is_open = True
+            ticks = 0
+            while not world.group.switches and ticks < 300:
+                await world.run(1)
+                ticks += 1
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return ticks * _TICK
+
+        self.assertLess(asyncio.run(run()), timedelta(seconds=1))
+
+
 class TestControllerThatFreezes(testtools.TestCase):
     """Load pattern: the controller stands still right after its hold."""
 
--- a/tools/soak_forwarding.py
+++ b/tools/soak_forwarding.py
@@ -154,8 +154,10 @@
                 self._judge.removed[path] = time.time()
             else:
                 self._added += 1
-                self.changing.append(f"/added-{self._added}/")
+                path = f"/added-{self._added}/"
+                self.changing.append(path)
                 self.write()
+                self._judge.added[path] = time.time()
 
 
 class Callers:
@@ -343,7 +345,8 @@
                 f"replica-{number}",
                 STREAM_SERVICE if is_stream else "cards",
                 5 if is_stream else 6,
-                self._judge.observe_arrival,
+                observe=self._judge.observe_arrival,
+                observe_end=self._judge.observe_end,
             )
             await replica.start()
             stack.push_async_callback(replica.crash)
