Give each free place once, and split two long modules

A place that was granted counted as free until its request went on, so that several ends in one turn of the event loop gave it twice; the second request found none and queued again behind all others. The queue counts what it has granted.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -3,12 +3,12 @@
 import asyncio
 from datetime import timedelta
 
-from chicoryplank.admission import ReturnSpread
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
 from chicoryplank.traffic import ReplicaRecord
 from chicoryplank.verdict import Verdict
+from chicoryplank_entry.forwarding.admission import CallAdmission
 from chicoryplank_entry.forwarding.answers import AnswerRelay
 from chicoryplank_entry.forwarding.attempts import Attempt, Outcome, classify
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
@@ -28,10 +28,6 @@
     Reply,
 )
 
-# Sends of one request, whatever became of them.
-_MAX_SENDS = 6
-# Time left below which another send cannot bring an answer, in seconds.
-_LEAST_LEFT_S = 0.02
 # Longest wait for the first configuration of a starting entry, in seconds.
 _START_S = 0.8
 # Delay after which a caller that met a draining entry finds another one.
@@ -59,7 +55,7 @@
         self._names = names
         self._pool = pool
         self._parameters = parameters or ExchangeParameters()
-        self._returns = ReturnSpread(state.source)
+        self._admission = CallAdmission(state, self._parameters)
         self.in_progress = 0
         self.refuses_all = False
 
@@ -184,9 +180,9 @@
         """
         must_wait = False
         while True:
-            await self._wait_place(call, must_wait)
+            await self._admission.wait_place(call, must_wait)
             now_s = self._state.now_s()
-            self._check_repeat(call, now_s)
+            self._admission.check_repeat(call, now_s)
             allowance = self._parameters.queue_allowance
             full = self._state.find_full(call.state, allowance, now_s)
             replica = self._state.choose(call.state, full | call.tried, now_s)
@@ -239,109 +235,6 @@
         call.tried.add(attempt.replica.instance)
         return attempt
 
-    def _check_repeat(self, call: Call, now_s: float) -> None:
-        """Rejects a further send that is not allowed or not worthwhile.
-
-        Raises:
-            ChicoryplankError: With the verdict on all attempts so far.
-        """
-        if call.sends == 0:
-            return
-        if call.verdict is not Verdict.NOT_RUN and not call.route.repeatable:
-            raise self._make_refusal(
-                call, ErrorCode.OUTCOME_UNKNOWN, "the request may have run"
-            )
-        if (
-            call.sends >= _MAX_SENDS
-            or call.runs >= call.route.max_runs
-            or call.deadline_s - now_s < _LEAST_LEFT_S
-        ):
-            raise self._make_refusal(
-                call, ErrorCode.BACKEND_FAILED, "no further try is allowed"
-            )
-        if not call.state.repeats.take(self._state.entries, now_s):
-            raise self._make_refusal(
-                call,
-                ErrorCode.RETRY_BUDGET_EXHAUSTED,
-                "the budget of repeats is used up",
-            )
-
-    async def _wait_place(self, call: Call, must_wait: bool) -> None:
-        """Waits for a place at any replica, if one will come soon enough.
-
-        Args:
-            call: The request.
-            must_wait: Whether a place that seemed free was not.
-
-        Raises:
-            ChicoryplankError: If there is none in time.
-        """
-        state = self._state
-        now_s = state.now_s()
-        if not must_wait and self._has_place(call, now_s):
-            return
-        patience_s = self._find_patience(call, now_s)
-        wait_s = state.estimate_wait(call.state)
-        if wait_s > patience_s:
-            raise self._make_refusal(
-                call, ErrorCode.QUEUE_FULL, f"a place takes {wait_s:.1f} s"
-            )
-        granted = asyncio.get_running_loop().create_future()
-        target_s = call.route.target.total_seconds()
-        waiter = call.state.places.add(
-            call.priority,
-            call.request.received_s + target_s * self._parameters.fresh_share,
-            lambda: _resolve(granted),
-            call.sends,
-        )
-        if waiter is not None:
-            try:
-                async with asyncio.timeout(patience_s) as limit:
-                    await granted
-                return
-            except TimeoutError:
-                if not limit.expired():
-                    raise
-            finally:
-                call.state.places.withdraw(waiter)
-        raise self._make_refusal(
-            call,
-            ErrorCode.NO_REPLICA,
-            f"none of {len(call.state.slots)} replicas has a place",
-        )
-
-    def _has_place(self, call: Call, now_s: float) -> bool:
-        service = call.state
-        if service.outage.is_down:
-            return service.outage.take_probe(now_s)
-        if service.places.has_fresh(now_s):
-            return False
-        allowance = self._parameters.queue_allowance
-        full = self._state.find_full(service, allowance, now_s)
-        return len(full) < len(service.slots)
-
-    def _find_patience(self, call: Call, now_s: float) -> float:
-        """Returns how long a request may wait for a place, in seconds."""
-        left_s = call.client_deadline_s - now_s
-        waited_s = now_s - call.request.received_s
-        return max(
-            0.0,
-            min(
-                left_s * self._parameters.patience_share,
-                self._parameters.patience_s - waited_s,
-            ),
-        )
-
-    def _make_refusal(
-        self, call: Call, code: ErrorCode, message: str
-    ) -> ChicoryplankError:
-        """Returns the final error of a call, with when to come back."""
-        retry_after = None
-        if call.verdict is Verdict.NOT_RUN:
-            left_s = call.client_deadline_s - self._state.now_s()
-            retry_after = self._returns.draw(timedelta(seconds=max(0, left_s)))
-        return ChicoryplankError(code, message, call.verdict, retry_after)
-
     async def _finish(
         self,
         call: Call,
@@ -356,7 +249,8 @@
             await relay.wait_head(attempt)
             outcome = classify(self._names, attempt.response, call.request_id)
             if outcome is Outcome.ANSWER or (
-                outcome is Outcome.FAILURE and not self._is_worth_repeat(call)
+                outcome is Outcome.FAILURE
+                and not self._admission.is_worth_repeat(call)
             ):
                 call.verdict = Verdict.RAN
                 await relay.pass_on(attempt, reply)
@@ -376,18 +270,6 @@
             self._end(call, instance, succeeded)
         return False
 
-    def _is_worth_repeat(self, call: Call) -> bool:
-        """Whether a failure of a replica may be tried again elsewhere."""
-        now_s = self._state.now_s()
-        return (
-            call.route.repeatable
-            and call.runs + 1 < call.route.max_runs
-            and call.sends < _MAX_SENDS
-            and call.deadline_s - now_s > _LEAST_LEFT_S
-            and len(call.state.slots) > 1
-            and call.state.repeats.has(self._state.entries, now_s)
-        )
-
     def _take_outcome(
         self, call: Call, attempt: Attempt, outcome: Outcome
     ) -> bool | None:
@@ -475,8 +357,3 @@
             after_ms=self._measure_ms(call.request),
             detail=str(detail),
         )
-
-
-def _resolve(future: asyncio.Future) -> None:
-    if not future.done():
-        future.set_result(None)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -1,7 +1,6 @@
 """Follows the demand for experts and changes the maps of groups."""
 
 import asyncio
-import collections
 import dataclasses
 from collections.abc import Callable, Mapping
 from datetime import timedelta
@@ -21,14 +20,21 @@
 )
 from chicoryplank.rebalance import (
     JointDecision,
-    JointLimits,
-    JointSlots,
     compute_joint_skew,
-    improve_joint_map,
 )
 from chicoryplank.store import Store, StoreError
 from chicoryplank.traffic import EngineProfile, ReplicaRecord
 from chicoryplank_entry.forwarding.demand import Demand
+from chicoryplank_entry.forwarding.group_view import (
+    GroupView,
+    RankPorts,
+    find_pass_s,
+    has_one_map,
+    make_view,
+    read_counts,
+    read_states,
+    search_map,
+)
 from chicoryplank_entry.forwarding.state import EntryState
 
 # A group that a controller holds stands still until its successor releases it,
@@ -67,22 +73,6 @@
     rest_s: float = 0.5
 
 
-@dataclasses.dataclass(slots=True)
-class _GroupView:
-    """What the controller knows of a group in one epoch."""
-
-    epoch: int
-    slots: JointSlots
-    version: int
-    pending_version: int | None = None
-    pending_slots: JointSlots = ()
-    changed_s: float = float("-inf")
-    passes: collections.deque = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=4)
-    )
-
-
-RankPorts = dict[RankId, RankPort]
 MakeRank = Callable[[ReplicaRecord], RankPort]
 
 
@@ -125,7 +115,7 @@
         )
         self._ports: dict[InstanceId, tuple[str, RankPort]] = {}
         self._demands: dict[str, Demand] = {}
-        self._views: dict[str, _GroupView] = {}
+        self._views: dict[str, GroupView] = {}
         self._versions = 0
         self._version_token = 0
         self._urgent_until_s = float("-inf")
@@ -192,7 +182,7 @@
         if service is None or service.engine is None:
             return
         ports = self._list_ports()
-        states = await _read_states(ports)
+        states = await read_states(ports)
         groups: dict[str, dict[RankId, tuple[RankState, RankPort]]] = {}
         for instance, state in states.items():
             members = groups.setdefault(state.group, {})
@@ -232,7 +222,7 @@
         demand = self._demands[name]
         if is_new:
             self._note_urgent()
-            view = _make_view(epoch, states, counts, engine)
+            view = make_view(epoch, states, counts, engine)
             if view is None:
                 return
             self._views[name] = view
@@ -242,7 +232,7 @@
         if any(state.held_step is not None for state in states.values()):
             await self._settle(name, view, ports, states)
             return
-        if not _has_one_map(states):
+        if not has_one_map(states):
             return
         version = next(iter(states.values())).map_version
         if version != view.version:
@@ -267,7 +257,7 @@
     ) -> dict[RankId, RankCounts]:
         """Reads the counts of a group's ranks and adds them to its demand."""
         ports = {rank: port for rank, (_, port) in members.items()}
-        counts = await _read_counts(ports, with_experts)
+        counts = await read_counts(ports, with_experts)
         demand = self._demands.setdefault(
             name, Demand(self._parameters.memory_s)
         )
@@ -304,7 +294,7 @@
     async def _settle(
         self,
         name: str,
-        view: _GroupView,
+        view: GroupView,
         ports: RankPorts,
         states: Mapping[RankId, RankState],
     ) -> None:
@@ -316,7 +306,7 @@
     async def _rebalance(
         self,
         name: str,
-        view: _GroupView,
+        view: GroupView,
         ports: RankPorts,
         states: Mapping[RankId, RankState],
         *,
@@ -333,9 +323,9 @@
             return
         if (skew - 1.0) * engine.expert_share < parameters.least_gain:
             return
-        if _find_pass_s(view) < parameters.calm_share * self._find_pause_s():
+        if find_pass_s(view) < parameters.calm_share * self._find_pause_s():
             return
-        decision = await _search(view.slots, loads, engine)
+        decision = await search_map(view.slots, loads, engine)
         share = engine.expert_share
         before = (1 - share) + share * decision.current_skew
         after = (1 - share) + share * decision.predicted_skew
@@ -356,7 +346,7 @@
     async def _change(
         self,
         name: str,
-        view: _GroupView,
+        view: GroupView,
         ports: RankPorts,
         states: Mapping[RankId, RankState],
         decision: JointDecision,
@@ -375,7 +365,7 @@
         view.pending_slots = decision.slots
         switch = self._make_switch(ports, view.epoch)
         result = await switch.change(
-            decision.slots, view.slots, version, _find_pass_s(view)
+            decision.slots, view.slots, version, find_pass_s(view)
         )
         view.changed_s = self._now_s()
         took_ms = round((view.changed_s - started_s) * 1000)
@@ -391,91 +381,3 @@
                 took_ms=took_ms,
             )
             self._views.pop(name, None)
-
-
-async def _read_states(
-    ports: Mapping[InstanceId, RankPort],
-) -> dict[InstanceId, RankState]:
-    async def read(port: RankPort) -> RankState | None:
-        try:
-            return await port.read_state()
-        except RankUnreachableError:
-            return None
-
-    found = await asyncio.gather(*map(read, ports.values()))
-    return {
-        instance: state
-        for instance, state in zip(ports, found, strict=True)
-        if state is not None
-    }
-
-
-async def _read_counts(
-    ports: RankPorts, with_experts: bool
-) -> dict[RankId, RankCounts]:
-    """Returns the counts of the ranks that answer."""
-
-    async def read(port: RankPort) -> RankCounts | None:
-        try:
-            return await port.read_counts(with_experts)
-        except RankUnreachableError:
-            return None
-
-    found = await asyncio.gather(*map(read, ports.values()))
-    return {
-        rank: counts
-        for rank, counts in zip(ports, found, strict=True)
-        if counts is not None
-    }
-
-
-def _make_view(
-    epoch: int, states: Mapping, counts: Mapping, engine: EngineProfile
-) -> _GroupView | None:
-    """Returns the view of a group from what its ranks hold, if they agree."""
-    versions = {state.map_version for state in states.values()}
-    if (
-        len(versions) != 1
-        or len(counts) < len(states)
-        or any(
-            item.experts is None or len(item.experts) != engine.layer_sets
-            for item in counts.values()
-        )
-    ):
-        return None
-    ranks = sorted(counts)
-    slots = tuple(
-        tuple(counts[rank].experts[index] for rank in ranks)
-        for index in range(engine.layer_sets)
-    )
-    return _GroupView(epoch, slots, versions.pop())
-
-
-def _has_one_map(states: Mapping[RankId, RankState]) -> bool:
-    """Whether all ranks have the same map and none is armed."""
-    versions = {state.map_version for state in states.values()}
-    return len(versions) == 1 and all(
-        state.armed_version is None for state in states.values()
-    )
-
-
-def _find_pass_s(view: _GroupView) -> float:
-    """Returns the recent time of a pass, in seconds."""
-    (first_s, first), (last_s, last) = view.passes[0], view.passes[-1]
-    if last <= first:
-        return 0.08
-    return (last_s - first_s) / (last - first)
-
-
-async def _search(
-    slots: JointSlots, loads: list[list[float]], engine: EngineProfile
-) -> JointDecision:
-    """Searches a better map and lets other work run meanwhile."""
-    limits = JointLimits(engine.places, engine.max_new_experts)
-    steps = improve_joint_map(slots, loads, limits)
-    while True:
-        try:
-            next(steps)
-        except StopIteration as end:
-            return end.value
-        await asyncio.sleep(0)
--- a/packages/chicoryplank/src/chicoryplank/admission/_places.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_places.py
@@ -21,12 +21,14 @@
         fresh_until_s: Until when its answer can still be in time.
         grant: Called once when the place is there.
         sends: How often the request was sent before.
+        is_granted: Whether it has its place and has not gone on yet.
     """
 
     priority: int
     fresh_until_s: float
     grant: Callable[[], None]
     sends: int = 0
+    is_granted: bool = False
 
 
 class PlaceQueue:
@@ -46,6 +48,7 @@
     def __init__(self, max_waiting: int) -> None:
         self._max_waiting = max_waiting
         self._waiters: list[Waiter] = []
+        self._granted = 0
         self._duration_s: float | None = None
 
     def __len__(self) -> int:
@@ -73,8 +76,11 @@
         return waiter
 
     def withdraw(self, waiter: Waiter) -> None:
-        """Removes a request that no longer waits."""
-        if waiter in self._waiters:
+        """Removes a request that no longer waits, with a place or without."""
+        if waiter.is_granted:
+            waiter.is_granted = False
+            self._granted -= 1
+        elif waiter in self._waiters:
             self._waiters.remove(waiter)
 
     def observe_duration(self, duration_s: float) -> None:
@@ -103,12 +109,16 @@
     def grant(self, places: int, now_s: float, reserve: int = 0) -> None:
         """Grants places: by priority, then to those in time, then by age.
 
+        Requests that were granted a place and have not gone on yet still
+        count against the free ones.
+
         Args:
             places: Places that are free.
             now_s: Current time in seconds.
             reserve: Free places that requests which are late in any case
                 leave to those that other entries may have.
         """
+        places -= self._granted
         while places > 0 and self._waiters:
             waiter = min(
                 (
@@ -122,8 +132,13 @@
             if waiter is None:
                 return
             places -= 1
-            self._waiters.remove(waiter)
-            waiter.grant()
+            self._give(waiter)
+
+    def _give(self, waiter: Waiter) -> None:
+        self._waiters.remove(waiter)
+        waiter.is_granted = True
+        self._granted += 1
+        waiter.grant()
 
     def grant_probe(self) -> None:
         """Lets one request try a service that is down.
@@ -132,6 +147,4 @@
         repeat.
         """
         if self._waiters:
-            waiter = min(self._waiters, key=lambda item: item.sends)
-            self._waiters.remove(waiter)
-            waiter.grant()
+            self._give(min(self._waiters, key=lambda item: item.sends))
