--- a/tools/soak_forwarding.py
+++ b/tools/soak_forwarding.py
@@ -411,10 +411,12 @@
             f"bounds.budget-window-s={BUDGET_WINDOW_S}",
         ]
         path = self._folder / f"{name}.conf"
-        path.write_text("\n".join(lines) + "\n")
+        text = "\n".join(lines) + "\n"
+        path.write_text(text)
         self._places[name] = Place(
             name,
             path,
+            text,
             address,
             f"{host}:8220",
             f"{host}:8224",
--- a/tools/soak_forwarding_faults.py
+++ b/tools/soak_forwarding_faults.py
@@ -33,6 +33,7 @@
 
     Attributes:
         settings: Settings file.
+        text: Valid content of that file.
         address: Where callers connect, behind the link.
         ready_address: Where the platform asks whether it is ready.
         caller_link: Link from callers to the entry.
@@ -41,6 +42,7 @@
 
     name: str
     settings: pathlib.Path
+    text: str
     address: str
     ready_address: str
     directory_address: str
@@ -152,8 +154,7 @@
     name = world.choose(world.places)
     if name is None:
         return
-    path = world.places[name].settings
-    text = path.read_text()
+    path, text = world.places[name].settings, world.places[name].text
     interval = world.timeline.begin("reload", "settings")
     extra = world.source.randrange(80, 90)
     changed = f"{text}bounds.retry-budget-extra={extra}\n"
