Finish a held change after the lease has lapsed

A controller now withdraws the change and releases its own hold also without the lease, under its old fencing token, and stops at the first rank that has heard of a successor.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_maps.py
@@ -19,7 +19,7 @@
     ServiceId,
     ZoneId,
 )
-from chicoryplank.orders import OrderResult, RankCounts
+from chicoryplank.orders import Operation, OrderResult, RankCounts
 from chicoryplank.orders.tests.group_model import Group
 from chicoryplank.rebalance import compute_joint_skew
 from chicoryplank.traffic import (
@@ -103,6 +103,8 @@
 
     async def place(self, order):
         world = self._world
+        if order.operation in world.unanswered:
+            return OrderResult.UNKNOWN
         result = world.group.apply(self._index, order)
         if order.experts and result is OrderResult.ACCEPTED:
             world.maps[order.version] = order.experts
@@ -160,6 +162,8 @@
                 )
             )
         self.store = MemoryStore(self.clock)
+        # Operations that get no answer and are not carried out.
+        self.unanswered = set()
 
     def make_controller(self, service=ModelGroupId(_SERVICE), owner="own"):  # noqa: B008
         return MapController(
@@ -342,6 +346,44 @@
         self.assertTrue(all(rank.highest > 0 for rank in group.ranks))
 
 
+class TestStoreLostDuringChange(testtools.TestCase):
+    """Load pattern: the store goes away between a hold and its release."""
+
+    def test_group_goes_on_while_the_store_is_away(self):
+        """Guards against a group that stands still as long as the store.
+
+        No successor can take the lease then, and callers give a stream up
+        after 2 s of silence.
+        """
+
+        async def run():
+            world = _World()
+            world.unanswered.add(Operation.ARM)
+            controller = world.make_controller()
+            await controller.lease.acquire()
+            task = asyncio.ensure_future(controller.run())
+            world.weights = [8.0] * 4 + [1.0] * 12
+            ticks = 0
+            while ticks < 500 and all(
+                rank.held is None for rank in world.group.ranks
+            ):
+                await world.run(4)
+                ticks += 4
+            world.store.available = False
+            step = world.group.step
+            # The lease lapses meanwhile.
+            await world.run(75)
+            world.unanswered.clear()
+            await world.run(50)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return ticks, world.group.step - step
+
+        ticks, passes = asyncio.run(run())
+        self.assertLess(ticks, 500)
+        self.assertGreater(passes, 15)
+
+
 class TestLeaseOfSlowStore(testtools.TestCase):
     """Load pattern: the store answers many times more slowly."""
 
--- a/packages/chicoryplank/src/chicoryplank/orders/_switch.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/_switch.py
@@ -15,6 +15,10 @@
 * A successor cannot know which orders of its predecessor are still under
   way. Before it withdraws anything, it holds a rank that the predecessor did
   not hold, so that a late release does not start the pass.
+* A controller whose lease lapses after its hold still withdraws the change and
+  releases the hold, since nobody may be able to take the lease while the store
+  is away. To the group these are late orders; it stops at the first sign of a
+  successor.
 * All orders name the epoch; a new epoch begins with the first map and nothing
   armed or held.
 """
@@ -70,6 +74,10 @@
     """The controller must not place further orders."""
 
 
+class _LapsedError(_InterruptedError):
+    """The lease of the controller may have lapsed."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SwitchParameters:
     """Times of a map change, in seconds.
@@ -116,6 +124,9 @@
         self._clock = clock
         self._parameters = parameters or SwitchParameters()
         self._last_step = 0
+        self._last_token: FencingToken | None = None
+        # Whether orders go on after the lease has lapsed.
+        self._is_finishing = False
 
     async def change(
         self,
@@ -140,7 +151,12 @@
                 return SwitchResult.WITHDRAWN
             holder, step = held
             emit(Event.GROUP_HELD, rank=holder, step=step, version=version)
-            if await self._arm_all(version, step):
+            try:
+                is_armed = await self._arm_all(version, step)
+            except _LapsedError:
+                is_armed = False
+            self._is_finishing = True
+            if is_armed:
                 await self._release(holder, step)
                 return SwitchResult.SWITCHED
             await self._withdraw_all(current, version + 1)
@@ -167,6 +183,7 @@
                 # withdrawn even if no rank reports that it is armed.
                 if not await self._hold_again(held):
                     return SwitchResult.SWITCHED
+                self._is_finishing = True
                 await self._withdraw_all(current, version)
                 states = await self._read_all()
                 held = _list_held(states)
@@ -251,6 +268,7 @@
         while True:
             state = await self._read(port)
             if state is not None:
+                self._check_successor(state, version)
                 if state.armed_version is not None:
                     order = self._make(
                         Operation.DISARM, version=state.armed_version
@@ -264,6 +282,20 @@
                 await self._order_once(port, order)
             await self._pause(self._parameters.poll_s)
 
+    def _check_successor(self, state: RankState, version: int) -> None:
+        """Stops a controller without a lease where another one is at work.
+
+        Raises:
+            _InterruptedError: If a rank has heard of a newer version.
+        """
+        seen = (
+            state.map_version,
+            state.prepared_version or 0,
+            state.armed_version or 0,
+        )
+        if self._get_token() is None and max(seen) > version:
+            raise _InterruptedError
+
     async def _release(self, rank: RankId, step: int) -> None:
         """Releases a hold and makes sure that it is gone."""
         port = self._ranks[rank]
@@ -373,8 +405,12 @@
 
     def _take_token(self) -> FencingToken:
         token = self._get_token()
-        if token is None:
-            raise _InterruptedError
+        if token is not None:
+            self._last_token = token
+        elif self._is_finishing and self._last_token is not None:
+            return self._last_token
+        else:
+            raise _LapsedError
         return token
 
     def _make(
--- a/packages/chicoryplank/src/chicoryplank/orders/tests/group_model.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/tests/group_model.py
@@ -197,9 +197,12 @@
     Args:
         seed: Seed of all choices.
         make_switch: Class of the switch under test.
+        lapses: Whether leases lapse while their controllers live.
     """
 
-    def __init__(self, seed: int, make_switch=GroupSwitch) -> None:
+    def __init__(
+        self, seed: int, make_switch=GroupSwitch, lapses: bool = False
+    ) -> None:
         self.source = random.Random(seed)
         self.clock = ManualClock()
         self.group = Group(3, checks_fencing=seed % 2 == 0)
@@ -208,6 +211,8 @@
         self._late: list[tuple[timedelta, int, int, RankOrder]] = []
         self._numbers = itertools.count()
         self._token = 0
+        self._valid = 0
+        self._lapses = lapses
         self._cut: dict[int, timedelta] = {}
         self._is_calm = False
 
@@ -234,6 +239,8 @@
             MixedMapsError: If a pass began with two maps.
         """
         controller = asyncio.ensure_future(self._control())
+        # Controllers without a lease that finish what they have begun.
+        lapsed: list[asyncio.Future] = []
         for tick in range(ticks + calm_ticks):
             if tick == ticks:
                 self._is_calm = True
@@ -252,12 +259,29 @@
                 duration = timedelta(seconds=3 * self.source.random())
                 self._cut[index] = self.clock.elapsed() + duration
             dies = not self._is_calm and self.source.random() < 0.01
+            has_lapsed = (
+                self._lapses
+                and not self._is_calm
+                and self.source.random() < 0.01
+            )
+            if has_lapsed:
+                # The lease lapses; nobody may take it for some time.
+                self._valid = 0
+                lapsed.append(controller)
+                controller = asyncio.ensure_future(self._wait_and_control())
+                continue
             if controller.done() or dies:
                 controller.cancel()
                 await asyncio.gather(controller, return_exceptions=True)
                 controller = asyncio.ensure_future(self._control())
-        controller.cancel()
-        await asyncio.gather(controller, return_exceptions=True)
+        for item in (controller, *lapsed):
+            item.cancel()
+        await asyncio.gather(controller, *lapsed, return_exceptions=True)
+
+    async def _wait_and_control(self) -> None:
+        delay_s = self.source.choice((0.0, 0.3, 3.0)) * self.source.random()
+        await self.clock.sleep(timedelta(seconds=delay_s))
+        await self._control()
 
     def _apply_late(self) -> None:
         while self._late and self._late[0][0] <= self.clock.elapsed():
@@ -268,6 +292,7 @@
         """Changes the map again and again, as one holder of the lease."""
         self._token += self.source.randrange(1, 4)
         token = FencingToken(self._token)
+        self._valid = token
         versions = itertools.count(token * VERSIONS_PER_TOKEN, 2)
         ports = {
             RankId(index): FaultyPort(self, index)
@@ -275,13 +300,18 @@
         }
         while True:
             switch = self._make_switch(
-                ports, self.group.epoch, lambda: token, self.clock
+                ports,
+                self.group.epoch,
+                lambda: token if self._valid == token else None,
+                self.clock,
             )
             states = [self.group.read(index) for index in range(len(ports))]
             if any(state.held_step is not None for state in states):
                 await switch.settle(_CONTENT, next(versions))
             elif not any(state.armed_version for state in states):
                 await switch.change(_CONTENT, _CONTENT, next(versions), 0.04)
+            if self._valid != token:
+                return
             await self.clock.sleep(TICK)
 
 
--- a/packages/chicoryplank/src/chicoryplank/orders/tests/test_switch.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/tests/test_switch.py
@@ -11,8 +11,10 @@
 _TICKS = 800
 
 
-def _play(seed, make_switch=GroupSwitch, ticks=_TICKS, calm_ticks=0):
-    world = World(seed, make_switch)
+def _play(
+    seed, make_switch=GroupSwitch, ticks=_TICKS, calm_ticks=0, lapses=False
+):
+    world = World(seed, make_switch, lapses)
     asyncio.run(world.run(ticks, calm_ticks))
     return world
 
@@ -66,6 +68,13 @@
         switches = sum(_play(seed).group.switches for seed in _SEEDS)
         self.assertGreater(switches, 100)
 
+    def test_no_pass_has_two_maps_when_leases_lapse(self):
+        """Guards against a controller that goes on beside its successor."""
+        switches = sum(
+            _play(seed, lapses=True).group.switches for seed in _SEEDS
+        )
+        self.assertGreater(switches, 100)
+
     def test_group_is_never_held_for_good(self):
         """Guards against a hold that nobody releases once faults are over."""
         for seed in _SEEDS:
