Use the step runner, the violations and the command line that exist

Found while reading the whole change; behaviour stays. The search of a group's map repeated run_between_tasks, which now takes any stepwise search. An entry read its settings a third time at its start.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -342,6 +342,7 @@
 
 
 async def run_entry(
+    parameters: EntryParameters,
     make_entry: Callable[[EntryParameters], ForwardingEntry],
     writer: LineWriter,
     read_parameters: Callable[[], EntryParameters],
@@ -349,18 +350,15 @@
     """Runs an entry until the process is told to stop.
 
     Args:
+        parameters: Parameters at the start.
         make_entry: Returns the entry; called in the event loop.
         writer: Output of log lines.
-        read_parameters: Reads the settings; raises ChicoryplankError.
-
-    Raises:
-        ChicoryplankError: If the settings are invalid at the start.
+        read_parameters: Reads the settings again; raises ChicoryplankError.
     """
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    parameters = read_parameters()
     with writer.applicationbound():
         await writer.start()
         entry = make_entry(parameters)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/group_view.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/group_view.py
@@ -17,6 +17,7 @@
     JointLimits,
     JointSlots,
     improve_joint_map,
+    run_between_tasks,
 )
 from chicoryplank.traffic import EngineProfile
 
@@ -134,10 +135,4 @@
 ) -> JointDecision:
     """Searches a better map and lets other work run meanwhile."""
     limits = JointLimits(engine.places, engine.max_new_experts)
-    steps = improve_joint_map(slots, loads, limits)
-    while True:
-        try:
-            next(steps)
-        except StopIteration as end:
-            return end.value
-        await asyncio.sleep(0)
+    return await run_between_tasks(improve_joint_map(slots, loads, limits))
--- a/packages/chicoryplank/src/chicoryplank/rebalance/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/__init__.py
@@ -33,6 +33,8 @@
             "Reason",
             "RepackPolicy",
             "StaticPolicy",
+        ),
+        "_steps": (
             "run_between_tasks",
             "run_steps",
         ),
--- a/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_incremental.py
@@ -16,8 +16,9 @@
     compute_skew_bound,
     list_moves,
 )
-from chicoryplank.rebalance._policy import Decision, Reason, Steps, run_steps
+from chicoryplank.rebalance._policy import Decision, Reason, Steps
 from chicoryplank.rebalance._search import Step, search_moves
+from chicoryplank.rebalance._steps import run_steps
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryplank/src/chicoryplank/rebalance/_policy.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_policy.py
@@ -1,6 +1,5 @@
 """The interface of rebalancing policies and the two simple policies."""
 
-import asyncio
 import dataclasses
 import enum
 import heapq
@@ -18,6 +17,7 @@
     list_moves,
     replicate_experts,
 )
+from chicoryplank.rebalance._steps import run_steps
 
 # Items handled between two yields; one slice takes well under 5 ms.
 _ITEMS_PER_SLICE = 128
@@ -77,25 +77,6 @@
         """Returns the same decision from a generator that yields often."""
 
 
-def run_steps(steps: Steps) -> Decision:
-    """Runs a stepwise decision to its end without a pause."""
-    while True:
-        try:
-            next(steps)
-        except StopIteration as end:
-            return end.value
-
-
-async def run_between_tasks(steps: Steps) -> Decision:
-    """Runs a stepwise decision and lets other tasks run at each yield."""
-    while True:
-        try:
-            next(steps)
-        except StopIteration as end:
-            return end.value
-        await asyncio.sleep(0)
-
-
 class StaticPolicy:
     """Never moves an expert; the baseline."""
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -7,12 +7,9 @@
 import argparse
 import asyncio
 import collections
-import json
 import pathlib
 import random
-import signal
 import sys
-import tempfile
 import time
 from typing import Any
 
@@ -20,14 +17,14 @@
 from fleet import Fleet, FleetError, request_json
 from layout import Site, SiteOptions, make_intent
 from soak_callers import Addresses, Callers
+from soak_command import report, run_command
 from soak_faults import FAULTS, World, run_faults
 from soak_operators import Operators
-from soak_records import Ending, Timeline, Try
+from soak_records import Ending, Timeline, Try, Violations
 
 from chicoryplank_standins.calls import Target
 
 TOKEN = "soak-token"
-INTERRUPTED = 130
 MODEL_RATE = 22
 SERVICE_RATE = 18
 MAX_TOKENS = 128
@@ -37,11 +34,6 @@
 RECOVERY_S = 4.0
 
 
-def report(text: str) -> None:
-    """Prints what happens on standard error."""
-    print(f"soak: {text}", file=sys.stderr, flush=True)
-
-
 def make_options() -> SiteOptions:
     """Returns a site whose planned stops take seconds."""
     drain = {"drain_timeout_s": 30}
@@ -79,7 +71,7 @@
     ) -> None:
         self.tries: list[Try] = []
         self.timeline = Timeline()
-        self.violations = soak_checks.Violations()
+        self.violations = Violations()
         self._healed_s = 0.0
         self._options = options
         self._folder = folder
@@ -248,50 +240,9 @@
     return dict(sorted(collections.Counter(names).items()))
 
 
-async def run(options: argparse.Namespace) -> dict[str, Any]:
-    """Runs the soak and returns the summary."""
-    loop = asyncio.get_running_loop()
-    task = asyncio.current_task()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, task.cancel)
-    with tempfile.TemporaryDirectory(prefix="chicoryplank-soak-") as name:
-        folder = pathlib.Path(options.folder or name)
-        folder.mkdir(parents=True, exist_ok=True)
-        with Fleet(folder) as fleet:
-            try:
-                return await Soak(fleet, folder, options).run()
-            except FleetError:
-                for ended in fleet.find_ended():
-                    report(f"{ended} has ended:\n{fleet.read_log(ended)}")
-                raise
-
-
 def main() -> int:
     """Runs the soak and returns the exit code."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seconds", type=float, default=60)
-    parser.add_argument("--seed", type=int, default=0)
-    parser.add_argument("--folder", help="Keep settings, records and logs.")
-    parser.add_argument(
-        "--faults",
-        type=lambda text: text.split(","),
-        default=list(FAULTS),
-        help=f"By comma, of {', '.join(FAULTS)}.",
-    )
-    options = parser.parse_args()
-    if unknown := set(options.faults) - set(FAULTS):
-        parser.error(f"unknown faults: {', '.join(sorted(unknown))}")
-    try:
-        summary = asyncio.run(run(options))
-    except asyncio.CancelledError:
-        report("interrupted")
-        return INTERRUPTED
-    except FleetError as error:
-        print(json.dumps({"ok": False, "error": str(error)}))
-        return 1
-    is_ok = not summary["violations"]
-    print(json.dumps({"ok": is_ok, **summary}))
-    return 0 if is_ok else 1
+    return run_command(__doc__, FAULTS, Soak, seconds=60)
 
 
 if __name__ == "__main__":
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from soak_operators import Operators
-from soak_records import Ending, Timeline, Try
+from soak_records import Ending, Timeline, Try, Violations
 
 from chicoryplank_standins.calls import CallKind
 
@@ -17,7 +17,6 @@
 _POLL_SLACK_S = 0.5
 # An agent asks its backend server for the load; plain services record that.
 _PROBE = "/load"
-_MAX_EXAMPLES = 20
 _CODE = re.compile(r"CP\d{4}")
 _VERDICTS = frozenset({"not_run", "may_have_run", "ran"})
 _TRUNCATED = frozenset(
@@ -41,20 +40,6 @@
 _PLANNED = "leaving draining stop_entry stop_agent replace_entries"
 
 
-class Violations:
-    """Counts violations by kind and keeps some examples."""
-
-    def __init__(self) -> None:
-        self.counts: collections.Counter[str] = collections.Counter()
-        self.examples: list[str] = []
-
-    def add(self, kind: str, detail: str) -> None:
-        """Counts a violation."""
-        self.counts[kind] += 1
-        if len(self.examples) < _MAX_EXAMPLES:
-            self.examples.append(f"{kind}: {detail}")
-
-
 def _describe(item: Try, start_s: float) -> str:
     outcome = item.outcome
     return (
--- a/tools/soak_forwarding.py
+++ b/tools/soak_forwarding.py
@@ -15,11 +15,11 @@
 import pathlib
 import random
 import sys
-import tempfile
 import time
 from typing import Any
 
 from fleet import Fleet, FleetError, Forwarder, choose_ports
+from soak_command import report, run_command
 from soak_forwarding_faults import (
     FAULTS,
     STOP_GRACE_S,
@@ -70,12 +70,6 @@
 # Traffic after the last fault, once everything had time to settle.
 SETTLE_S = 6.0
 RECOVERY_S = 4.0
-INTERRUPTED = 130
-
-
-def report(text: str) -> None:
-    """Prints what happens on standard error."""
-    print(f"soak: {text}", file=sys.stderr, flush=True)
 
 
 class Operator:
@@ -498,46 +492,9 @@
         }
 
 
-async def run(options: argparse.Namespace) -> dict[str, Any]:
-    """Runs the soak and returns the summary."""
-    with tempfile.TemporaryDirectory(prefix="chicoryplank-soak-") as name:
-        folder = pathlib.Path(options.folder or name)
-        folder.mkdir(parents=True, exist_ok=True)
-        with Fleet(folder) as fleet:
-            try:
-                return await Soak(fleet, folder, options).run()
-            except FleetError:
-                for ended in fleet.find_ended():
-                    report(f"{ended} has ended:\n{fleet.read_log(ended)}")
-                raise
-
-
 def main() -> int:
     """Runs the soak and returns the exit code."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seconds", type=float, default=30)
-    parser.add_argument("--seed", type=int, default=0)
-    parser.add_argument("--folder", help="Keep settings and logs.")
-    parser.add_argument(
-        "--faults",
-        type=lambda text: text.split(","),
-        default=list(FAULTS),
-        help=f"By comma, of {', '.join(FAULTS)}.",
-    )
-    options = parser.parse_args()
-    if unknown := set(options.faults) - set(FAULTS):
-        parser.error(f"unknown faults: {', '.join(sorted(unknown))}")
-    try:
-        summary = asyncio.run(run(options))
-    except KeyboardInterrupt:
-        report("interrupted")
-        return INTERRUPTED
-    except FleetError as error:
-        print(json.dumps({"ok": False, "error": str(error)}))
-        return 1
-    is_ok = not summary["violations"]
-    print(json.dumps({"ok": is_ok, **summary}))
-    return 0 if is_ok else 1
+    return run_command(__doc__, FAULTS, Soak, seconds=30)
 
 
 if __name__ == "__main__":
--- a/tools/soak_forwarding_faults.py
+++ b/tools/soak_forwarding_faults.py
@@ -1,12 +1,13 @@
 """Faults from outside for the soak of the forwarding entries."""
 
 import asyncio
+import contextlib
 import dataclasses
 import pathlib
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from fleet import Fleet, Forwarder, wait_for_http
 from soak_records import Timeline
@@ -78,6 +79,17 @@
         free = [name for name in items if name not in self.busy]
         return self.source.choice(free) if free else None
 
+    @contextlib.contextmanager
+    def occupy(self, kind: str, *names: str) -> Iterator[None]:
+        """Marks entries as concerned by a fault and busy with a restart."""
+        self.busy.update(names)
+        interval = self.timeline.begin(kind, *names)
+        try:
+            yield
+        finally:
+            self.timeline.end(interval)
+            self.busy.difference_update(names)
+
     def draw_s(self, least: float, most: float) -> float:
         """Returns a time in seconds."""
         return self.source.uniform(least, most)
@@ -98,55 +110,37 @@
 
 async def kill_entry(world: World) -> None:
     """Kills an entry, which the platform restarts."""
-    name = world.choose(world.places)
-    if name is None:
-        return
-    world.busy.add(name)
-    interval = world.timeline.begin("kill", name)
-    world.fleet.kill(name)
-    await _restart(world, name)
-    world.timeline.end(interval)
-    world.busy.discard(name)
+    if name := world.choose(world.places):
+        with world.occupy("kill", name):
+            world.fleet.kill(name)
+            await _restart(world, name)
 
 
 async def kill_all(world: World) -> None:
     """Kills all entries at once."""
     names = [name for name in world.places if name not in world.busy]
-    world.busy.update(names)
-    interval = world.timeline.begin("kill_all", *names)
-    for name in names:
-        world.fleet.kill(name)
-    await asyncio.gather(*(_restart(world, name) for name in names))
-    world.timeline.end(interval)
-    world.busy.difference_update(names)
+    with world.occupy("kill_all", *names):
+        for name in names:
+            world.fleet.kill(name)
+        await asyncio.gather(*(_restart(world, name) for name in names))
 
 
 async def stop_entry(world: World) -> None:
     """Stops an entry as planned work does, and starts it again."""
-    name = world.choose(world.places)
-    if name is None:
-        return
-    world.busy.add(name)
-    interval = world.timeline.begin("stop", name)
-    world.fleet.terminate(name)
-    await world.fleet.wait_for_end(name, STOP_GRACE_S)
-    await _restart(world, name)
-    world.timeline.end(interval)
-    world.busy.discard(name)
+    if name := world.choose(world.places):
+        with world.occupy("stop", name):
+            world.fleet.terminate(name)
+            await world.fleet.wait_for_end(name, STOP_GRACE_S)
+            await _restart(world, name)
 
 
 async def pause_entry(world: World) -> None:
     """Freezes an entry."""
-    name = world.choose(world.places)
-    if name is None:
-        return
-    world.busy.add(name)
-    interval = world.timeline.begin("pause", name)
-    world.fleet.pause(name)
-    await asyncio.sleep(world.draw_s(0.3, 3.0))
-    world.fleet.resume(name)
-    world.timeline.end(interval)
-    world.busy.discard(name)
+    if name := world.choose(world.places):
+        with world.occupy("pause", name):
+            world.fleet.pause(name)
+            await asyncio.sleep(world.draw_s(0.3, 3.0))
+            world.fleet.resume(name)
 
 
 async def reload_entry(world: World) -> None:
--- a/tools/soak_forwarding_judge.py
+++ b/tools/soak_forwarding_judge.py
@@ -7,7 +7,7 @@
 import re
 import time
 
-from soak_records import Timeline
+from soak_records import Timeline, Violations
 
 from chicoryplank_platform.names import HEADERS
 from chicoryplank_platform.tests.caller_standin import Answer, Kind, Request
@@ -42,7 +42,6 @@
 _NOT_FOUND = 404
 _DENIED = frozenset({400, 401, 403, 404})
 _EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
-_MAX_EXAMPLES = 12
 _PROBLEM = re.compile(r"Traceback|never retrieved|was never awaited")
 
 
@@ -85,7 +84,7 @@
         return [item for item in self.arrivals if item.runs]
 
 
-class Judge:
+class Judge(Violations):
     """Checks every arrival and every answer as it is seen.
 
     Args:
@@ -96,8 +95,7 @@
     def __init__(
         self, timeline: Timeline, route_timeouts: dict[Kind, float]
     ) -> None:
-        self.counts: collections.Counter[str] = collections.Counter()
-        self.examples: list[str] = []
+        super().__init__()
         self.sent: dict[str, Sent] = {}
         # Unix time at which each new route was acknowledged, by path.
         self.added: dict[str, float] = {}
@@ -108,12 +106,6 @@
         self._timeline = timeline
         self._timeouts = route_timeouts
 
-    def add(self, promise: str, detail: str) -> None:
-        """Records a broken promise."""
-        self.counts[promise] += 1
-        if len(self.examples) < _MAX_EXAMPLES:
-            self.examples.append(f"{promise}: {detail}")
-
     def find_violations(self) -> dict[str, int]:
         """Returns the promises that were broken more often than allowed."""
         return {
--- a/tools/soak_records.py
+++ b/tools/soak_records.py
@@ -7,6 +7,8 @@
 
 from chicoryplank_standins.calls import Call, Outcome
 
+_MAX_EXAMPLES = 20
+
 
 class Ending(enum.Enum):
     """How a try ended for its caller."""
@@ -108,3 +110,17 @@
     def count(self) -> dict[str, int]:
         """Returns the number of intervals of each kind."""
         return dict(sorted(Counter(i.kind for i in self.intervals).items()))
+
+
+class Violations:
+    """Counts violations by kind and keeps some examples."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+        self.examples: list[str] = []
+
+    def add(self, kind: str, detail: str) -> None:
+        """Counts a violation."""
+        self.counts[kind] += 1
+        if len(self.examples) < _MAX_EXAMPLES:
+            self.examples.append(f"{kind}: {detail}")
