Choose the size of a map change by its gain over its duration

A change copied 24 to 53 experts, 0.15 s each on a rank's link, and took 0.8 to 1.7 s; the groups were changed one after the other, so that a new map came every 2.1 s and the busiest rank kept 1.8 times the mean. Steps took 100 to 165 ms (limit 120), which fills all slots and keeps the steps long. Change: the search raises the number of copies of each rank one by one, over all layer sets, and takes the map with the shortest mean step duration while the demand is expected to last. Costs come from the profile (copy time), the changes so far (other time) and the observed shifts. Each group is controlled by its own task. The demand decays within 0.3 s instead of 0.6 s. Requests late in the seconds after a shift remain.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/demand.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/demand.py
@@ -66,3 +66,52 @@
             self._loads[index * size : (index + 1) * size]
             for index in range(sets)
         ]
+
+
+# Increase of the skew over the expected one that counts as a shift of demand.
+_SHIFT_SKEW = 0.4
+# Minimum time between two shifts, in seconds. Requests of the old demand are
+# replaced gradually, so that the skew rises for some time after one shift.
+_MIN_SHIFT_INTERVAL_S = 1.0
+# Expected time between two shifts until one was observed, in seconds.
+_INITIAL_SHIFT_INTERVAL_S = 5.0
+# Weight of the newest interval in the moving average.
+_INTERVAL_WEIGHT = 0.3
+
+
+class DemandLifetime:
+    """Expected time until the demand of a group shifts again.
+
+    Shifts are assumed to be independent of each other, so the expected time
+    does not depend on how long the present demand has lasted, unless that is
+    longer than the mean interval.
+    """
+
+    def __init__(self) -> None:
+        self._mean_interval_s = _INITIAL_SHIFT_INTERVAL_S
+        self._shifted_s: float | None = None
+
+    def observe(self, skew: float, expected_skew: float, now_s: float) -> None:
+        """Records the skew of the active map under the present demand.
+
+        Args:
+            skew: Measured skew.
+            expected_skew: Skew that was expected when the map was chosen.
+            now_s: Current time in seconds.
+        """
+        if skew < expected_skew + _SHIFT_SKEW:
+            return
+        if self._shifted_s is not None:
+            interval_s = now_s - self._shifted_s
+            if interval_s < _MIN_SHIFT_INTERVAL_S:
+                return
+            self._mean_interval_s += _INTERVAL_WEIGHT * (
+                interval_s - self._mean_interval_s
+            )
+        self._shifted_s = now_s
+
+    def estimate_remaining_s(self, now_s: float) -> float:
+        """Returns the expected time until the next shift, in seconds."""
+        if self._shifted_s is None:
+            return self._mean_interval_s
+        return max(self._mean_interval_s, now_s - self._shifted_s)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/group_view.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/group_view.py
@@ -13,6 +13,7 @@
     RankUnreachableError,
 )
 from chicoryplank.rebalance import (
+    ChangeCosts,
     JointDecision,
     JointLimits,
     JointSlots,
@@ -25,6 +26,8 @@
 # typical of a busy group on the target platform whose map does not match its
 # demand.
 _DEFAULT_STEP_DURATION_S = 0.08
+# Relative increase of the step duration while ranks copy experts.
+_COPY_SLOWDOWN = 0.15
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,6 +41,8 @@
         pending_version: Version of a map change in progress; None for none.
         pending_slots: New map of that change.
         last_change_s: Time when the last change ended.
+        predicted_skew: Mean skew that the last change was expected to reach;
+            infinite before the first change.
         step_samples: Latest observations of the group step: time and number.
     """
 
@@ -47,6 +52,7 @@
     pending_version: int | None = None
     pending_slots: JointSlots = ()
     last_change_s: float = float("-inf")
+    predicted_skew: float = float("inf")
     step_samples: collections.deque = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=4)
     )
@@ -135,8 +141,30 @@
 
 
 async def search_map(
-    slots: JointSlots, loads: list[list[float]], engine: EngineProfile
+    slots: JointSlots,
+    loads: list[list[float]],
+    engine: EngineProfile,
+    *,
+    fixed_s: float,
+    lasting_s: float,
 ) -> JointDecision:
-    """Searches for a better map without blocking the event loop."""
+    """Searches for a better map without blocking the event loop.
+
+    Args:
+        slots: Active map.
+        loads: Load of each expert, by layer set and expert.
+        engine: Profile of the ranks.
+        fixed_s: Duration of a change without its copies, in seconds.
+        lasting_s: Time in seconds for which the demand is expected to last.
+    """
     limits = JointLimits(engine.max_experts, engine.max_new_experts)
-    return await run_cooperatively(improve_joint_map(slots, loads, limits))
+    costs = ChangeCosts(
+        copy_s=engine.expert_copy_duration.total_seconds(),
+        fixed_s=fixed_s,
+        lasting_s=lasting_s,
+        slowdown=_COPY_SLOWDOWN,
+        expert_share=engine.expert_share,
+    )
+    return await run_cooperatively(
+        improve_joint_map(slots, loads, limits, costs)
+    )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -24,7 +24,7 @@
 )
 from chicoryplank.store import Store, StoreError
 from chicoryplank.traffic import EngineProfile, ReplicaRecord
-from chicoryplank_entry.forwarding.demand import Demand
+from chicoryplank_entry.forwarding.demand import Demand, DemandLifetime
 from chicoryplank_entry.forwarding.group_view import (
     GroupView,
     RankPorts,
@@ -44,6 +44,10 @@
 _LEASE_MARGIN = timedelta(milliseconds=150)
 # Time between the starts of two renewals, in seconds.
 _RENEWAL_INTERVAL_S = 0.25
+# Assumed duration of a change without its copies until one was observed, in
+# seconds, and the weight of the newest one in the moving average.
+_INITIAL_FIXED_S = 0.4
+_FIXED_WEIGHT = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,22 +61,23 @@
             requests have waited for the group.
         max_urgent_s: Maximum time for which a new group counts as urgent.
         decay_time_s: Time constant of the decay of the measured demand.
-        min_gain: Minimum relative reduction of the step duration by a change.
+        min_gain: Minimum relative reduction of the mean step duration by a
+            change, for the time that the demand is expected to last.
         min_step_share: Step duration, as a fraction of the target gap between
             two events of a stream, below which the map is not changed since
             the steps are short enough.
         min_choices: Minimum decayed number of choices for a decision.
-        min_change_interval_s: Minimum time between two changes.
+        min_change_interval_s: Minimum time between two changes of a group.
     """
 
     poll_interval_s: float = 0.25
     urgent_poll_interval_s: float = 0.1
     max_urgent_s: float = 2.0
-    decay_time_s: float = 0.6
-    min_gain: float = 0.08
+    decay_time_s: float = 0.3
+    min_gain: float = 0.04
     min_step_share: float = 0.5
     min_choices: int = 2_000
-    min_change_interval_s: float = 0.5
+    min_change_interval_s: float = 0.1
 
 
 RankPortFactory = Callable[[ReplicaRecord], RankPort]
@@ -118,8 +123,11 @@
         self._ports: dict[InstanceId, tuple[str, RankPort]] = {}
         self._demands: dict[str, Demand] = {}
         self._views: dict[str, GroupView] = {}
+        self._lifetimes: dict[str, DemandLifetime] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
         self._version_count = 0
         self._version_token = 0
+        self._fixed_s = _INITIAL_FIXED_S
         self._urgent_until_s = float("-inf")
 
     def reset(self) -> None:
@@ -141,7 +149,13 @@
                     interval_s = self._parameters.urgent_poll_interval_s
                 left_s = interval_s - (self._now_s() - started_s)
                 await self._clock.sleep(timedelta(seconds=max(0.05, left_s)))
+            # A change that has begun is completed or withdrawn, also after the
+            # lease has expired.
+            await asyncio.gather(*self._tasks.values())
         finally:
+            for task in self._tasks.values():
+                task.cancel()
+            self._tasks.clear()
             renewal.cancel()
 
     async def _keep_lease(self) -> None:
@@ -200,54 +214,72 @@
                 # before the group opens.
                 await self._observe_demand(name, members)
             else:
-                try:
-                    await self._control_group(name, members, service.engine)
-                except RankUnreachableError as error:
-                    emit(
-                        Event.CONTROL_ROUND_FAILED,
-                        group=name,
-                        error=str(error),
-                    )
+                await self._observe_group(name, members, service.engine)
 
-    async def _control_group(
+    async def _observe_group(
         self,
         name: str,
         members: Mapping[RankId, tuple[RankState, RankPort]],
         engine: EngineProfile,
     ) -> None:
+        """Updates the view of a group, and controls it unless it is busy.
+
+        Groups are controlled by separate tasks, so that none waits for the
+        change of another.
+        """
         states = {rank: state for rank, (state, _) in members.items()}
-        ports = {rank: port for rank, (_, port) in members.items()}
         epoch = next(iter(states.values())).epoch
         view = self._views.get(name)
         is_new = view is None or view.epoch != epoch
         counts = await self._observe_demand(name, members, is_new)
-        demand = self._demands[name]
-        if is_new:
-            self._urgent_until_s = self._now_s() + self._parameters.max_urgent_s
+        now_s = self._now_s()
+        task = self._tasks.get(name)
+        if task is not None and task.done():
+            del self._tasks[name]
+            task.result()
+            task = None
+        if task is None and is_new:
             view = make_view(epoch, states, counts, engine)
             if view is None:
                 return
+            self._urgent_until_s = now_s + self._parameters.max_urgent_s
             self._views[name] = view
-        view.step_samples.append(
-            (self._now_s(), max(state.step for state in states.values()))
-        )
-        if any(state.held_step is not None for state in states.values()):
-            await self._recover(name, view, ports, states)
+        if view is not None and view.epoch == epoch:
+            step = max(state.step for state in states.values())
+            view.step_samples.append((now_s, step))
+        if task is not None:
             return
-        if not has_uniform_map(states):
-            return
-        version = next(iter(states.values())).map_version
-        if version != view.version:
-            if version != view.pending_version:
-                # A map of a previous controller has become active.
-                del self._views[name]
-                return
-            view.version, view.slots = version, view.pending_slots
-            view.pending_version = None
-        await self._rebalance(
-            name, view, ports, states, demand=demand, engine=engine
+        self._tasks[name] = asyncio.get_running_loop().create_task(
+            self._control_group(name, members, engine)
         )
 
+    async def _control_group(
+        self,
+        name: str,
+        members: Mapping[RankId, tuple[RankState, RankPort]],
+        engine: EngineProfile,
+    ) -> None:
+        states = {rank: state for rank, (state, _) in members.items()}
+        ports = {rank: port for rank, (_, port) in members.items()}
+        view = self._views[name]
+        try:
+            if any(state.held_step is not None for state in states.values()):
+                await self._recover(name, view, ports, states)
+                return
+            if not has_uniform_map(states):
+                return
+            version = next(iter(states.values())).map_version
+            if version != view.version:
+                if version != view.pending_version:
+                    # A map of a previous controller has become active.
+                    del self._views[name]
+                    return
+                view.version, view.slots = version, view.pending_slots
+                view.pending_version = None
+            await self._rebalance(name, view, ports, states, engine=engine)
+        except RankUnreachableError as error:
+            emit(Event.CONTROL_ROUND_FAILED, group=name, error=str(error))
+
     async def _observe_demand(
         self,
         name: str,
@@ -309,15 +341,17 @@
         ports: RankPorts,
         states: Mapping[RankId, RankState],
         *,
-        demand: Demand,
         engine: EngineProfile,
     ) -> None:
         parameters = self._parameters
         now_s = self._now_s()
+        demand = self._demands[name]
         if demand.total < parameters.min_choices:
             return
         loads = demand.list_loads(engine.layer_sets)
         skew = compute_joint_skew(view.slots, loads)
+        lifetime = self._lifetimes.setdefault(name, DemandLifetime())
+        lifetime.observe(skew, view.predicted_skew, now_s)
         if now_s - view.last_change_s < parameters.min_change_interval_s:
             return
         if (skew - 1.0) * engine.expert_share < parameters.min_gain:
@@ -327,11 +361,14 @@
             < parameters.min_step_share * self._get_gap_target_s()
         ):
             return
-        decision = await search_map(view.slots, loads, engine)
-        share = engine.expert_share
-        before = (1 - share) + share * decision.current_skew
-        after = (1 - share) + share * decision.predicted_skew
-        if before - after < parameters.min_gain * before:
+        decision = await search_map(
+            view.slots,
+            loads,
+            engine,
+            fixed_s=self._fixed_s,
+            lasting_s=lifetime.estimate_remaining_s(now_s),
+        )
+        if decision.gain < parameters.min_gain:
             return
         await self._change(name, view, ports, states, decision)
 
@@ -370,9 +407,14 @@
             decision.slots, view.slots, version, compute_step_duration_s(view)
         )
         view.last_change_s = self._now_s()
-        took_ms = round((view.last_change_s - started_s) * 1000)
+        took_s = view.last_change_s - started_s
+        took_ms = round(took_s * 1000)
         self._urgent_until_s = float("-inf")
         if result is SwitchResult.SWITCHED:
+            view.predicted_skew = decision.predicted_skew
+            self._fixed_s += _FIXED_WEIGHT * (
+                max(0.0, took_s - decision.copying_s) - self._fixed_s
+            )
             emit(Event.MAP_ARMED, group=name, change=version, took_ms=took_ms)
         else:
             emit(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_maps.py
@@ -32,7 +32,7 @@
     Share,
     TrafficConfiguration,
 )
-from chicoryplank_entry.forwarding.demand import Demand
+from chicoryplank_entry.forwarding.demand import Demand, DemandLifetime
 from chicoryplank_entry.forwarding.election import Election
 from chicoryplank_entry.forwarding.maps import MapController
 from chicoryplank_entry.forwarding.state import EntryState
@@ -82,6 +82,34 @@
         self.assertEqual(0, demand.total)
 
 
+class TestDemandLifetime(testtools.TestCase):
+    """The expected lifetime follows the observed shifts."""
+
+    def test_frequent_shifts_shorten_it(self):
+        """Guards against large changes for a demand that shifts often."""
+        lifetime = DemandLifetime()
+        before_s = lifetime.estimate_remaining_s(0.0)
+        for shift in range(8):
+            lifetime.observe(2.5, 1.2, 2.0 * shift)
+        self.assertLess(lifetime.estimate_remaining_s(14.0), 2.5)
+        self.assertGreater(before_s, 2.5)
+
+    def test_steady_demand_lengthens_it(self):
+        """Guards against small changes for a demand that lasts."""
+        lifetime = DemandLifetime()
+        lifetime.observe(2.5, 1.2, 0.0)
+        lifetime.observe(2.5, 1.2, 2.0)
+        lifetime.observe(1.3, 1.2, 40.0)
+        self.assertEqual(38.0, lifetime.estimate_remaining_s(40.0))
+
+    def test_gradual_rise_is_one_shift(self):
+        """Guards against counting each reading of one shift."""
+        lifetime = DemandLifetime()
+        for reading in range(10):
+            lifetime.observe(2.0 + 0.1 * reading, 1.2, 0.1 * reading)
+        self.assertGreater(lifetime.estimate_remaining_s(1.0), 2.5)
+
+
 class _RankPort:
     """Connection to a simulated rank, with counts that follow the demand."""
 
--- a/packages/chicoryplank/src/chicoryplank/rebalance/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/__init__.py
@@ -12,6 +12,7 @@
             "make_settings",
         ),
         "_joint": (
+            "ChangeCosts",
             "JointDecision",
             "JointLimits",
             "JointSlots",
--- a/packages/chicoryplank/src/chicoryplank/rebalance/_joint.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_joint.py
@@ -3,7 +3,9 @@
 A layer set is a group of layers that share one assignment of experts to ranks.
 In each step, all ranks wait for the most loaded rank of each layer set. The
 duration of a step therefore depends on the sum of the peak loads of the sets,
-and each set is balanced on its own.
+and each set is balanced on its own. The ranks copy at the same time, so the
+duration of a change depends on the largest number of copies of one rank over
+all sets.
 """
 
 import dataclasses
@@ -16,12 +18,17 @@
 
 # Ranks that are tried as targets for one expert, the least loaded first.
 _MAX_TARGETS = 6
+# Experts of a target that are tried as the one to remove, the least loaded
+# first.
+_MAX_REMOVED = 3
 # Skew up to which a layer set counts as balanced.
 _ACCEPTABLE_SKEW = 1.1
 # Smallest relative reduction of the peak load that justifies one edit.
 _MIN_RELATIVE_GAIN = 0.03
 # Largest number of edits of one layer set in one search.
 _MAX_EDITS = 96
+# Cost of an edit without copies, in copies, when edits are compared.
+_COPY_FREE_COST = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +45,51 @@
     max_new_experts: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeCosts:
+    """Durations that decide how large a change of the map pays off.
+
+    Attributes:
+        copy_s: Time in seconds that a rank takes to copy one expert.
+        fixed_s: Duration of a change without its copies, in seconds.
+        lasting_s: Time in seconds for which the demand is expected to last.
+        slowdown: Relative increase of the step duration during the copies.
+        expert_share: Fraction of the work per token that the experts do.
+    """
+
+    copy_s: float = 0.0
+    fixed_s: float = 0.0
+    lasting_s: float = 1.0
+    slowdown: float = 0.0
+    expert_share: float = 1.0
+
+    def compute_mean_duration(
+        self, rank_copies: int, skew_before: float, skew_after: float
+    ) -> float:
+        """Returns the mean step duration while the demand lasts.
+
+        A step of a group whose experts are balanced counts as one.
+
+        Args:
+            rank_copies: Largest number of copies of one rank.
+            skew_before: Mean skew of the layer sets until the change is active.
+            skew_after: Mean skew of the layer sets from then on.
+        """
+        before = 1.0 + self.expert_share * (skew_before - 1.0)
+        if skew_after == skew_before and not rank_copies:
+            return before
+        after = 1.0 + self.expert_share * (skew_after - 1.0)
+        copying_s = rank_copies * self.copy_s
+        changing_s = copying_s + self.fixed_s
+        lasting_s = max(self.lasting_s, changing_s)
+        total = (
+            copying_s * before * (1.0 + self.slowdown)
+            + self.fixed_s * before
+            + (lasting_s - changing_s) * after
+        )
+        return total / lasting_s
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JointDecision:
     """Result of the search.
@@ -45,14 +97,21 @@
     Attributes:
         slots: Map to activate.
         copies: Number of experts that ranks must copy.
+        rank_copies: Largest number of copies of one rank.
+        copying_s: Duration of these copies in seconds.
         current_skew: Mean skew of the layer sets with the current map.
         predicted_skew: Mean skew of the layer sets with `slots`.
+        gain: Relative reduction of the mean step duration while the demand
+            lasts.
     """
 
     slots: JointSlots
     copies: int
+    rank_copies: int
+    copying_s: float
     current_skew: float
     predicted_skew: float
+    gain: float
 
 
 def compute_joint_skew(
@@ -66,45 +125,88 @@
         slots: Experts of each rank, by layer set and rank.
         loads: Load of each expert, by layer set and expert.
     """
-    skews = [
-        _LayerSetSearch(ranks, set_loads, JointLimits(0, 0)).skew
-        for ranks, set_loads in zip(slots, loads, strict=True)
-    ]
-    return sum(skews) / len(skews) if skews else 1.0
+    return _compute_mean_skew(
+        [
+            _LayerSetSearch(ranks, set_loads, JointLimits(0, 0), _Copies(ranks))
+            for ranks, set_loads in zip(slots, loads, strict=True)
+        ]
+    )
 
 
 def improve_joint_map(
-    slots: JointSlots, loads: Sequence[Sequence[float]], limits: JointLimits
+    slots: JointSlots,
+    loads: Sequence[Sequence[float]],
+    limits: JointLimits,
+    costs: ChangeCosts | None = None,
 ) -> Generator[None, None, JointDecision]:
     """Returns a map with less skew from a generator that yields between edits.
 
+    The number of copies that each rank may make is raised one by one, and the
+    edits with the largest reduction of a peak for each copy come first. Of the
+    maps found for these numbers, the one with the shortest mean step duration
+    is returned, which may be the active one.
+
     Args:
         slots: Active map: experts of each rank, by layer set and rank.
         loads: Load of each expert, by layer set and expert.
         limits: Limits on the experts of each rank.
+        costs: Durations that limit the copies; by default copies cost nothing.
 
     References:
         DeepSeek-AI, "Expert Parallelism Load Balancer (EPLB)", 2025, for the
         replication of the experts with the most load.
     """
-    improved = []
-    copies = 0
-    skew_before = 0.0
-    skew_after = 0.0
-    for ranks, set_loads in zip(slots, loads, strict=True):
-        search = _LayerSetSearch(ranks, set_loads, limits)
-        skew_before += search.skew
-        for _ in range(_MAX_EDITS):
-            yield
-            if not search.improve():
-                break
-        skew_after += search.skew
-        copies += search.count_copies()
-        improved.append(search.make_slots())
-    set_count = max(1, len(slots))
-    return JointDecision(
-        tuple(improved), copies, skew_before / set_count, skew_after / set_count
+    costs = costs or ChangeCosts()
+    copies = _Copies(slots[0] if slots else ())
+    searches = [
+        _LayerSetSearch(ranks, set_loads, limits, copies)
+        for ranks, set_loads in zip(slots, loads, strict=True)
+    ]
+    initial_skew = _compute_mean_skew(searches)
+    initial_duration = costs.compute_mean_duration(
+        0, initial_skew, initial_skew
     )
+    best_duration = initial_duration
+    best = JointDecision(slots, 0, 0, 0.0, initial_skew, initial_skew, 0.0)
+    for copies.budget in range(1, len(slots) * limits.max_new_experts + 1):
+        unbalanced = list(searches)
+        changed = False
+        while unbalanced:
+            yield
+            search = max(unbalanced, key=lambda item: item.skew)
+            if search.improve():
+                changed = True
+            else:
+                unbalanced.remove(search)
+        skew = _compute_mean_skew(searches)
+        duration = costs.compute_mean_duration(
+            copies.largest, initial_skew, skew
+        )
+        if duration < best_duration:
+            best_duration = duration
+            best = JointDecision(
+                tuple(search.make_slots() for search in searches),
+                copies.total,
+                copies.largest,
+                copies.largest * costs.copy_s,
+                initial_skew,
+                skew,
+                1.0 - duration / initial_duration,
+            )
+        bound = costs.compute_mean_duration(
+            copies.budget + 1, initial_skew, min(1.0, initial_skew)
+        )
+        if bound >= best_duration or (
+            not changed and copies.largest < copies.budget
+        ):
+            break
+    return best
+
+
+def _compute_mean_skew(searches: Sequence["_LayerSetSearch"]) -> float:
+    if not searches:
+        return 1.0
+    return sum(search.skew for search in searches) / len(searches)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,6 +217,39 @@
     removed: tuple[tuple[int, ExpertId], ...]
 
 
+class _Copies:
+    """Number of experts that each rank must copy, over all layer sets.
+
+    Args:
+        ranks: The ranks.
+
+    Attributes:
+        budget: Largest number of copies of one rank.
+    """
+
+    def __init__(self, ranks: Sequence) -> None:
+        self._counts = [0] * len(ranks)
+        self.budget = 0
+
+    @property
+    def largest(self) -> int:
+        """Largest number of copies of one rank."""
+        return max(self._counts, default=0)
+
+    @property
+    def total(self) -> int:
+        """Number of copies of all ranks."""
+        return sum(self._counts)
+
+    def is_exhausted(self, rank: int) -> bool:
+        """Whether the rank may not copy another expert."""
+        return self._counts[rank] >= self.budget
+
+    def add(self, rank: int, count: int) -> None:
+        """Adds to the number of copies of a rank."""
+        self._counts[rank] += count
+
+
 class _LayerSetSearch:
     """Local search for a map of one layer set with less skew.
 
@@ -122,6 +257,7 @@
         ranks: Experts of each rank.
         loads: Load of each expert.
         limits: Limits on the experts of each rank.
+        copies: Copies of each rank, shared with the other layer sets.
     """
 
     def __init__(
@@ -129,11 +265,14 @@
         ranks: Sequence[Sequence[ExpertId]],
         loads: Sequence[float],
         limits: JointLimits,
+        copies: _Copies,
     ) -> None:
         self._initial_experts = [frozenset(experts) for experts in ranks]
         self._rank_experts = [set(experts) for experts in ranks]
         self._loads = loads
         self._limits = limits
+        self._copies = copies
+        self._edit_count = 0
         self._holders: dict[ExpertId, set[int]] = {}
         for rank, experts in enumerate(self._rank_experts):
             for expert in experts:
@@ -155,45 +294,53 @@
         """Returns the experts of each rank, in ascending order."""
         return tuple(tuple(sorted(experts)) for experts in self._rank_experts)
 
-    def count_copies(self) -> int:
-        """Returns the number of experts that ranks must copy."""
-        return sum(
-            len(experts - original)
-            for experts, original in zip(
-                self._rank_experts, self._initial_experts, strict=True
-            )
-        )
-
     def improve(self) -> bool:
         """Applies the best edit for the most loaded rank.
 
         Returns:
             False if the set is balanced or no edit lowers the peak load enough.
         """
-        if self._mean <= 0 or self.skew <= _ACCEPTABLE_SKEW:
+        if (
+            self._mean <= 0
+            or self.skew <= _ACCEPTABLE_SKEW
+            or self._edit_count >= _MAX_EDITS
+        ):
             return False
         most_loaded = max(
             range(len(self._rank_loads)), key=self._rank_loads.__getitem__
         )
-        bound = self._rank_loads[most_loaded] * (1 - _MIN_RELATIVE_GAIN)
+        peak = self._rank_loads[most_loaded]
+        bound = peak * (1 - _MIN_RELATIVE_GAIN)
         best = None
+        best_score = 0.0
         for edit in self._list_edits(most_loaded):
-            peak = self._evaluate(edit, bound)
-            if peak is not None:
-                best, bound = edit, peak
+            new_peak = self._evaluate(edit, bound)
+            if new_peak is None:
+                continue
+            copied = sum(
+                expert not in self._initial_experts[rank]
+                for rank, expert in edit.added
+            )
+            score = (peak - new_peak) / (copied or _COPY_FREE_COST)
+            if score > best_score:
+                best, best_score = edit, score
         if best is None:
             return False
         self._apply(best)
+        self._edit_count += 1
         return True
 
     def _get_replica_load(self, expert: ExpertId) -> float:
         return self._loads[expert] / len(self._holders[expert])
 
     def _may_receive(self, rank: int, expert: ExpertId) -> bool:
-        """Whether a rank may get an expert under `max_new_experts`."""
-        if expert in self._initial_experts[rank]:
+        """Whether a rank may get an expert under the limits on copies."""
+        initial = self._initial_experts[rank]
+        if expert in initial:
             return True
-        new_count = len(self._rank_experts[rank] - self._initial_experts[rank])
+        if self._copies.is_exhausted(rank):
+            return False
+        new_count = len(self._rank_experts[rank] - initial)
         return new_count < self._limits.max_new_experts
 
     def _list_edits(self, most_loaded: int):
@@ -232,14 +379,18 @@
         if len(self._rank_experts[target]) < self._limits.max_experts:
             yield _Edit((added,), ())
             yield _Edit((added,), (moved,))
-        for other in self._rank_experts[target]:
+            return
+        others = sorted(self._rank_experts[target], key=self._get_replica_load)
+        removable = [other for other in others if len(self._holders[other]) > 1]
+        for other in removable[:_MAX_REMOVED]:
             dropped = (target, other)
-            if len(self._holders[other]) > 1:
-                yield _Edit((added,), (dropped,))
-                yield _Edit((added,), (moved, dropped))
+            yield _Edit((added,), (dropped,))
+            yield _Edit((added,), (moved, dropped))
+        for other in others[:_MAX_REMOVED]:
             if other not in self._rank_experts[
                 most_loaded
             ] and self._may_receive(most_loaded, other):
+                dropped = (target, other)
                 yield _Edit((added, (most_loaded, other)), (moved, dropped))
 
     def _evaluate(self, edit: _Edit, bound: float) -> float | None:
@@ -274,9 +425,11 @@
         for rank, expert in edit.added:
             self._rank_experts[rank].add(expert)
             self._holders[expert].add(rank)
+            self._copies.add(rank, expert not in self._initial_experts[rank])
         for rank, expert in edit.removed:
             self._rank_experts[rank].remove(expert)
             self._holders[expert].remove(rank)
+            self._copies.add(rank, -(expert not in self._initial_experts[rank]))
         changed_experts = {expert for _, expert in (*edit.added, *edit.removed)}
         ranks = {rank for rank, _ in (*edit.added, *edit.removed)}
         for expert in changed_experts:
--- a/packages/chicoryplank/src/chicoryplank/rebalance/tests/test_joint.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/tests/test_joint.py
@@ -5,6 +5,7 @@
 import testtools
 
 from chicoryplank.rebalance import (
+    ChangeCosts,
     JointLimits,
     compute_joint_skew,
     improve_joint_map,
@@ -34,8 +35,8 @@
     return loads
 
 
-def _run_search(slots, loads, limits=_LIMITS):
-    generator = improve_joint_map(slots, loads, limits)
+def _run_search(slots, loads, limits=_LIMITS, costs=None):
+    generator = improve_joint_map(slots, loads, limits, costs)
     while True:
         try:
             next(generator)
@@ -101,3 +102,64 @@
             slots, _make_loads(1, 12, 144), JointLimits(3, 1)
         )
         self.assertGreater(sum(1 for _ in generator), 12)
+
+
+class TestChangeCosts(testtools.TestCase):
+    """A change copies no more than the demand repays while it lasts.
+
+    Load pattern: a few experts become popular at once, copies are slow, and
+    the demand shifts again after a few seconds.
+    """
+
+    _SETS = 6
+    _EXPERTS = 64
+    _LIMITS = JointLimits(max_experts=11, max_new_experts=4)
+
+    def _search(self, **costs):
+        loads = [
+            [20.0 if expert == index else 0.7 for expert in range(64)]
+            for index in range(self._SETS)
+        ]
+        slots = _make_initial_map(self._SETS, self._EXPERTS, 8)
+        return _run_search(
+            slots,
+            loads,
+            self._LIMITS,
+            ChangeCosts(slowdown=0.15, expert_share=0.85, fixed_s=0.4, **costs),
+        )
+
+    def test_slow_copies_are_few(self):
+        """Guards against a change that takes as long as the demand lasts."""
+        decision = self._search(copy_s=0.15, lasting_s=3.0)
+        self.assertLessEqual(decision.rank_copies * 0.15, 0.6)
+        self.assertLess(decision.predicted_skew, 1.6)
+        self.assertGreater(decision.current_skew, 2.5)
+
+    def test_fast_copies_are_many(self):
+        """Guards against a skew that remains although copies cost little."""
+        slow = self._search(copy_s=0.15, lasting_s=3.0)
+        fast = self._search(copy_s=0.001, lasting_s=30.0)
+        self.assertLess(fast.predicted_skew, slow.predicted_skew)
+
+    def test_demand_that_ends_soon_causes_no_change(self):
+        """Guards against copies for a demand that is over before they end."""
+        decision = self._search(copy_s=0.15, lasting_s=0.4)
+        self.assertEqual(0, decision.copies)
+        self.assertEqual(0.0, decision.gain)
+
+    def test_copies_are_spread_over_ranks(self):
+        """Guards against one rank that copies while the others wait for it."""
+        decision = self._search(copy_s=0.15, lasting_s=3.0)
+        self.assertLess(decision.rank_copies, 2 * decision.copies / 8 + 1)
+
+    def test_gain_matches_prediction(self):
+        """Guards against a gain that does not follow from the two skews."""
+        decision = self._search(copy_s=0.15, lasting_s=3.0)
+        costs = ChangeCosts(0.15, 0.4, 3.0, 0.15, 0.85)
+        before = costs.compute_mean_duration(
+            0, decision.current_skew, decision.current_skew
+        )
+        after = costs.compute_mean_duration(
+            decision.rank_copies, decision.current_skew, decision.predicted_skew
+        )
+        self.assertAlmostEqual(1 - after / before, decision.gain, places=9)
--- a/packages/chicoryplank/src/chicoryplank/traffic/_model.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_model.py
@@ -103,6 +103,7 @@
         max_new_experts: Maximum number of experts of a set that one map change
             may add to a rank.
         expert_share: Fraction of the work per token that the experts do.
+        expert_copy_duration: Time that a rank takes to copy one expert.
     """
 
     slots: int
@@ -119,6 +120,17 @@
     max_experts: int = 0
     max_new_experts: int = 0
     expert_share: float = 0.0
+    expert_copy_duration: timedelta = timedelta()
+
+    def compute_step_duration(self, requests: float) -> timedelta:
+        """Returns the duration of a group step with balanced experts.
+
+        Args:
+            requests: Mean number of requests in their decode phase at a rank.
+        """
+        return self.token_steps_per_group_step * (
+            self.token_step_duration + requests * self.token_step_per_request
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
