Carry the era of a restored store in revisions and leases

Cause: the store may return from a copy some seconds old and then repeats revisions and lease ids. Views kept the highest revision, so an entry read everything in a loop or missed changes; a new controller could get a lower or the same fencing token; a lease of before the restore could be renewed although its number belonged to another instance. Change: the store client joins the header Store-Era with each revision and lease id. Revisions of a later era are greater, so that views, feed, datagrams, fencing tokens and map versions need no other change. A watch, a write or a lease of an earlier era fails without a call. A holder that learns of an era has lost its lease; a new one waits as long as an unknowing holder may still rely on its own, unless the store records that this time is over. A replica that drained stays draining in its lifetime; one that had ended is used again only if its registration lasts 6 s. Repeated reloads pause. Not covered: a compare-and-swap that is under way while the store is restored may match a revision that was given out again; the client reports it as possibly executed.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_views.py
@@ -7,6 +7,7 @@
 
 from chicoryplank.admission import RetryBudgetParameters
 from chicoryplank.clock import SystemClock
+from chicoryplank.eras import join_revision
 from chicoryplank.ids import (
     ConfigVersion,
     InstanceId,
@@ -136,6 +137,63 @@
 
         return asyncio.run(run())
 
+    def test_restored_store_takes_nothing_back(self):
+        """Guards against an older configuration or registration.
+
+        The revisions of the restored store are lower within its era.
+        """
+
+        async def work(source, state, view):
+            await asyncio.sleep(0.35)
+            await source.responses.put(
+                [
+                    Change("config", b"7", 11),
+                    Change("replica/a", b"draining", 11),
+                    Change("replica/b", None, 11),
+                ]
+            )
+            await asyncio.sleep(0.02)
+            source.items = [
+                Change("config", b"6", join_revision(1, 4)),
+                Change("replica/a", b"ready", join_revision(1, 4)),
+                Change("replica/b", b"ready", join_revision(1, 4)),
+            ]
+            source.revision = join_revision(1, 4)
+            connections = self.connection_count
+            await source.responses.put(HistoryGoneError())
+            await asyncio.sleep(0.02)
+            self.assertEqual(7, state.configuration.version)
+            records = state.registry.list_all()
+            self.assertEqual(
+                [("a", ReplicaState.DRAINING)],
+                [(record.instance, record.state) for record in records],
+            )
+            # The registration of this entry may be missing in the copy.
+            self.assertEqual(connections + 1, self.connection_count)
+            await source.responses.put(
+                [Change("config", b"8", join_revision(1, 5))]
+            )
+            await asyncio.sleep(0.02)
+            self.assertEqual(8, state.configuration.version)
+
+        items = [
+            Change("config", b"6", 10),
+            Change("replica/a", b"ready", 10),
+            Change("replica/b", b"ready", 10),
+        ]
+        self._run(work, items)
+
+    def test_repeated_reloads_pause(self):
+        """Guards against reading all items in a loop without a pause."""
+
+        async def work(source, state, view):
+            for _ in range(50):
+                await source.responses.put(HistoryGoneError())
+            await asyncio.sleep(0.3)
+            self.assertLess(source.reads, 8)
+
+        self._run(work)
+
     def _list_replicas(self, state):
         records = state.registry.list_service(_SERVICE)
         return [record.instance for record in records]
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Protocol
 
+from chicoryplank.eras import split_revision
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId, ModelGroupId
 from chicoryplank.orders import get_lease_key, get_lease_owner
@@ -174,21 +175,31 @@
         backoff_s = _MIN_BACKOFF_S
         must_reload = True
         was_disconnected = True
+        reloads = 0
         while True:
             try:
                 if must_reload:
                     items, revision = await self._source.read_all()
+                    era = split_revision(self._revision)[0]
                     self._apply_items(items, revision)
                     must_reload = False
+                    # A restored store may lack the registration of this entry.
+                    was_disconnected |= split_revision(revision)[0] > era
                 if was_disconnected:
                     was_disconnected = False
                     await self._on_connected()
                 changes, revision = await self._wait_changes()
                 self._apply_changes(changes, revision)
                 backoff_s = _MIN_BACKOFF_S
+                reloads = 0
             except HistoryGoneError:
                 must_reload = True
                 emit(Event.STORE_HISTORY_GONE, revision=self._revision)
+                reloads += 1
+                if reloads > 1:
+                    # The state that was just read is already outdated.
+                    await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+                    backoff_s = min(2 * backoff_s, _MAX_BACKOFF_S)
             except StoreError as error:
                 if not was_disconnected:
                     emit(Event.STORE_LOST, error=error.message)
@@ -239,6 +250,14 @@
         now_s = self._state.now_s()
         if not self.is_current:
             emit(Event.STORE_REGAINED, revision=revision)
+        is_restored = (
+            self._revision > 0
+            and split_revision(revision)[0] > split_revision(self._revision)[0]
+        )
+        if is_restored:
+            # Registrations of the last seconds are missing until the replicas
+            # write them again.
+            self._state.registry.observe_outage()
         self._state.registry.observe_recovery(now_s)
         replicas = []
         self._members = {}
@@ -249,7 +268,9 @@
             if record is not None:
                 replicas.append(record)
             self._apply_member_or_lease(item)
-        self._state.registry.replace_all(replicas, now_s)
+        self._state.registry.replace_all(
+            replicas, now_s, is_restored=is_restored
+        )
         self._finish_update(revision, replicas_changed=True)
         self._feed.replace(items, revision)
 
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/calls.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/calls.py
@@ -7,6 +7,7 @@
     BreakReason,
     ClientConnection,
     ConnectionBrokenError,
+    Response,
     connect,
     encode_request,
 )
@@ -66,6 +67,24 @@
             ConnectionBrokenError: If there is no complete response. A request
                 that was sent may nevertheless have been executed.
         """
+        response, content = await self.exchange(
+            method, target, body, headers, timeout_s
+        )
+        return response.status, content
+
+    async def exchange(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float | None = None,
+    ) -> tuple[Response, bytes]:
+        """Same as `call`, but returns the response with its headers.
+
+        Raises:
+            ConnectionBrokenError: If there is no complete response.
+        """
         effective_timeout_s = timeout_s or self._timeout_s
         connection = self._pop_idle()
         if connection is None:
@@ -81,7 +100,7 @@
                 await response.wait_head()
                 content = await response.read_all(self._max_response_bytes)
                 can_reuse = connection.is_reusable
-                return response.status, content
+                return response, content
         except TimeoutError as error:
             raise ConnectionBrokenError(
                 BreakReason.TIMED_OUT, target
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -202,6 +202,18 @@
         logbook.INFO,
         "store history after revision {revision} is gone; rereading all items",
     )
+    STORE_RESTORED = (
+        1309,
+        logbook.WARNING,
+        "the store was restored from an older copy; it is in era {era} instead "
+        "of {known}",
+    )
+    ERA_UNCONFIRMED = (
+        1509,
+        logbook.INFO,
+        "controller of group {group} waits for holders of leases of before "
+        "era {era} to stop",
+    )
     ITEM_REJECTED = (
         1307,
         logbook.WARNING,
--- a/packages/chicoryplank/src/chicoryplank/fakes.py
+++ b/packages/chicoryplank/src/chicoryplank/fakes.py
@@ -1,16 +1,26 @@
 """In-memory store and event loop for tests, benchmarks and embedding."""
 
 import asyncio
+import dataclasses
 from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 
 from chicoryplank.clock import Clock
+from chicoryplank.eras import (
+    join_lease,
+    join_revision,
+    split_lease,
+    split_revision,
+)
 from chicoryplank.store import Record, StoreError, SwapOutcome
 from chicoryplank.verdict import Verdict
 
 
 class MemoryStore:
-    """In-memory store that can be unavailable, lose responses or delay writes.
+    """In-memory store with faults.
+
+    It can be unavailable, lose responses, delay writes and be restored from an
+    older copy. Inside, revisions and lease ids are those of the present era.
 
     Args:
         clock: Clock that determines when leases expire.
@@ -23,6 +33,7 @@
         delay_writes: Number of further writes that time out and take effect
             only when apply_delayed is called.
         calls: Number of calls received.
+        era: Number of times that the store was restored.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -31,6 +42,7 @@
         self.delay_writes = 0
         self.calls = 0
         self._delayed: list[Callable[[], object]] = []
+        self.era = 0
         self._clock = clock
         self._revision = 0
         self._records: dict[str, Record] = {}
@@ -38,6 +50,35 @@
         self._leases: dict[int, tuple[timedelta, timedelta]] = {}
         self._changed = asyncio.Event()
 
+    def copy_state(self) -> object:
+        """Returns a copy of the content, for `restore`."""
+        return (
+            self._revision,
+            dict(self._records),
+            dict(self._attached),
+            dict(self._leases),
+        )
+
+    def restore(self, state: object) -> None:
+        """Replaces the content by an older copy and begins a new era.
+
+        The leases of the copy run for their whole duration again.
+
+        Args:
+            state: Result of `copy_state`.
+        """
+        revision, records, attached, leases = state
+        self._revision = revision
+        self._records = dict(records)
+        self._attached = dict(attached)
+        now = self._clock.elapsed()
+        self._leases = {
+            lease: (now + duration, duration)
+            for lease, (_, duration) in leases.items()
+        }
+        self.era += 1
+        self._signal()
+
     def _begin_call(self) -> None:
         self.calls += 1
         if not self.available:
@@ -75,28 +116,41 @@
     async def read(self, key: str) -> Record | None:
         """Returns the record of a key, or None if there is none."""
         self._begin_call()
-        return self._records.get(key)
+        return self._export(self._records.get(key))
+
+    def _export(self, record: Record | None) -> Record | None:
+        """Adds the era to the revision of a record."""
+        if record is None:
+            return None
+        revision = join_revision(self.era, record.revision)
+        return dataclasses.replace(record, revision=revision)
 
     async def read_prefix(self, prefix: str) -> tuple[Record, ...]:
         """Returns the records whose keys start with a prefix, sorted by key."""
         self._begin_call()
         keys = sorted(key for key in self._records if key.startswith(prefix))
-        return tuple(self._records[key] for key in keys)
+        return tuple(self._export(self._records[key]) for key in keys)
 
     async def swap(
         self, key: str, value: bytes, expected_revision: int, lease: int = 0
     ) -> tuple[SwapOutcome, int]:
         """Writes a value if the key is still at the expected revision."""
+        self._begin_call()
+        expected_era, expected_number = split_revision(expected_revision)
+        lease_era, lease_number = split_lease(lease)
+        if (expected_revision and expected_era != self.era) or (
+            lease and lease_era != self.era
+        ):
+            return SwapOutcome.CONFLICT, join_revision(self.era, self._revision)
 
         def apply() -> tuple[SwapOutcome, int]:
-            return self._apply_swap(key, value, expected_revision, lease)
+            return self._apply_swap(key, value, expected_number, lease_number)
 
-        self._begin_call()
         self._check_delay(apply)
         outcome, revision = apply()
         if outcome is SwapOutcome.SWAPPED:
             self._end_write()
-        return outcome, revision
+        return outcome, join_revision(self.era, revision)
 
     def _apply_swap(
         self, key: str, value: bytes, expected_revision: int, lease: int
@@ -114,11 +168,14 @@
 
     async def delete(self, key: str, expected_revision: int) -> SwapOutcome:
         """Deletes a key if it is still at the expected revision."""
+        self._begin_call()
+        era, number = split_revision(expected_revision)
+        if era != self.era:
+            return SwapOutcome.CONFLICT
 
         def apply() -> SwapOutcome:
-            return self._apply_delete(key, expected_revision)
+            return self._apply_delete(key, number)
 
-        self._begin_call()
         self._check_delay(apply)
         outcome = apply()
         if outcome is SwapOutcome.SWAPPED:
@@ -161,21 +218,24 @@
             self._clock.elapsed() + duration,
             duration,
         )
-        return self._revision
+        return join_lease(self.era, self._revision)
 
     async def renew_lease(self, lease: int) -> bool:
         """Renews a lease; returns False if it has expired."""
         self._begin_call()
-        if lease not in self._leases:
+        era, number = split_lease(lease)
+        if era != self.era or number not in self._leases:
             return False
-        duration = self._leases[lease][1]
-        self._leases[lease] = (self._clock.elapsed() + duration, duration)
+        duration = self._leases[number][1]
+        self._leases[number] = (self._clock.elapsed() + duration, duration)
         return True
 
     async def revoke_lease(self, lease: int) -> None:
         """Ends a lease and deletes the keys attached to it."""
         self._begin_call()
-        self._end_lease(lease)
+        era, number = split_lease(lease)
+        if era == self.era:
+            self._end_lease(number)
 
     async def watch(self, key: str) -> AsyncIterator[Record]:
         """Yields the record of a key each time it changes."""
@@ -188,7 +248,7 @@
             record = self._records.get(key)
             if record is not None and record.revision != seen:
                 seen = record.revision
-                yield record
+                yield self._export(record)
                 continue
             await changed.wait()
 
--- a/packages/chicoryplank/src/chicoryplank/orders/_documents.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/_documents.py
@@ -146,6 +146,14 @@
     return f"groups/{group}/lease"
 
 
+def get_era_key(group: ModelGroupId) -> str:
+    """Returns the key of the newest era of the store that is safe to use.
+
+    Every holder of a controller lease of an earlier era has stopped.
+    """
+    return f"groups/{group}/era"
+
+
 def get_token_key(group: ModelGroupId) -> str:
     """Returns the key of the highest fencing token of a group."""
     return f"groups/{group}/token"
--- a/packages/chicoryplank/src/chicoryplank/orders/_lease.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/_lease.py
@@ -3,10 +3,11 @@
 from datetime import timedelta
 
 from chicoryplank.clock import Clock
+from chicoryplank.eras import split_lease, split_revision
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import FencingToken, InstanceId, ModelGroupId
-from chicoryplank.orders._documents import get_lease_key
+from chicoryplank.orders._documents import get_era_key, get_lease_key
 from chicoryplank.store import Store, StoreError, SwapOutcome
 from chicoryplank.verdict import Verdict
 
@@ -20,9 +21,15 @@
     """Lease that gives this instance the controller role of one group.
 
     The fencing token is the revision of the lease key, which increases with
-    each holder. The holder measures the duration of the lease on the boot-time
-    clock from the start of the call that granted or renewed it. It stops acting
-    as the controller a margin before the lease expires.
+    each holder and, since it contains the era, after each restore of the store.
+    The holder measures the duration of the lease on the boot-time clock from
+    the start of the call that granted or renewed it. It stops acting as the
+    controller a margin before the lease expires.
+
+    A store that is restored from an older copy may have lost a lease that its
+    holder still relies on. No lease is used in a new era before such a holder
+    has stopped, unless the store records that this time has passed: the key of
+    the era holds the newest one for which it has.
 
     Args:
         store: Key-value service.
@@ -58,6 +65,9 @@
         self._lease_id = 0
         self._token = FencingToken(0)
         self._deadline = timedelta()
+        self._confirmed_era = 0
+        self._waiting_era = 0
+        self._waiting_end = timedelta()
 
     def get_token(self) -> FencingToken | None:
         """Returns the fencing token; None if the lease may have expired."""
@@ -75,7 +85,16 @@
         self._lease_id = 0
         key = get_lease_key(self._group)
         start = self._clock.elapsed()
+        if (
+            self._waiting_era > self._confirmed_era
+            and start < self._waiting_end
+        ):
+            return False
         lease_id = await self._store.grant_lease(self._duration)
+        era, _ = split_lease(lease_id)
+        if not await self._confirm_era(era):
+            await self._revoke(lease_id)
+            return False
         value = f"{self._owner} {lease_id}".encode()
         try:
             outcome, revision = await self._store.swap(key, value, 0, lease_id)
@@ -91,12 +110,37 @@
             if revision is None:
                 await self._revoke(lease_id)
                 return False
+        if split_revision(revision)[0] != era:
+            return False
         self._lease_id = lease_id
         self._token = FencingToken(revision)
         self._deadline = start + self._duration - self._margin
         emit(Event.LEASE_ACQUIRED, group=self._group, token=revision)
         return True
 
+    async def _confirm_era(self, era: int) -> bool:
+        """Returns whether no lease of an earlier era is still relied on.
+
+        Era 0 follows no other.
+        """
+        if era <= self._confirmed_era:
+            return True
+        key = get_era_key(self._group)
+        record = await self._store.read(key)
+        value = str(era).encode()
+        if record is None or record.value != value:
+            if self._waiting_era < era:
+                self._waiting_era = era
+                self._waiting_end = self._clock.elapsed() + self._duration
+                emit(Event.ERA_UNCONFIRMED, group=self._group, era=era)
+                return False
+            revision = 0 if record is None else record.revision
+            outcome, _ = await self._store.swap(key, value, revision)
+            if outcome is SwapOutcome.CONFLICT:
+                return False
+        self._confirmed_era = era
+        return True
+
     async def _take_over_own_lease(
         self, key: str, value: bytes, lease_id: int
     ) -> int | None:
--- a/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
@@ -6,6 +6,13 @@
 
 from chicoryplank.ids import InstanceId, ServiceId, ZoneId
 
+# Time for which the end of a replica is remembered, in seconds; longer than the
+# age of a copy from which a store is restored.
+_ENDED_MEMORY_S = 60.0
+# Time for which a registration that had ended before a restore is not used, in
+# seconds; longer than the store keeps that of a replica that has ended.
+_HOLD_BACK_S = 6.0
+
 
 class ReplicaState(enum.Enum):
     """State that a replica reports in its registration."""
@@ -55,6 +62,11 @@
     with the latest start is used, because the others belong to processes that
     have ended.
 
+    A store that is restored from an older copy lists registrations again that
+    had changed or ended. A replica that was draining stays so until it starts
+    again, and one that was gone is used again only if its registration lasts
+    longer than that of a replica that has ended.
+
     Args:
         registration_grace_s: Time after a store outage in which replicas may
             register again before their old registrations are dropped.
@@ -69,6 +81,8 @@
         self._registration_grace_s = registration_grace_s
         self._records: dict[InstanceId, ReplicaRecord] = {}
         self._removal_due_s: dict[InstanceId, float] = {}
+        self._ended: dict[InstanceId, tuple[float, ReplicaRecord]] = {}
+        self._held_back: dict[InstanceId, tuple[float, ReplicaRecord]] = {}
         self._services: dict[ServiceId, tuple[ReplicaRecord, ...]] = {}
         self._grace_end_s = float("-inf")
         self.is_connected = False
@@ -84,10 +98,23 @@
             self._grace_end_s = now_s + self._registration_grace_s
 
     def replace_all(
-        self, records: Iterable[ReplicaRecord], now_s: float
+        self,
+        records: Iterable[ReplicaRecord],
+        now_s: float,
+        *,
+        is_restored: bool = False,
     ) -> None:
-        """Replaces the registrations with a complete list from the store."""
+        """Replaces the registrations with a complete list from the store.
+
+        Args:
+            records: All registrations.
+            now_s: Current time in seconds.
+            is_restored: Whether the store was restored from an older copy.
+        """
         listed = {record.instance: record for record in records}
+        self._held_back.clear()
+        if is_restored:
+            self._hold_back_ended(listed, now_s)
         for instance in list(self._records):
             if instance not in listed:
                 self._start_removal(instance, now_s)
@@ -95,8 +122,24 @@
             self._store_record(record)
         self._index_by_service()
 
+    def _hold_back_ended(
+        self, listed: dict[InstanceId, ReplicaRecord], now_s: float
+    ) -> None:
+        """Takes replicas that had ended out of a restored list."""
+        for instance, (ended_s, ended) in self._ended.items():
+            record = listed.get(instance)
+            if (
+                record is not None
+                and instance not in self._records
+                and now_s - ended_s < _ENDED_MEMORY_S
+                and record.started_ms <= ended.started_ms
+            ):
+                del listed[instance]
+                self._held_back[instance] = (now_s + _HOLD_BACK_S, record)
+
     def put(self, record: ReplicaRecord) -> None:
         """Adds or updates a registration."""
+        self._held_back.pop(record.instance, None)
         self._store_record(record)
         self._index_by_service()
 
@@ -107,6 +150,7 @@
         stays listed until the grace period ends. Otherwise it is dropped
         immediately.
         """
+        self._held_back.pop(instance, None)
         if instance in self._records:
             self._start_removal(instance, now_s)
             self._index_by_service()
@@ -114,20 +158,36 @@
     def remove_expired(self, now_s: float) -> bool:
         """Drops registrations whose grace period ended without a new one.
 
-        Nothing is dropped while the store does not respond.
+        Nothing is dropped while the store does not respond. Registrations that
+        were held back are used if they have lasted.
 
         Returns:
-            Whether any registration was dropped.
+            Whether any registration was dropped or added.
         """
+        lasting = [
+            record
+            for due_s, record in self._held_back.values()
+            if now_s >= due_s
+        ]
+        for record in lasting:
+            self.put(record)
         due = [name for name, at in self._removal_due_s.items() if now_s >= at]
         if not self.is_connected or not due:
-            return False
+            return bool(lasting)
         for instance in due:
             del self._removal_due_s[instance]
-            self._records.pop(instance, None)
+            self._drop(instance, now_s)
         self._index_by_service()
         return True
 
+    def _drop(self, instance: InstanceId, now_s: float) -> None:
+        record = self._records.pop(instance, None)
+        if record is not None:
+            self._ended[instance] = (now_s, record)
+        for name, (ended_s, _) in list(self._ended.items()):
+            if now_s - ended_s >= _ENDED_MEMORY_S:
+                del self._ended[name]
+
     def list_service(self, service: ServiceId) -> tuple[ReplicaRecord, ...]:
         """Returns the replicas of a service, ordered by id."""
         return self._services.get(service, ())
@@ -143,6 +203,13 @@
         return self._records.get(instance)
 
     def _store_record(self, record: ReplicaRecord) -> None:
+        known = self._records.get(record.instance)
+        if (
+            known is not None
+            and known.state is ReplicaState.DRAINING
+            and record.started_ms <= known.started_ms
+        ):
+            record = dataclasses.replace(record, state=ReplicaState.DRAINING)
         self._records[record.instance] = record
         self._removal_due_s.pop(record.instance, None)
 
@@ -153,7 +220,7 @@
             self._removal_due_s.setdefault(instance, self._grace_end_s)
             return
         if instance not in self._removal_due_s:
-            del self._records[instance]
+            self._drop(instance, now_s)
 
     def _index_by_service(self) -> None:
         latest: dict[str, ReplicaRecord] = {}
--- a/packages/chicoryplank/src/chicoryplank/traffic/tests/test_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/tests/test_replicas.py
@@ -26,6 +26,81 @@
     )
 
 
+class TestRestoredRegistrations(testtools.TestCase):
+    """An older list takes nothing back that was in force."""
+
+    def setUp(self):
+        super().setUp()
+        self.registry = ReplicaRegistry(registration_grace_s=2.0)
+        self.registry.observe_recovery(0.0)
+        self.registry.replace_all(
+            [_make_record("a", started_ms=5), _make_record("b", started_ms=5)],
+            5.0,
+        )
+
+    def _list(self):
+        return [
+            record.instance for record in self.registry.list_service(_SERVICE)
+        ]
+
+    def _restore(self, now_s, *records):
+        self.registry.observe_outage()
+        self.registry.observe_recovery(now_s)
+        self.registry.replace_all(records, now_s, is_restored=True)
+
+    def test_draining_replica_stays_draining(self):
+        """Guards against requests to a replica that is about to leave."""
+        self.registry.put(
+            _make_record("a", ReplicaState.DRAINING, started_ms=5)
+        )
+        self._restore(8.0, _make_record("a", started_ms=5))
+        record = self.registry.get(InstanceId("a"))
+        self.assertIs(ReplicaState.DRAINING, record.state)
+
+    def test_restarted_replica_is_ready(self):
+        """Guards against a replica that drains for ever under one id."""
+        self.registry.put(
+            _make_record("a", ReplicaState.DRAINING, started_ms=5)
+        )
+        self.registry.put(_make_record("a", started_ms=9))
+        record = self.registry.get(InstanceId("a"))
+        self.assertIs(ReplicaState.READY, record.state)
+
+    def test_replica_that_had_ended_is_not_used(self):
+        """Guards against requests to a replica that has left."""
+        self.registry.remove(InstanceId("a"), 6.0)
+        self._restore(
+            8.0,
+            _make_record("a", started_ms=5),
+            _make_record("b", started_ms=5),
+        )
+        self.assertEqual(["b"], self._list())
+        self.registry.remove(InstanceId("a"), 11.0)
+        self.registry.remove_expired(30.0)
+        self.assertEqual(["b"], self._list())
+
+    def test_lasting_registration_is_used(self):
+        """Guards against a live replica that is never used again."""
+        self.registry.remove(InstanceId("a"), 6.0)
+        self._restore(8.0, _make_record("a", started_ms=5))
+        self.registry.remove_expired(13.9)
+        self.assertNotIn("a", self._list())
+        self.assertTrue(self.registry.remove_expired(14.1))
+        self.assertIn("a", self._list())
+
+    def test_replica_that_registers_again_is_used_at_once(self):
+        """Guards against waiting for a replica that is known to live."""
+        self.registry.remove(InstanceId("a"), 6.0)
+        self._restore(8.0, _make_record("a", started_ms=5))
+        self.registry.put(_make_record("a", started_ms=5))
+        self.assertIn("a", self._list())
+
+    def test_missing_registration_is_kept_for_the_grace_period(self):
+        """Guards against dropping replicas that the older copy lacks."""
+        self._restore(8.0, _make_record("a", started_ms=5))
+        self.assertEqual(["a", "b"], self._list())
+
+
 class TestReplicaRegistry(testtools.TestCase):
     """Tests when a replica whose registration ended is dropped."""
 
