Avoid groups that one slow rank holds back

All ranks of its group wait for it, while its slots look like any others, so half of the requests went there and were late or passed their deadlines. Change: the controller reads the pace of each rank anyway. It reports the replicas of a group whose slowest rank is at least twice as slow as that of another group; the report travels with the counts between entries, also over hubs, and expires after 1 s. Requests go to the other groups. A change that is under way is completed if its map still helps, though the demand has shifted.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
+from chicoryplank.admission import find_slow_replicas
 from chicoryplank.clock import Clock
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId, ModelGroupId, RankId
@@ -212,6 +213,18 @@
         for instance, state in states.items():
             members = groups.setdefault(state.group, {})
             members[state.rank] = (state, ports[instance])
+        self._state.slow_replicas.observe(
+            find_slow_replicas(
+                {
+                    name: {
+                        state.instance: state.pace
+                        for state, _ in members.values()
+                    }
+                    for name, members in groups.items()
+                }
+            ),
+            self._now_s(),
+        )
         for name, members in groups.items():
             first = next(iter(members.values()))[0]
             complete = len(members) == first.size and all(
@@ -271,14 +284,19 @@
     def _check_pending_map(
         self, view: GroupView | None, demand: Demand, engine: EngineProfile
     ) -> None:
-        """Marks the pending map as outdated once the demand has shifted."""
+        """Marks the pending map as outdated if it no longer helps.
+
+        The demand may have shifted since the map was chosen. A map that still
+        balances the experts better than the active one is completed, since its
+        copies have been paid for.
+        """
         if view is None or view.pending_version is None:
             return
-        skew = compute_joint_skew(
-            view.pending_slots, demand.list_loads(engine.layer_sets)
-        )
-        if is_shift(skew, view.pending_skew):
-            view.is_pending_outdated = True
+        loads = demand.list_loads(engine.layer_sets)
+        skew = compute_joint_skew(view.pending_slots, loads)
+        view.is_pending_outdated = is_shift(
+            skew, view.pending_skew
+        ) and not is_shift(compute_joint_skew(view.slots, loads), skew)
 
     async def _control_group(
         self,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -80,6 +80,20 @@
     return Member(**{name: document[name] for name in names})
 
 
+def _decode_slow_report(
+    report: list | None,
+) -> tuple[frozenset[InstanceId], float] | None:
+    """Returns the slow replicas and the age of their report in seconds.
+
+    Raises:
+        ValueError, TypeError: If the report is malformed.
+    """
+    if report is None:
+        return None
+    age_s, instances = report
+    return frozenset(map(InstanceId, map(str, instances))), float(age_s)
+
+
 @dataclasses.dataclass(slots=True)
 class _PeerStatus:
     """Latest information on another entry.
@@ -357,6 +371,11 @@
     def _encode(
         self, kind: str, counts: Mapping, absent: Iterable[InstanceId]
     ) -> bytes:
+        report = self._state.slow_replicas.get_report(self._state.now_s())
+        slow = None
+        if report is not None:
+            instances, age_s = report
+            slow = [round(age_s, 3), sorted(instances)]
         return json.dumps(
             {
                 "kind": kind,
@@ -365,6 +384,7 @@
                 "revision": self.revision,
                 "counts": counts,
                 "absent": list(absent),
+                "slow": slow,
             },
             separators=(",", ":"),
         ).encode()
@@ -395,6 +415,7 @@
             }
             absent = frozenset(map(str, document["absent"]))
             revision = int(document["revision"])
+            slow_report = _decode_slow_report(document.get("slow"))
         except (ValueError, TypeError, AttributeError) as error:
             self._malformed_count += 1
             if self._malformed_count & (self._malformed_count - 1) == 0:
@@ -410,6 +431,9 @@
         status.is_draining = bool(document["leaving"])
         if document["kind"] != _OWN:
             self._apply_liveness(document["kind"], name, absent, now_s)
+        if slow_report is not None:
+            instances, age_s = slow_report
+            self._state.slow_replicas.observe(instances, now_s - age_s)
         if revision > self.revision:
             self._on_newer_revision(revision)
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -13,6 +13,7 @@
     RetryBudget,
     RetryBudgetParameters,
     SlotQueue,
+    SlowReplicas,
 )
 from chicoryplank.clock import Clock
 from chicoryplank.events import Event, emit
@@ -144,6 +145,7 @@
         self.rng = rng
         self.registry = ReplicaRegistry(registration_grace_s)
         self.occupancy = Occupancy()
+        self.slow_replicas = SlowReplicas()
         self.configuration: TrafficConfiguration | None = None
         self.routes: RouteIndex | None = None
         self.retry_budget_parameters = retry_budget_parameters
@@ -250,16 +252,18 @@
     def estimate_wait_s(self, state: ServiceState) -> float:
         """Estimates how long a new request waits for a slot, in seconds."""
         share = 1.0 / self.entry_count
-        total = sum(state.slots.values())
+        avoided = self.slow_replicas.list_avoided(state.slots, self.now_s())
+        used = state.slots.keys() - avoided
+        total = sum(state.slots[instance] for instance in used)
         free = total
         if not state.circuit_breaker.is_open:
-            free = max(0, total - self.occupancy.count_total(state.slots))
+            free = max(0, total - self.occupancy.count_total(used))
         return state.slot_queue.estimate_wait(total * share, free * share)
 
     def list_full_replicas(
         self, state: ServiceState, allowance: int, now_s: float
     ) -> frozenset[InstanceId]:
-        """Returns the replicas of a service that cannot accept a request now.
+        """Returns the replicas of a service that get no request now.
 
         Args:
             state: The service.
@@ -273,7 +277,7 @@
             for instance, slots in state.slots.items()
             if occupancy.count(instance) >= slots + allowance
             or occupancy.is_full(instance, now_s)
-        )
+        ) | self.slow_replicas.list_avoided(state.slots, now_s)
 
     def choose_replica(
         self,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
@@ -248,3 +248,54 @@
             member.encode().replace(b'"z"', b"5"),
         ):
             self.assertRaises(ValueError, decode_member, value)
+
+
+class TestSlowReplicas(testtools.TestCase):
+    """All entries avoid the replicas that the controller reports as slow."""
+
+    def _report(self, entries_per_zone):
+        network = _Network(["a", "b", "c"], entries_per_zone)
+        network.run(3)
+        controller = network.states[InstanceId("b-1")]
+        controller.slow_replicas.observe([_REPLICA], controller.now_s())
+        network.run(4)
+        return network
+
+    def _count_avoiding(self, network):
+        others = [_REPLICA, InstanceId("other")]
+        return sum(
+            bool(state.slow_replicas.list_avoided(others, state.now_s()))
+            for state in network.states.values()
+        )
+
+    def test_report_reaches_all_entries(self):
+        """Guards against entries that still send to a slow group."""
+        self.assertEqual(6, self._count_avoiding(self._report(2)))
+
+    def test_report_reaches_all_entries_through_hubs(self):
+        """Guards against hubs that do not forward the report."""
+        self.assertEqual(15, self._count_avoiding(self._report(5)))
+
+    def test_forwarded_report_expires(self):
+        """Guards against entries that renew a report among themselves."""
+        network = self._report(2)
+        network.run(15)
+        self.assertEqual(0, self._count_avoiding(network))
+
+    def test_malformed_report_is_rejected(self):
+        """Guards against a datagram that stops the exchange."""
+        network = self._report(2)
+        document = {
+            "kind": "own",
+            "member": "a-0",
+            "leaving": False,
+            "revision": 1,
+            "counts": {},
+            "absent": [],
+            "slow": 7,
+        }
+        network.peers[InstanceId("a-1")].datagram_received(
+            json.dumps(document).encode(), ("10.0.0.1", 1)
+        )
+        network.run(1)
+        self.assertEqual(6, self._count_avoiding(network))
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -11,6 +11,7 @@
     RetryBudgetParameters,
 )
 from chicoryplank.admission._slot_queue import SlotQueue, Waiter
+from chicoryplank.admission._slow_groups import SlowReplicas, find_slow_replicas
 
 __all__ = [
     "CircuitBreaker",
@@ -19,5 +20,7 @@
     "RetryBudget",
     "RetryBudgetParameters",
     "SlotQueue",
+    "SlowReplicas",
     "Waiter",
+    "find_slow_replicas",
 ]
