--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -49,6 +49,9 @@
 _LEASE_MARGIN = timedelta(milliseconds=150)
 # Time between the starts of two renewals, in seconds.
 _RENEWAL_INTERVAL_S = 0.25
+# Minimum interval of reading the ranks for each of them, in seconds; it bounds
+# the processor time of the controller.
+_POLL_S_PER_RANK = 0.004
 # Assumed duration of a change without its copies until one was observed, in
 # seconds, and the weight of the newest one in the moving average.
 _INITIAL_FIXED_S = 0.4
@@ -156,6 +159,9 @@
                 interval_s = self._parameters.poll_interval_s
                 if started_s < self._urgent_until_s:
                     interval_s = self._parameters.urgent_poll_interval_s
+                interval_s = max(
+                    interval_s, len(self._ports) * _POLL_S_PER_RANK
+                )
                 left_s = interval_s - (self._now_s() - started_s)
                 await self._clock.sleep(timedelta(seconds=max(0.05, left_s)))
             # A change that has begun is completed or withdrawn, also after the
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -44,9 +44,10 @@
 # moment ago, so each request compares a random sample.
 _MAX_COMPARED_REPLICAS = 24
 _SAMPLED_REPLICAS = 4
-# Load difference by which a replica in another zone must be better, since a
-# request to another zone takes a few milliseconds longer.
-_ZONE_PENALTY = 0.4
+# Load difference by which a replica in another zone must be better: more than
+# one request, since traffic between zones is expensive. A request to another
+# zone also takes a few milliseconds longer.
+_ZONE_PENALTY = 1.2
 # Short, since the exact counts of the peers arrive several times a second.
 _REPORT_DECAY = timedelta(seconds=2)
 _MAX_QUEUED_REQUESTS = 512
