Split what a map controller learns and its parameters from the controller

Change: change_history, map_parameters and _change_costs are modules of their own; grouping of ranks moves to group_view. Nothing else changes.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/group_view.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/group_view.py
@@ -67,6 +67,28 @@
 
 
 RankPorts = dict[RankId, RankPort]
+# State and connection of each rank of a group.
+GroupMembers = Mapping[RankId, tuple[RankState, RankPort]]
+
+
+def group_ranks(
+    states: Mapping[InstanceId, RankState], ports: Mapping[InstanceId, RankPort]
+) -> dict[str, GroupMembers]:
+    """Returns the members of each group by its name."""
+    groups: dict[str, dict[RankId, tuple[RankState, RankPort]]] = {}
+    for instance, state in states.items():
+        members = groups.setdefault(state.group, {})
+        members[state.rank] = (state, ports[instance])
+    return groups
+
+
+def is_complete(members: GroupMembers) -> bool:
+    """Returns whether all ranks respond and are open in the same epoch."""
+    first = next(iter(members.values()))[0]
+    return len(members) == first.size and all(
+        state.epoch == first.epoch and state.is_open
+        for state, _ in members.values()
+    )
 
 
 async def read_states(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -1,7 +1,6 @@
 """Rebalances the expert maps of lock-step groups by the measured demand."""
 
 import asyncio
-import dataclasses
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
@@ -25,21 +24,26 @@
 )
 from chicoryplank.store import Store, StoreError
 from chicoryplank.traffic import EngineProfile, ReplicaRecord
-from chicoryplank_entry.forwarding.demand import (
-    Demand,
+from chicoryplank_entry.forwarding.change_history import (
+    ChangeHistory,
     DemandLifetime,
     is_shift,
 )
+from chicoryplank_entry.forwarding.demand import Demand
 from chicoryplank_entry.forwarding.group_view import (
+    GroupMembers,
     GroupView,
     RankPorts,
     compute_step_duration_s,
+    group_ranks,
     has_uniform_map,
+    is_complete,
     make_view,
     read_counts,
     read_states,
     search_map,
 )
+from chicoryplank_entry.forwarding.map_parameters import MapParameters
 from chicoryplank_entry.forwarding.state import EntryState
 
 # Short, since a group that is held by a failed controller stalls until a
@@ -52,43 +56,6 @@
 # Minimum interval of reading the ranks for each of them, in seconds; it bounds
 # the processor time of the controller.
 _POLL_S_PER_RANK = 0.004
-# Assumed duration of a change without its copies until one was observed, in
-# seconds, and the weight of the newest one in the moving average.
-_INITIAL_FIXED_S = 0.4
-_FIXED_WEIGHT = 0.3
-# Same for the amount by which the skew of a new map exceeds the predicted one.
-_INITIAL_SKEW_ERROR = 0.1
-_SKEW_ERROR_WEIGHT = 0.1
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class MapParameters:
-    """Conditions and intervals of map changes.
-
-    Attributes:
-        poll_interval_s: Minimum time between two reads of the ranks.
-        urgent_poll_interval_s: Same as poll_interval_s, from the opening of a
-            group to its first map change. The first map is the slowest, and
-            requests have waited for the group.
-        max_urgent_s: Maximum time for which a new group counts as urgent.
-        decay_time_s: Time constant of the decay of the measured demand.
-        min_gain: Minimum relative reduction of the mean step duration by a
-            change, for the time that the demand is expected to last.
-        min_step_share: Step duration, as a fraction of the target gap between
-            two events of a stream, below which the map is not changed since
-            the steps are short enough.
-        min_choices: Minimum decayed number of choices for a decision.
-        min_change_interval_s: Minimum time between two changes of a group.
-    """
-
-    poll_interval_s: float = 0.12
-    urgent_poll_interval_s: float = 0.1
-    max_urgent_s: float = 2.0
-    decay_time_s: float = 0.2
-    min_gain: float = 0.08
-    min_step_share: float = 0.5
-    min_choices: int = 2_000
-    min_change_interval_s: float = 0.1
 
 
 RankPortFactory = Callable[[ReplicaRecord], RankPort]
@@ -138,8 +105,7 @@
         self._tasks: dict[str, asyncio.Task] = {}
         self._version_count = 0
         self._version_token = 0
-        self._fixed_s = _INITIAL_FIXED_S
-        self._skew_error = _INITIAL_SKEW_ERROR
+        self._history = ChangeHistory()
         self._urgent_until_s = float("-inf")
 
     def reset(self) -> None:
@@ -215,29 +181,10 @@
         ports = self._list_ports()
         busy = {name for name, task in self._tasks.items() if not task.done()}
         states = await read_states(ports)
-        groups: dict[str, dict[RankId, tuple[RankState, RankPort]]] = {}
-        for instance, state in states.items():
-            members = groups.setdefault(state.group, {})
-            members[state.rank] = (state, ports[instance])
-        self._state.slow_replicas.observe(
-            find_slow_replicas(
-                {
-                    name: {
-                        state.instance: state.pace
-                        for state, _ in members.values()
-                    }
-                    for name, members in groups.items()
-                }
-            ),
-            self._now_s(),
-        )
+        groups = group_ranks(states, ports)
+        self._report_slow_replicas(groups)
         for name, members in groups.items():
-            first = next(iter(members.values()))[0]
-            complete = len(members) == first.size and all(
-                state.epoch == first.epoch and state.is_open
-                for state, _ in members.values()
-            )
-            if not complete:
+            if not is_complete(members):
                 # Demand is measured by differences, so counts are also read
                 # before the group opens.
                 await self._observe_demand(name, members)
@@ -246,10 +193,19 @@
                     name, members, service.engine, name in busy
                 )
 
+    def _report_slow_replicas(self, groups: Mapping[str, GroupMembers]) -> None:
+        paces = {
+            name: {state.instance: state.pace for state, _ in members.values()}
+            for name, members in groups.items()
+        }
+        self._state.slow_replicas.observe(
+            find_slow_replicas(paces), self._now_s()
+        )
+
     async def _observe_group(
         self,
         name: str,
-        members: Mapping[RankId, tuple[RankState, RankPort]],
+        members: GroupMembers,
         engine: EngineProfile,
         was_busy: bool,
     ) -> None:
@@ -307,7 +263,7 @@
     async def _control_group(
         self,
         name: str,
-        members: Mapping[RankId, tuple[RankState, RankPort]],
+        members: GroupMembers,
         engine: EngineProfile,
     ) -> None:
         states = {rank: state for rank, (state, _) in members.items()}
@@ -334,7 +290,7 @@
     async def _observe_demand(
         self,
         name: str,
-        members: Mapping[RankId, tuple[RankState, RankPort]],
+        members: GroupMembers,
         with_experts: bool = False,
     ) -> dict[RankId, RankCounts]:
         """Reads the counts of a group's ranks and adds them to its demand."""
@@ -417,9 +373,9 @@
             view.slots,
             loads,
             engine,
-            fixed_s=self._fixed_s,
+            fixed_s=self._history.fixed_s,
             lasting_s=lifetime.estimate_remaining_s(now_s),
-            skew_error=self._skew_error,
+            skew_error=self._history.skew_error,
         )
         if decision.gain < parameters.min_gain:
             return
@@ -435,10 +391,7 @@
         ):
             return
         view.is_prediction_checked = True
-        if not is_shift(skew, view.predicted_skew):
-            self._skew_error += _SKEW_ERROR_WEIGHT * (
-                max(0.0, skew - view.predicted_skew) - self._skew_error
-            )
+        self._history.observe_skew(skew, view.predicted_skew)
 
     def _get_gap_target_s(self) -> float:
         """Returns the smallest target gap between events of a stream."""
@@ -482,9 +435,7 @@
         if result is SwitchResult.SWITCHED:
             view.predicted_skew = decision.predicted_skew
             view.is_prediction_checked = False
-            self._fixed_s += _FIXED_WEIGHT * (
-                max(0.0, took_s - decision.copying_s) - self._fixed_s
-            )
+            self._history.observe_duration(took_s, decision.copying_s)
             emit(Event.MAP_ARMED, group=name, change=version, took_ms=took_ms)
         else:
             emit(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_maps.py
@@ -32,7 +32,11 @@
     Share,
     TrafficConfiguration,
 )
-from chicoryplank_entry.forwarding.demand import Demand, DemandLifetime
+from chicoryplank_entry.forwarding.change_history import (
+    ChangeHistory,
+    DemandLifetime,
+)
+from chicoryplank_entry.forwarding.demand import Demand
 from chicoryplank_entry.forwarding.election import Election
 from chicoryplank_entry.forwarding.maps import MapController
 from chicoryplank_entry.forwarding.state import EntryState
@@ -110,6 +114,31 @@
         self.assertGreater(lifetime.estimate_remaining_s(1.0), 2.5)
 
 
+class TestChangeHistory(testtools.TestCase):
+    """Later changes are weighed by what earlier ones took and reached."""
+
+    def test_slow_changes_count(self):
+        """Guards against small changes that take longer than they gain."""
+        history = ChangeHistory()
+        for _ in range(20):
+            history.observe_duration(1.3, 0.3)
+        self.assertAlmostEqual(1.0, history.fixed_s, places=2)
+
+    def test_missed_predictions_count(self):
+        """Guards against changes that follow the noise of the counts."""
+        history = ChangeHistory()
+        for _ in range(100):
+            history.observe_skew(1.4, 1.1)
+        self.assertAlmostEqual(0.3, history.skew_error, places=2)
+
+    def test_shift_is_no_missed_prediction(self):
+        """Guards against distrusting all maps because the demand moved."""
+        history = ChangeHistory()
+        before = history.skew_error
+        history.observe_skew(2.5, 1.1)
+        self.assertEqual(before, history.skew_error)
+
+
 class _RankPort:
     """Connection to a simulated rank, with counts that follow the demand."""
 
--- a/packages/chicoryplank/src/chicoryplank/rebalance/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/__init__.py
@@ -5,6 +5,7 @@
 __getattr__, __all__ = make_lazy_exports(
     __name__,
     {
+        "_change_costs": ("ChangeCosts",),
         "_estimator": ("LoadEstimator",),
         "_incremental": (
             "IncrementalPolicy",
@@ -12,7 +13,6 @@
             "make_settings",
         ),
         "_joint": (
-            "ChangeCosts",
             "JointDecision",
             "JointLimits",
             "JointSlots",
