Keep a replica that had ended held back over a second read of a restored store

Cause: a second read of all items, for example after a lost history, accepted every registration that the first read had held back. Change: a registration that is listed unchanged stays held back for its time. The new test fails without the change.

--- a/packages/chicoryplank/src/chicoryplank/store.py
+++ b/packages/chicoryplank/src/chicoryplank/store.py
@@ -17,7 +17,8 @@
     Attributes:
         key: Key of the record.
         value: Stored bytes, at most one megabyte.
-        revision: Store revision at which the record last changed.
+        revision: Store revision at which the record last changed. It contains
+            the era of a store that may be restored (chicoryplank.eras).
     """
 
     key: str
--- a/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
@@ -112,7 +112,11 @@
             is_restored: Whether the store was restored from an older copy.
         """
         listed = {record.instance: record for record in records}
-        self._held_back.clear()
+        for instance, (_, record) in list(self._held_back.items()):
+            if listed.get(instance) == record:
+                del listed[instance]
+            else:
+                del self._held_back[instance]
         if is_restored:
             self._hold_back_ended(listed, now_s)
         for instance in list(self._records):
--- a/packages/chicoryplank/src/chicoryplank/traffic/tests/test_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/tests/test_replicas.py
@@ -88,6 +88,13 @@
         self.assertTrue(self.registry.remove_expired(14.1))
         self.assertIn("a", self._list())
 
+    def test_second_list_takes_nothing_back(self):
+        """Guards against using a held back replica after another read."""
+        self.registry.remove(InstanceId("a"), 6.0)
+        self._restore(8.0, _make_record("a", started_ms=5))
+        self.registry.replace_all([_make_record("a", started_ms=5)], 9.0)
+        self.assertNotIn("a", self._list())
+
     def test_replica_that_registers_again_is_used_at_once(self):
         """Guards against waiting for a replica that is known to live."""
         self.registry.remove(InstanceId("a"), 6.0)
