--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
@@ -217,7 +217,6 @@
         splitter.discard_partial_event()
         instance = attempt.replica.instance
         timeout_s = self._parameters.silence_timeout_s
-        previous_s = self._last_event_s
         while data := await self._await_output(
             attempt.response.read, attempt, timeout_s
         ):
@@ -225,10 +224,10 @@
             self._state.observe_progress(
                 self._call.service_state, instance, now_s
             )
-            if previous_s is not None:
-                gap_s = now_s - previous_s
+            if self._last_event_s is not None:
+                gap_s = now_s - self._last_event_s
                 self.longest_gap_s = max(self.longest_gap_s, gap_s)
-            previous_s = self._last_event_s = now_s
+            self._last_event_s = now_s
             try:
                 events = splitter.feed(data)
             except EventTooLongError as error:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
@@ -180,11 +180,9 @@
             try:
                 if must_reload:
                     items, revision = await self._source.read_all()
-                    era = split_revision(self._revision)[0]
-                    self._apply_items(items, revision)
-                    must_reload = False
                     # A restored store may lack the registration of this entry.
-                    was_disconnected |= split_revision(revision)[0] > era
+                    was_disconnected |= self._apply_items(items, revision)
+                    must_reload = False
                 if was_disconnected:
                     was_disconnected = False
                     await self._on_connected()
@@ -246,7 +244,8 @@
             ):
                 self._watch.cancel()
 
-    def _apply_items(self, items: Sequence[Change], revision: int) -> None:
+    def _apply_items(self, items: Sequence[Change], revision: int) -> bool:
+        """Replaces the known state; returns whether the store was restored."""
         now_s = self._state.now_s()
         if not self.is_current:
             emit(Event.STORE_REGAINED, revision=revision)
@@ -273,6 +272,7 @@
         )
         self._finish_update(revision, replicas_changed=True)
         self._feed.replace(items, revision)
+        return is_restored
 
     def _apply_changes(self, changes: Sequence[Change], revision: int) -> None:
         now_s = self._state.now_s()
--- a/packages/chicoryplank/src/chicoryplank/traffic/_model.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_model.py
@@ -122,16 +122,6 @@
     expert_share: float = 0.0
     expert_copy_duration: timedelta = timedelta()
 
-    def compute_step_duration(self, requests: float) -> timedelta:
-        """Returns the duration of a group step with balanced experts.
-
-        Args:
-            requests: Mean number of requests in their decode phase at a rank.
-        """
-        return self.token_steps_per_group_step * (
-            self.token_step_duration + requests * self.token_step_per_request
-        )
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
