Log the evidence for each verdict on an attempt

It now has the status, the echoed id, the statement, the proof, the use of the connection and the verdict before and after; line 1215 and two counters show responses that were skipped or taken as not run. The line is written after the verdict changed, not before. No decision changes.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -49,6 +49,8 @@
         started_s: Time when the request was sent.
         is_connection_reused: Whether the connection had carried another request
             before.
+        has_carried_call: Whether the connection had carried an earlier attempt
+            of the same request.
         earlier_verdict: Verdict on the attempts before this one.
     """
 
@@ -58,9 +60,56 @@
     response: Response
     started_s: float
     is_connection_reused: bool
+    has_carried_call: bool
     earlier_verdict: Verdict
 
 
+class EchoedId(enum.Enum):
+    """Request id that a response carries.
+
+    Attributes:
+        OWN: Id of the request that was sent.
+        MISSING: No id.
+        OTHER: Id of another request.
+    """
+
+    OWN = "own"
+    MISSING = "missing"
+    OTHER = "other"
+
+
+def get_echoed_id(
+    names: HeaderNames, response: Response, request_id: str
+) -> EchoedId:
+    """Compares the id in a response with the id of its request."""
+    echoed_id = response.get(names.request_id)
+    if echoed_id is None:
+        return EchoedId.MISSING
+    return EchoedId.OWN if echoed_id == request_id else EchoedId.OTHER
+
+
+def describe_evidence(
+    names: HeaderNames, attempt: Attempt, request_id: str
+) -> dict[str, object]:
+    """Returns log fields that show what the verdict on an attempt rests on."""
+    response = attempt.response
+    fields: dict[str, object] = {
+        "address": attempt.backend.address,
+        "reused": attempt.is_connection_reused,
+        "carried_before": attempt.has_carried_call,
+        "verdict_before": attempt.earlier_verdict.value,
+    }
+    if response.status:
+        fields |= {
+            "status": response.status,
+            "echoed_id": get_echoed_id(names, response, request_id).value,
+            "states_not_run": response.get(names.not_run) is not None,
+            "has_proof": response.get(names.proof) is not None,
+            "at_fault": response.get(names.at_fault),
+        }
+    return fields
+
+
 def classify(
     names: HeaderNames, response: Response, request_id: str
 ) -> Outcome:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
@@ -13,7 +13,10 @@
     list_connection_headers,
 )
 from chicoryplank_entry.forwarding.state import EntryState, ServiceState
-from chicoryplank_wire.client_connection import encode_request
+from chicoryplank_wire.client_connection import (
+    ClientConnection,
+    encode_request,
+)
 from chicoryplank_wire.server_connection import ReceivedRequest
 
 _BEARER = "bearer "
@@ -43,6 +46,7 @@
         deadline_s: Time when the response must be complete.
         caller_deadline_s: Time when the caller stops waiting.
         tried_replicas: Replicas that were tried.
+        used_connections: Connections that carried the request.
         attempts: Number of times the request was sent.
         possible_runs: Number of attempts that ran or may have run.
         verdict: Whether any attempt may have run.
@@ -63,6 +67,9 @@
     deadline_s: float
     caller_deadline_s: float
     tried_replicas: set[InstanceId] = dataclasses.field(default_factory=set)
+    used_connections: list[ClientConnection] = dataclasses.field(
+        default_factory=list
+    )
     attempts: int = 0
     possible_runs: int = 0
     verdict: Verdict = Verdict.NOT_RUN
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -10,7 +10,13 @@
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry.forwarding.admission import CallAdmission
 from chicoryplank_entry.forwarding.answers import ResponseRelay
-from chicoryplank_entry.forwarding.attempts import Attempt, Outcome, classify
+from chicoryplank_entry.forwarding.attempts import (
+    Attempt,
+    Outcome,
+    classify,
+    describe_evidence,
+    get_echoed_id,
+)
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
 from chicoryplank_entry.forwarding.calls import Call, make_call
 from chicoryplank_entry.forwarding.fields import HeaderNames
@@ -215,7 +221,13 @@
             except ConnectionBrokenError as error:
                 self._end_attempt(call, replica.instance, False)
                 call.tried_replicas.add(replica.instance)
-                self._record_failure(call, replica.instance, error, "connect")
+                self._record_failure(
+                    call,
+                    replica.instance,
+                    "connect",
+                    detail=str(error),
+                    address=replica.address,
+                )
                 continue
             except BaseException:
                 self._end_attempt(call, replica.instance, None)
@@ -244,8 +256,10 @@
             response,
             now_s,
             is_connection_reused,
+            connection in call.used_connections,
             call.verdict,
         )
+        call.used_connections.append(connection)
         # From now on the request counts as not run only if the replica says so.
         call.verdict = Verdict.MAY_HAVE_RUN
         call.attempts += 1
@@ -283,6 +297,7 @@
             if reply.started:
                 self._prepare_resume(call, relay, error)
         finally:
+            self._record_skipped(call, attempt)
             self._pool.release(attempt.backend, attempt.connection)
             self._end_attempt(call, instance, succeeded)
         return False
@@ -299,14 +314,20 @@
         instance = attempt.replica.instance
         status = attempt.response.status
         at_fault = attempt.response.get(self._names.at_fault)
-        self._record_failure(
+        if outcome in (Outcome.MISDIRECTED, Outcome.FULL):
+            call.verdict = attempt.earlier_verdict
+            echoed_id = get_echoed_id(
+                self._names, attempt.response, call.request_id
+            )
+            METRICS.count_rejection(
+                echoed_id.value, attempt.is_connection_reused
+            )
+        self._record_attempt_failure(
             call,
-            instance,
-            f"status {status}, at fault {at_fault}",
+            attempt,
             outcome.value,
+            f"status {status}, at fault {at_fault}",
         )
-        if outcome in (Outcome.MISDIRECTED, Outcome.FULL):
-            call.verdict = attempt.earlier_verdict
         if outcome is Outcome.MISDIRECTED:
             if at_fault in (None, instance):
                 self._state.exclude(instance)
@@ -325,8 +346,8 @@
         self, call: Call, attempt: Attempt, error: ConnectionBrokenError
     ) -> None:
         """Records a response that is missing or incomplete."""
-        self._record_failure(call, attempt.replica.instance, error, "break")
         call.verdict = Verdict.MAY_HAVE_RUN
+        self._record_attempt_failure(call, attempt, "break", str(error))
         is_stale_connection = (
             attempt.is_connection_reused
             and not attempt.response.status
@@ -373,7 +394,7 @@
         )
 
     def _record_failure(
-        self, call: Call, instance: InstanceId, detail: object, stage: str
+        self, call: Call, instance: InstanceId, stage: str, **fields: object
     ) -> None:
         METRICS.count_failure(stage)
         emit(
@@ -383,5 +404,31 @@
             stage=stage,
             sends=call.attempts,
             after_ms=self._get_elapsed_ms(call.request),
-            detail=str(detail),
+            verdict=call.verdict.value,
+            **fields,
         )
+
+    def _record_attempt_failure(
+        self, call: Call, attempt: Attempt, stage: str, detail: str
+    ) -> None:
+        """Records a failed attempt with the evidence for its verdict."""
+        self._record_failure(
+            call,
+            attempt.replica.instance,
+            stage,
+            detail=detail,
+            **describe_evidence(self._names, attempt, call.request_id),
+        )
+
+    def _record_skipped(self, call: Call, attempt: Attempt) -> None:
+        """Records the responses to other requests that were skipped."""
+        for skipped in attempt.response.skipped:
+            METRICS.count_skipped_response()
+            emit(
+                Event.RESPONSE_SKIPPED,
+                request=call.request_id,
+                replica=attempt.replica.instance,
+                status=skipped.status,
+                echoed_id=skipped.match_id,
+                reused=attempt.is_connection_reused,
+            )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
@@ -43,6 +43,10 @@
             collections.Counter()
         )
         self._failures: collections.Counter[str] = collections.Counter()
+        self._rejections: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._skipped_responses = 0
         self._first_output: dict[str, _Latencies] = {}
         self._total: dict[str, _Latencies] = {}
 
@@ -54,6 +58,23 @@
         """Counts a failed attempt."""
         self._failures[stage] += 1
 
+    def count_rejection(
+        self, echoed_id: str, is_connection_reused: bool
+    ) -> None:
+        """Counts a response that is taken as "not run".
+
+        Args:
+            echoed_id: Whether the response has the id of the request.
+            is_connection_reused: Whether the connection had carried another
+                request before.
+        """
+        connection = "reused" if is_connection_reused else "new"
+        self._rejections[echoed_id, connection] += 1
+
+    def count_skipped_response(self) -> None:
+        """Counts a response of a replica to another request."""
+        self._skipped_responses += 1
+
     def observe_first_output(self, route: str, elapsed_s: float) -> None:
         """Records the time to the first output."""
         _get_latencies(self._first_output, route).observe(elapsed_s)
@@ -87,8 +108,22 @@
         )
         for stage, count in self._failures.items():
             failures.add_metric([stage], count)
+        rejections = CounterMetricFamily(
+            "chicoryplank_forwarding_rejections",
+            "Responses of replicas that are taken as not run, by the request "
+            "id that they carry and the use of the connection.",
+            labels=["echoed_id", "connection"],
+        )
+        for labels, count in self._rejections.items():
+            rejections.add_metric(labels, count)
         yield refusals
         yield failures
+        yield rejections
+        yield CounterMetricFamily(
+            "chicoryplank_forwarding_skipped_responses",
+            "Responses of replicas to other requests, which were skipped.",
+            value=self._skipped_responses,
+        )
         for name, text, label, table in (
             (
                 "chicoryplank_forwarding_first_seconds",
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
@@ -304,13 +304,20 @@
 
 
 def make_request(
-    method="GET", target="/cards/1", body=b"", left_ms=1500, key="key-1", **more
+    method="GET",
+    target="/cards/1",
+    body=b"",
+    left_ms=1500,
+    key="key-1",
+    *,
+    request_id="77",
+    **more,
 ):
     """Returns the bytes of a caller's request."""
     lines = [
         f"{method} {target} HTTP/1.1",
         "Host: shop.example",
-        "X-Id: 77",
+        f"X-Id: {request_id}",
         f"X-Left-Ms: {left_ms}",
         f"Authorization: Bearer {key}",
     ]
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_metrics.py
@@ -59,6 +59,19 @@
         text = self._render()
         self.assertIn('forwarding_seconds_count{account="other"} 144.0', text)
 
+    def test_rejections_are_counted_by_evidence(self):
+        """Guards against rejections that cannot be told apart."""
+        self.metrics.count_rejection("own", False)
+        self.metrics.count_rejection("missing", True)
+        self.metrics.count_skipped_response()
+        text = self._render()
+        for labels in (
+            'connection="new",echoed_id="own"',
+            'connection="reused",echoed_id="missing"',
+        ):
+            self.assertIn(f"forwarding_rejections_total{{{labels}}} 1.0", text)
+        self.assertIn("forwarding_skipped_responses_total 1.0", text)
+
     def test_metrics_of_the_process_are_rendered_twice(self):
         """Guards against registering the same metrics twice."""
         for _ in range(2):
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
@@ -0,0 +1,165 @@
+"""Tests of which responses may count as "not run", on loopback."""
+
+import asyncio
+import json
+
+import logbook
+import testtools
+
+from chicoryplank.events import Event
+from chicoryplank.traffic import RequestKind
+from chicoryplank_entry.forwarding.tests.harness import (
+    EntryFixture,
+    Replica,
+    make_head,
+    make_request,
+    read_response,
+    reject,
+    respond,
+    write_response,
+)
+
+_UNAVAILABLE = "503 Service Unavailable"
+
+
+class RunningReplica(Replica):
+    """Replica that counts the requests that it runs.
+
+    Args:
+        work: Asynchronous function of the replica, a request and the writer
+            that responds to the request.
+
+    Attributes:
+        runs: Number of requests that ran.
+    """
+
+    def __init__(self, work):
+        super().__init__()
+        self.runs = 0
+
+        async def script(recorded, writer):
+            return await work(self, recorded, writer)
+
+        self.scripts = [script]
+
+    async def run(self, recorded, writer, status="200 OK", **options):
+        """Runs a request and sends the response to it."""
+        self.runs += 1
+        return await respond(b"ran", status, **options)(recorded, writer)
+
+
+async def send_rejection(
+    recorded, writer, status=_UNAVAILABLE, request_id=None
+):
+    """Sends a rejection with another request id, or with none."""
+    head = make_head(recorded, status, proof=False, extra=("X-Not-Run: 1",))
+    head[1:2] = [] if request_id is None else [f"X-Id: {request_id}"]
+    write_response(writer, head)
+    await writer.drain()
+
+
+class NotRunCase(testtools.TestCase):
+    """Sends requests, by default non-idempotent ones, over one connection."""
+
+    def send_requests(self, *replicas, count=1, **arguments):
+        """Returns the status and the verdict of each response.
+
+        The verdict is None if the response comes from a replica.
+        """
+
+        async def run():
+            arguments.setdefault("kind", RequestKind.NON_IDEMPOTENT)
+            results = []
+            async with EntryFixture(*replicas, **arguments) as fixture:
+                reader, writer = await fixture.connect()
+                for number in range(count):
+                    writer.write(make_request(request_id=f"7{number}"))
+                    status, headers, body = await read_response(reader)
+                    verdict = None
+                    if headers.get("content-type") == "application/json":
+                        verdict = json.loads(body)["error"]["verdict"]
+                        self.assertNotIn("x-proof", headers)
+                    results.append((status, verdict))
+                writer.close()
+            return results
+
+        return asyncio.run(run())
+
+    def count_runs(self, replicas):
+        """Returns how often the replicas ran a request."""
+        return sum(replica.runs for replica in replicas)
+
+
+class TestEvidence(NotRunCase):
+    """The log shows what each verdict rests on."""
+
+    def _send_recorded(self, replica, **arguments):
+        """Returns the fields of all log lines by event."""
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            self.send_requests(replica, **arguments)
+        lines = {}
+        for record in handler.records:
+            fields = record.extra["fields"]
+            lines.setdefault(record.extra["event"], []).append(fields)
+        return lines
+
+    def test_rejection_is_logged_with_its_evidence(self):
+        """Guards against a verdict that cannot be explained afterwards."""
+
+        async def work(replica, recorded, writer):
+            if len(replica.requests) == 1:
+                return await reject()(recorded, writer)
+            return await replica.run(recorded, writer)
+
+        lines = self._send_recorded(RunningReplica(work))
+        (fields,) = lines[Event.ATTEMPT_FAILED.number]
+        self.assertEqual(("full", 503), (fields["stage"], fields["status"]))
+        self.assertEqual(
+            ("own", True, False, False, False),
+            (
+                fields["echoed_id"],
+                fields["states_not_run"],
+                fields["has_proof"],
+                fields["reused"],
+                fields["carried_before"],
+            ),
+        )
+        self.assertEqual(
+            ("not_run", "not_run"),
+            (fields["verdict_before"], fields["verdict"]),
+        )
+
+    def test_broken_attempt_is_logged_with_its_verdict(self):
+        """Guards against a log that shows the verdict of before an attempt."""
+
+        async def work(replica, recorded, writer):
+            return False
+
+        lines = self._send_recorded(RunningReplica(work))
+        (fields,) = lines[Event.ATTEMPT_FAILED.number]
+        self.assertEqual(
+            ("break", "not_run", "may_have_run"),
+            (fields["stage"], fields["verdict_before"], fields["verdict"]),
+        )
+        self.assertNotIn("status", fields)
+
+    def test_skipped_response_is_logged(self):
+        """Guards against responses to other requests that leave no trace."""
+
+        async def work(replica, recorded, writer):
+            if len(replica.requests) > 1:
+                await send_rejection(recorded, writer, request_id="70")
+            return await replica.run(recorded, writer)
+
+        lines = self._send_recorded(RunningReplica(work), count=2)
+        (fields,) = lines[Event.RESPONSE_SKIPPED.number]
+        self.assertEqual(
+            ("71", "70", 503, True),
+            (
+                fields["request"],
+                fields["echoed_id"],
+                fields["status"],
+                fields["reused"],
+            ),
+        )
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import enum
 import socket
 from collections.abc import Iterable
@@ -62,6 +63,19 @@
         self.reason = reason
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SkippedResponse:
+    """A response that was skipped, since it belongs to another request.
+
+    Attributes:
+        status: Status code.
+        match_id: Value of the match header; None if it is missing.
+    """
+
+    status: int
+    match_id: str | None
+
+
 class Response:
     """Response to one request, readable while it arrives.
 
@@ -71,6 +85,7 @@
         content_length: Body length from the headers, or None.
         complete: Whether the complete response has arrived.
         error: Error that ended the response early, or None.
+        skipped: Responses to other requests that arrived before this one.
     """
 
     def __init__(self, connection: "ClientConnection") -> None:
@@ -79,6 +94,7 @@
         self.content_length: int | None = None
         self.complete = False
         self.error: ConnectionBrokenError | None = None
+        self.skipped: list[SkippedResponse] = []
         self._connection = connection
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered = 0
@@ -186,7 +202,6 @@
         self._expected_id = ""
         self._headers: list[tuple[str, str]] = []
         self._skipping = False
-        self._skipped_responses = 0
         self._ends_at_close = False
         self._keep_alive = False
         self._closed = False
@@ -221,7 +236,6 @@
             expected: Value of the match header in the response to this request.
         """
         self._expected_id = expected
-        self._skipped_responses = 0
         self.requests_sent += 1
         self._response = Response(self)
         if self._closed or self._transport.is_closing():
@@ -320,8 +334,8 @@
             response_id is not None and response_id != self._expected_id
         )
         if self._skipping:
-            self._skipped_responses += 1
-            if self._skipped_responses > _MAX_MISMATCHED_RESPONSES:
+            self._response.skipped.append(SkippedResponse(status, response_id))
+            if len(self._response.skipped) > _MAX_MISMATCHED_RESPONSES:
                 self._fail(ConnectionBrokenError(BreakReason.MISMATCHED))
                 self.abort()
             return
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -187,6 +187,12 @@
         logbook.INFO,
         "caller of request {request} on {route} disconnected",
     )
+    RESPONSE_SKIPPED = (
+        1215,
+        logbook.INFO,
+        "a response of {replica} with status {status} does not belong to "
+        "request {request} and was skipped",
+    )
     STORE_LOST = (
         1304,
         logbook.WARNING,
