Reproduce requests that run although reported as not run

It now sends rejections without an id, second copies of responses, and statuses that only look like rejections, at one replica or at all of a service. Entries get further signals and settings while they stop, callers use any open connection, and the number of entries is an option.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 
 # Forwarding entries as real processes, seeded faults from outside.
 soak-forwarding: setup
-	$(PYTHON) tools/soak_forwarding.py --seed $(SEED) --seconds $(SECONDS)
+	$(PYTHON) tools/soak_forwarding.py --seed $(SEED) --seconds $(SECONDS) $(SOAK_FLAGS)
 
 # Mutated messages against a small site. Not part of make test.
 fuzz: setup
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
@@ -20,6 +20,12 @@
 )
 
 _UNAVAILABLE = "503 Service Unavailable"
+# Statuses that tell a caller that its request did not run.
+_NOT_RUN_STATUSES = (
+    "408 Request Timeout",
+    "429 Too Many Requests",
+    _UNAVAILABLE,
+)
 
 
 class RunningReplica(Replica):
@@ -90,6 +96,131 @@
         return sum(replica.runs for replica in replicas)
 
 
+class TestUnidentifiedRejections(NotRunCase):
+    """A rejection counts only with the id of the request that it rejects."""
+
+    def test_rejection_without_id_is_not_believed(self):
+        """Guards against a second run after a rejection without an id."""
+
+        async def work(replica, recorded, writer):
+            replica.runs += 1
+            await send_rejection(recorded, writer, status)
+            return True
+
+        for status in ("421 Misdirected Request", *_NOT_RUN_STATUSES):
+            replicas = [RunningReplica(work), RunningReplica(work)]
+            results = self.send_requests(*replicas)
+            self.assertEqual([(502, "may_have_run")], results, status)
+            self.assertEqual(1, self.count_runs(replicas), status)
+
+    def test_late_rejection_without_id_is_skipped(self):
+        """Guards against a lost response behind a late one without an id."""
+
+        async def work(replica, recorded, writer):
+            if len(replica.requests) > 1:
+                await send_rejection(recorded, writer)
+            return await replica.run(recorded, writer)
+
+        replica = RunningReplica(work)
+        results = self.send_requests(replica, count=2)
+        self.assertEqual([(200, None)] * 2, results)
+        self.assertEqual(2, replica.runs)
+
+    def test_late_rejection_of_an_earlier_request_is_skipped(self):
+        """Guards against a second run after a rejection of another request."""
+
+        async def work(replica, recorded, writer):
+            if len(replica.requests) > 1:
+                await send_rejection(recorded, writer, request_id="70")
+            return await replica.run(recorded, writer)
+
+        replica = RunningReplica(work)
+        results = self.send_requests(replica, count=2)
+        self.assertEqual([(200, None)] * 2, results)
+        self.assertEqual(2, replica.runs)
+
+
+class TestRepeatedRejections(NotRunCase):
+    """The rejection of one attempt says nothing about the next attempt."""
+
+    def test_second_copy_of_a_rejection_does_not_cover_a_later_attempt(self):
+        """Guards against a second run after a rejection that arrives twice.
+
+        A replica sends a rejection, and a copy of it before its next response
+        on the same connection. Both have the id of the request.
+        """
+
+        async def work(replica, recorded, writer):
+            if not rejected:
+                rejected[writer] = recorded.headers["x-id"]
+                return await reject()(recorded, writer)
+            if writer in rejected:
+                await send_rejection(
+                    recorded, writer, request_id=rejected[writer]
+                )
+            return await replica.run(recorded, writer)
+
+        rejected = {}
+        replica = RunningReplica(work)
+        results = self.send_requests(replica)
+        self.assertEqual([(200, None)], results)
+        self.assertEqual(1, replica.runs)
+
+    def test_connection_of_a_rejected_attempt_serves_other_requests(self):
+        """Guards against connections that are given up after a rejection."""
+
+        async def work(replica, recorded, writer):
+            writers.add(writer)
+            if len(replica.requests) == 1:
+                return await reject()(recorded, writer)
+            return await replica.run(recorded, writer)
+
+        writers = set()
+        replica = RunningReplica(work)
+        results = self.send_requests(replica, count=4)
+        self.assertEqual([(200, None)] * 4, results)
+        self.assertLessEqual(len(writers), 2)
+
+
+class TestUnstatedRejections(NotRunCase):
+    """A status of a replica alone does not state that a request did not run."""
+
+    def test_status_is_not_relayed_as_a_rejection(self):
+        """Guards against "not run" for a request that a replica has run."""
+
+        async def work(replica, recorded, writer):
+            return await replica.run(recorded, writer, status)
+
+        for status in _NOT_RUN_STATUSES:
+            replicas = [RunningReplica(work), RunningReplica(work)]
+            results = self.send_requests(*replicas)
+            self.assertEqual([(502, "may_have_run")], results, status)
+            self.assertEqual(1, self.count_runs(replicas), status)
+
+    def test_status_of_the_last_allowed_run_is_not_relayed(self):
+        """Guards against "not run" for an idempotent request that ran twice."""
+
+        async def work(replica, recorded, writer):
+            return await replica.run(recorded, writer, status)
+
+        for status in _NOT_RUN_STATUSES:
+            replicas = [RunningReplica(work), RunningReplica(work)]
+            results = self.send_requests(*replicas, kind=RequestKind.IDEMPOTENT)
+            self.assertEqual([(502, "may_have_run")], results, status)
+            self.assertEqual(2, self.count_runs(replicas), status)
+
+    def test_success_that_claims_not_run_is_not_believed(self):
+        """Guards against a second run after a contradictory response."""
+
+        async def work(replica, recorded, writer):
+            return await replica.run(recorded, writer, extra=("X-Not-Run: 1",))
+
+        replicas = [RunningReplica(work), RunningReplica(work)]
+        results = self.send_requests(*replicas)
+        self.assertEqual([(502, "may_have_run")], results)
+        self.assertEqual(1, self.count_runs(replicas))
+
+
 class TestEvidence(NotRunCase):
     """The log shows what each verdict rests on."""
 
--- a/tools/soak_command.py
+++ b/tools/soak_command.py
@@ -47,6 +47,7 @@
     faults: Collection[str],
     create_run: RunFactory,
     seconds: float,
+    add_arguments: Callable[[argparse.ArgumentParser], None] | None = None,
 ) -> int:
     """Runs a soak test, prints its summary and returns the exit code.
 
@@ -57,6 +58,7 @@
             method `run` of the result returns the summary, whose key
             `violations` is empty if the test has passed.
         seconds: Default duration in seconds.
+        add_arguments: Adds the options of one soak test to the parser.
     """
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--seconds", type=float, default=seconds)
@@ -71,6 +73,8 @@
         default=list(faults),
         help=f"Comma-separated list of {', '.join(faults)}.",
     )
+    if add_arguments is not None:
+        add_arguments(parser)
     options = parser.parse_args()
     if unknown := set(options.faults) - set(faults):
         parser.error(f"unknown faults: {', '.join(sorted(unknown))}")
--- a/tools/soak_forwarding.py
+++ b/tools/soak_forwarding.py
@@ -54,7 +54,7 @@
 )
 from chicoryplank_platform.tests.simulated_store import SimulatedStore
 
-ENTRIES = 4
+DEFAULT_ENTRIES = 4
 # Choices for the number of concurrent faults, one of which is drawn for a run.
 FAULT_CONCURRENCY_CHOICES = (1, 2, 3)
 ZONES = ("hall-a", "hall-b")
@@ -65,6 +65,9 @@
 # Probability that a caller leaves before its response, and that a request uses
 # a route that is added or removed during the run.
 LEAVE_PROBABILITY = 0.03
+# Probability that a caller uses any open connection, also to an entry that is
+# no longer listed.
+ANY_CONNECTION_PROBABILITY = 0.3
 CHANGING_ROUTE_PROBABILITY = 0.05
 ADDRESS_LIFETIME_S = 2.0
 ROUTE_CHANGE_INTERVAL_S = 2.5
@@ -271,6 +274,11 @@
 
     async def _connect(self) -> tuple[EntryProcess, CallerConnection] | None:
         addresses = list(self._addresses)
+        if self._rng.random() < ANY_CONNECTION_PROBABILITY:
+            idle_addresses = [
+                address for address, idle in self._idle.items() if idle
+            ]
+            addresses = idle_addresses or addresses
         self._rng.shuffle(addresses)
         for address in addresses[:3]:
             entry_process = self._entry_processes[address]
@@ -373,7 +381,7 @@
             self._replica_links[replica.name] = link
         # Each entry stands for a machine with its own address in 127.0.0.0/8.
         network = f"127.{os.getpid() % 200 + 10}.{os.getpid() // 200 % 250}"
-        for number in range(ENTRIES):
+        for number in range(self._options.entries):
             await self._add_entry(
                 stack,
                 f"entry-{number}",
@@ -524,9 +532,21 @@
         }
 
 
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the options of this soak test."""
+    parser.add_argument(
+        "--entries",
+        type=int,
+        default=DEFAULT_ENTRIES,
+        help="Number of entry processes, at most 250.",
+    )
+
+
 def main() -> int:
     """Runs the soak test and returns the exit code."""
-    return run_command(__doc__, FAULTS, SoakRun, seconds=30)
+    return run_command(
+        __doc__, FAULTS, SoakRun, seconds=30, add_arguments=add_arguments
+    )
 
 
 if __name__ == "__main__":
--- a/tools/soak_forwarding_faults.py
+++ b/tools/soak_forwarding_faults.py
@@ -7,7 +7,7 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 
 from fleet import Fleet, TcpProxy, wait_for_http
 from soak_records import Timeline
@@ -25,7 +25,20 @@
 START_TIMEOUT_S = 15.0
 # Longest time for which a draining replica serves after the bound of 2 s.
 _MAX_DRAIN_EXTRA_S = 2.5
+_FALSE_REJECTIONS = (
+    ReplicaFault.REPEATS,
+    ReplicaFault.ANONYMOUS,
+    ReplicaFault.UNSTATED,
+)
 _STORE = "store"
+# Signals that an entry may get while it stops.
+_STOP_SIGNALS = (
+    signal.SIGHUP,
+    signal.SIGHUP,
+    signal.SIGTERM,
+    signal.SIGSTOP,
+    signal.SIGKILL,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -151,6 +164,30 @@
             await _restart(context, name)
 
 
+async def disturb_stop(context: FaultContext) -> None:
+    """Sends an entry that is stopping further signals and new settings."""
+    name = context.choose_unreserved(context.entry_processes)
+    if name is None:
+        return
+    entry_process = context.entry_processes[name]
+    with context.record_fault("disturbed_stop", name):
+        context.fleet.terminate(name)
+        end_s = time.monotonic() + STOP_GRACE_S
+        member = context.fleet.members[name]
+        while member.is_running and time.monotonic() < end_s:
+            signal_number = context.rng.choice(_STOP_SIGNALS)
+            entry_process.settings_path.write_text(
+                f"{entry_process.valid_text}bounds.retry-budget-extra=85\n"
+            )
+            context.fleet.send(name, signal_number)
+            await asyncio.sleep(context.draw_duration_s(0.05, 1.2))
+            context.fleet.resume(name)
+            await asyncio.sleep(context.draw_duration_s(0.05, 1.2))
+        context.fleet.kill(name)
+        entry_process.settings_path.write_text(entry_process.valid_text)
+        await _restart(context, name)
+
+
 async def pause_entry(context: FaultContext) -> None:
     """Pauses an entry for up to 3 s."""
     if name := context.choose_unreserved(context.entry_processes):
@@ -312,15 +349,36 @@
 async def inject_replica_fault(context: FaultContext) -> None:
     """Makes the responses of a replica wrong, late or absent for a time."""
     name = context.rng.choice(list(context.replicas))
-    replica = context.replicas[name]
-    fault = context.rng.choice(list(ReplicaFault)[1:])
-    interval = context.timeline.begin(f"replica_{fault.value}", name)
-    replica_interval = context.timeline.begin("spoilt", replica.name)
-    replica.fault = fault
+    await _spoil_replicas(context, [name], list(ReplicaFault)[1:])
+
+
+async def inject_false_rejections(context: FaultContext) -> None:
+    """Makes responses of all replicas of a service look like rejections."""
+    service = context.rng.choice(list(context.replicas.values())).service
+    names = [
+        name
+        for name, replica in context.replicas.items()
+        if replica.service == service
+    ]
+    await _spoil_replicas(context, names, _FALSE_REJECTIONS)
+
+
+async def _spoil_replicas(
+    context: FaultContext, names: list[str], faults: Sequence[ReplicaFault]
+) -> None:
+    replicas = [context.replicas[name] for name in names]
+    fault = context.rng.choice(faults)
+    intervals = [
+        context.timeline.begin(f"replica_{fault.value}", *names),
+        context.timeline.begin("spoilt", *(item.name for item in replicas)),
+    ]
+    for replica in replicas:
+        replica.fault = fault
     await asyncio.sleep(context.draw_duration_s(0.3, 2.5))
-    replica.fault = ReplicaFault.NONE
-    context.timeline.end(interval)
-    context.timeline.end(replica_interval)
+    for replica in replicas:
+        replica.fault = ReplicaFault.NONE
+    for interval in intervals:
+        context.timeline.end(interval)
 
 
 FAULTS: dict[str, Callable[[FaultContext], Awaitable[None]]] = {
@@ -336,6 +394,8 @@
     "crash": crash_replica,
     "drain": drain_replica,
     "spoil": inject_replica_fault,
+    "false_rejections": inject_false_rejections,
+    "disturbed_stop": disturb_stop,
 }
 
 
