Relay no status that says "not run" without the replica stating it

Callers saw 503, 429 or 408 for requests that a replica had run, which breaks the promise of these statuses (rule REFUSED). Cause: a response with such a status but without the header that states "not run" was relayed as a failure of the replica, or, with status 408, as a final response. A success with that header was believed to be "not run".

The response of the replica is never relayed, so the status cannot reach a caller.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -10,8 +10,8 @@
 from chicoryplank_wire.client_connection import ClientConnection, Response
 
 _MISDIRECTED = 421
-_UNAVAILABLE = 503
-_TOO_MANY_REQUESTS = 429
+# Statuses that tell a caller that its request did not run and will not run.
+_REJECTION_STATUSES = frozenset({408, _MISDIRECTED, 429, 503})
 _FIRST_SERVER_ERROR = 500
 _SUCCESS = range(200, 300)
 
@@ -28,6 +28,9 @@
             request.
         UNPROVEN: A success without proof that it is the response of this
             replica to this request.
+        UNSTATED: A status that tells a caller that its request did not run,
+            without a statement of the replica that it did not. The request may
+            have run, so the response must not be relayed.
     """
 
     FINAL = "answer"
@@ -35,6 +38,7 @@
     FULL = "full"
     MISDIRECTED = "misdirected"
     UNPROVEN = "unproven"
+    UNSTATED = "unstated"
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,13 +121,17 @@
     status = response.status
     if status == _MISDIRECTED:
         return Outcome.MISDIRECTED
-    if response.get(names.not_run) is not None:
+    states_not_run = response.get(names.not_run) is not None
+    if states_not_run and status not in _SUCCESS:
         return Outcome.FULL
     if status in _SUCCESS:
         echoed_id = response.get(names.request_id)
-        if response.get(names.proof) is None or echoed_id != request_id:
+        has_proof = response.get(names.proof) is not None
+        if states_not_run or not has_proof or echoed_id != request_id:
             return Outcome.UNPROVEN
         return Outcome.FINAL
-    if status >= _FIRST_SERVER_ERROR or status == _TOO_MANY_REQUESTS:
+    if status in _REJECTION_STATUSES:
+        return Outcome.UNSTATED
+    if status >= _FIRST_SERVER_ERROR:
         return Outcome.FAILURE
     return Outcome.FINAL
