Believe only responses with the id of their request

Cause: the echoed id was demanded of a success only. A 421, or any response with the statement "not run", was believed without it, whoever sent it: a late additional response while the replica runs the request, or another process at the address.

Now a response without the id is skipped on a connection that has carried an earlier request, as one with another id always was, so that the own response behind it reaches the caller.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -11,7 +11,7 @@
 
 _MISDIRECTED = 421
 # Statuses that tell a caller that its request did not run and will not run.
-_REJECTION_STATUSES = frozenset({408, _MISDIRECTED, 429, 503})
+_REJECTION_STATUSES = frozenset({408, 429, 503})
 _FIRST_SERVER_ERROR = 500
 _SUCCESS = range(200, 300)
 
@@ -26,8 +26,9 @@
             its group is down.
         MISDIRECTED: Another replica has the address, and did not run the
             request.
-        UNPROVEN: A success without proof that it is the response of this
-            replica to this request.
+        UNPROVEN: A response without the id of this request, or a success
+            without proof that it comes from this replica. It says nothing
+            about the request.
         UNSTATED: A status that tells a caller that its request did not run,
             without a statement of the replica that it did not. The request may
             have run, so the response must not be relayed.
@@ -119,19 +120,17 @@
 ) -> Outcome:
     """Classifies a response by its status and headers."""
     status = response.status
-    if status == _MISDIRECTED:
-        return Outcome.MISDIRECTED
     states_not_run = response.get(names.not_run) is not None
-    if states_not_run and status not in _SUCCESS:
-        return Outcome.FULL
+    if get_echoed_id(names, response, request_id) is not EchoedId.OWN:
+        return Outcome.UNPROVEN
     if status in _SUCCESS:
-        echoed_id = response.get(names.request_id)
         has_proof = response.get(names.proof) is not None
-        if states_not_run or not has_proof or echoed_id != request_id:
-            return Outcome.UNPROVEN
-        return Outcome.FINAL
+        is_proven = has_proof and not states_not_run
+        return Outcome.FINAL if is_proven else Outcome.UNPROVEN
+    if status == _MISDIRECTED:
+        return Outcome.MISDIRECTED
+    if states_not_run:
+        return Outcome.FULL
     if status in _REJECTION_STATUSES:
         return Outcome.UNSTATED
-    if status >= _FIRST_SERVER_ERROR:
-        return Outcome.FAILURE
-    return Outcome.FINAL
+    return Outcome.FAILURE if status >= _FIRST_SERVER_ERROR else Outcome.FINAL
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -328,6 +328,9 @@
             outcome.value,
             f"status {status}, at fault {at_fault}",
         )
+        if outcome is Outcome.UNPROVEN:
+            # The response to this request may still follow.
+            attempt.connection.abort()
         if outcome is Outcome.MISDIRECTED:
             if at_fault in (None, instance):
                 self._state.exclude(instance)
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
@@ -186,6 +186,7 @@
     Args:
         match_header: Name, in lower case, of the response header that
             identifies the request; empty if responses have no such header.
+            Responses that may belong to another request are skipped.
 
     Attributes:
         idle_timeout_s: Idle timeout in seconds that the server announced in a
@@ -327,12 +328,8 @@
             return
         self._keep_alive = self._parser.should_keep_alive()
         values = dict(self._headers)
-        response_id = (
-            values.get(self._match_header) if self._match_header else None
-        )
-        self._skipping = (
-            response_id is not None and response_id != self._expected_id
-        )
+        response_id = values.get(self._match_header)
+        self._skipping = self._is_of_another_request(response_id)
         if self._skipping:
             self._response.skipped.append(SkippedResponse(status, response_id))
             if len(self._response.skipped) > _MAX_MISMATCHED_RESPONSES:
@@ -352,6 +349,18 @@
         response.status = status
         response.wake()
 
+    def _is_of_another_request(self, response_id: str | None) -> bool:
+        """Tells whether a response may belong to an earlier request.
+
+        Without an id this is possible on a connection that has carried an
+        earlier request.
+        """
+        if not self._match_header:
+            return False
+        if response_id is None:
+            return self.requests_sent > 1
+        return response_id != self._expected_id
+
     def on_body(self, data: bytes) -> None:
         """Passes a part of the body to the pending response."""
         if self._response is not None and not self._skipping:
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/tests/test_client_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/tests/test_client_connection.py
@@ -118,6 +118,25 @@
         self.assertEqual((200, b"ok"), self.read(other + own)[:2])
         self.assertIs(BreakReason.MISMATCHED, self.read(other * 5 + own))
 
+    def test_response_without_id_is_skipped_on_a_used_connection(self):
+        """Guards against a late response taken for one to a later request."""
+        own = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok"
+        late = b"HTTP/1.1 503 No\r\nContent-Length: 3\r\n\r\nbad"
+        self.assertEqual((503, b"bad"), self.read(late)[:2])
+
+        async def work(address):
+            connection = await connect(address, 1.0, "x-id")
+            first = connection.send(_REQUEST, "7")
+            await first.read_all(10)
+            second = connection.send(_REQUEST, "7")
+            connection.data_received(late)
+            await second.wait_head()
+            skipped = [(item.status, item.match_id) for item in second.skipped]
+            return second.status, await second.read_all(10), skipped
+
+        result = self.run_against([own], work)
+        self.assertEqual((200, b"ok", [(503, None)]), result)
+
     def test_interim_response_is_skipped(self):
         """Guards against taking an interim response for the final one."""
         own = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok"
