Send each attempt of a request on a connection of its own

Cause: the request id names the request, not the attempt. A rejected request that goes to the same replica again took the connection of its first attempt from the pool; a second copy of the rejection, which arrives where the next response is expected, has the right id and was believed for the second attempt, which was running.

A connection now carries a request at most once, so that a response with the id on it can only mean that attempt. The connection stays in the pool for other requests.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/backends.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/backends.py
@@ -1,7 +1,7 @@
 """Pool of persistent connections to replicas."""
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from chicoryplank.ids import InstanceId
 from chicoryplank_wire.client_connection import (
@@ -51,14 +51,24 @@
         self._idle: dict[BackendAddress, list[ClientConnection]] = {}
 
     async def acquire(
-        self, backend: BackendAddress, repeatable: bool
+        self,
+        backend: BackendAddress,
+        repeatable: bool,
+        excluded: Collection[ClientConnection] = (),
     ) -> ClientConnection:
         """Returns an idle connection that is likely still open, or a new one.
 
+        Args:
+            backend: Replica to connect to.
+            repeatable: Whether the request may be executed more than once.
+            excluded: Connections that carried an earlier attempt of the
+                request. The request id does not distinguish attempts, so a late
+                response to that attempt would be taken for one to the next.
+
         Raises:
             ConnectionBrokenError: If no connection can be made.
         """
-        idle = self._take_idle(backend, repeatable)
+        idle = self._take_idle(backend, repeatable, excluded)
         if idle is not None:
             return idle
         return await self.open(backend)
@@ -74,23 +84,34 @@
         )
 
     def _take_idle(
-        self, backend: BackendAddress, repeatable: bool
+        self,
+        backend: BackendAddress,
+        repeatable: bool,
+        excluded: Collection[ClientConnection],
     ) -> ClientConnection | None:
-        now_s = self._now_s()
+        """Removes and returns the connection that was used last, if any."""
         connections = self._idle.get(backend, [])
-        while connections:
-            connection = connections.pop()
-            allowed_s = _DEFAULT_MAX_IDLE_S
-            if connection.idle_timeout_s is not None:
-                allowed_s = connection.idle_timeout_s * _USED_IDLE_SHARE
-            if not repeatable:
-                allowed_s = min(allowed_s, _NON_REPEATABLE_IDLE_S)
-            idle_s = now_s - connection.idle_since_s
-            if connection.is_reusable and idle_s <= allowed_s:
+        for index in range(len(connections) - 1, -1, -1):
+            connection = connections[index]
+            if connection in excluded:
+                continue
+            del connections[index]
+            if self._is_likely_open(connection, repeatable):
                 return connection
             connection.abort()
         return None
 
+    def _is_likely_open(
+        self, connection: ClientConnection, repeatable: bool
+    ) -> bool:
+        allowed_s = _DEFAULT_MAX_IDLE_S
+        if connection.idle_timeout_s is not None:
+            allowed_s = connection.idle_timeout_s * _USED_IDLE_SHARE
+        if not repeatable:
+            allowed_s = min(allowed_s, _NON_REPEATABLE_IDLE_S)
+        idle_s = self._now_s() - connection.idle_since_s
+        return connection.is_reusable and idle_s <= allowed_s
+
     def release(
         self, backend: BackendAddress, connection: ClientConnection
     ) -> None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -216,7 +216,7 @@
             )
             try:
                 connection = await self._pool.acquire(
-                    backend, call.route.repeatable
+                    backend, call.route.repeatable, call.used_connections
                 )
             except ConnectionBrokenError as error:
                 self._end_attempt(call, replica.instance, False)
