Answer a request that may have run without waiting for a slot

Callers of non-idempotent requests whose connection broke, or whose response was not believed, were held until a slot became free, up to 0.3 of their time, only to get 502. Cause: the check whether a further attempt is allowed came after the wait for its slot.

test_request_that_may_have_run_does_not_wait_for_a_slot failed with 0.45 s. The check now comes before the wait and again after it; the retry budget is still charged after it.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
@@ -31,7 +31,7 @@
         self._parameters = parameters
         self._retry_after_jitter = RetryAfterJitter(state.rng)
 
-    def check_retry(self, call: Call, now_s: float) -> None:
+    def check_retry(self, call: Call) -> None:
         """Refuses a retry that is not allowed or cannot succeed.
 
         Raises:
@@ -39,6 +39,7 @@
         """
         if call.attempts == 0:
             return
+        now_s = self._state.now_s()
         if call.verdict is not Verdict.NOT_RUN and not call.route.repeatable:
             raise self.make_refusal(
                 call, ErrorCode.OUTCOME_UNKNOWN, "the request may have run"
@@ -51,8 +52,15 @@
             raise self.make_refusal(
                 call, ErrorCode.BACKEND_FAILED, "no further attempt is allowed"
             )
-        if not call.service_state.retry_budget.try_spend(
-            self._state.entry_count, now_s
+
+    def spend_retry(self, call: Call) -> None:
+        """Charges an attempt to the retry budget unless it is the first.
+
+        Raises:
+            ChicoryplankError: If the budget is exhausted.
+        """
+        if call.attempts and not call.service_state.retry_budget.try_spend(
+            self._state.entry_count, self._state.now_s()
         ):
             raise self.make_refusal(
                 call,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -193,9 +193,11 @@
         """
         must_wait = False
         while True:
+            self._admission.check_retry(call)
             await self._admission.wait_for_slot(call, must_wait)
+            self._admission.check_retry(call)
+            self._admission.spend_retry(call)
             now_s = self._state.now_s()
-            self._admission.check_retry(call, now_s)
             allowance = self._parameters.queue_allowance
             full = self._state.list_full_replicas(
                 call.service_state, allowance, now_s
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
@@ -7,6 +7,7 @@
 import testtools
 
 from chicoryplank.events import Event
+from chicoryplank.ids import InstanceId
 from chicoryplank.traffic import RequestKind
 from chicoryplank_entry.forwarding.tests.harness import (
     EntryFixture,
@@ -19,6 +20,7 @@
     write_response,
 )
 
+REPLICA = InstanceId("replica-0")
 _UNAVAILABLE = "503 Service Unavailable"
 # Statuses that tell a caller that its request did not run.
 _NOT_RUN_STATUSES = (
@@ -182,6 +184,35 @@
         self.assertLessEqual(len(writers), 2)
 
 
+class TestKnownOutcomes(NotRunCase):
+    """A request whose outcome is decided does not wait for a slot."""
+
+    def test_request_that_may_have_run_does_not_wait_for_a_slot(self):
+        """Guards against holding a request that will not be sent again."""
+
+        async def work(replica, recorded, writer):
+            occupancy = fixtures[0].state.occupancy
+            now_s = fixtures[0].state.now_s()
+            occupancy.observe_peer("entry-2", {REPLICA: 2}, now_s)
+            return False
+
+        async def run():
+            async with EntryFixture(
+                RunningReplica(work), kind=RequestKind.NON_IDEMPOTENT
+            ) as fixture:
+                fixtures.append(fixture)
+                loop = asyncio.get_running_loop()
+                started_s = loop.time()
+                status, _, body = await fixture.send_request()
+                elapsed_s = loop.time() - started_s
+            return status, json.loads(body)["error"]["verdict"], elapsed_s
+
+        fixtures = []
+        status, verdict, elapsed_s = asyncio.run(run())
+        self.assertEqual((502, "may_have_run"), (status, verdict))
+        self.assertLess(elapsed_s, 0.3)
+
+
 class TestUnstatedRejections(NotRunCase):
     """A status of a replica alone does not state that a request did not run."""
 
