Refuse a request without an id at once

A request without an id was sent, although no response could be matched with it. Its rejections counted as "not run", its success as a failure, up to six attempts each; test_request_without_id_is_refused_at_once failed with a relayed response. It now gets 400 (CP1201) at once. The verdict of an attempt changes before its bytes are written instead of after, so that no error in between can leave it at not run.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
@@ -140,6 +140,12 @@
             ErrorCode.UNKNOWN_PATH, f"no route for {request.target[:100]}"
         )
     account = _authenticate(state, request, route)
+    request_id = request.get(names.request_id)
+    if not request_id:
+        # No response could be matched with the request.
+        raise ChicoryplankError(
+            ErrorCode.MALFORMED_REQUEST, f"{names.request_id} is missing"
+        )
     left_s = _parse_time_left(names, request)
     timeout_s = route.timeout.total_seconds()
     service = choose_service(route, state.rng)
@@ -148,7 +154,7 @@
         priority = configuration.priorities.get(account, priority)
     return Call(
         request,
-        request.get(names.request_id) or "",
+        request_id,
         route,
         service,
         state.get_service(service),
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -247,26 +247,24 @@
         if not call.attempts:
             call.sent_after_s = now_s - call.request.received_s
         is_connection_reused = connection.requests_sent > 0
-        response = connection.send(
-            call.encode(self._names, replica.instance, now_s),
-            call.request_id,
-        )
-        attempt = Attempt(
+        has_carried_call = connection in call.used_connections
+        earlier_verdict = call.verdict
+        data = call.encode(self._names, replica.instance, now_s)
+        # From now on the request counts as not run only if the replica says so.
+        call.verdict = Verdict.MAY_HAVE_RUN
+        call.attempts += 1
+        call.tried_replicas.add(replica.instance)
+        call.used_connections.append(connection)
+        return Attempt(
             replica,
             backend,
             connection,
-            response,
+            connection.send(data, call.request_id),
             now_s,
             is_connection_reused,
-            connection in call.used_connections,
-            call.verdict,
+            has_carried_call,
+            earlier_verdict,
         )
-        call.used_connections.append(connection)
-        # From now on the request counts as not run only if the replica says so.
-        call.verdict = Verdict.MAY_HAVE_RUN
-        call.attempts += 1
-        call.tried_replicas.add(attempt.replica.instance)
-        return attempt
 
     async def _try_relay(
         self,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
@@ -184,6 +184,24 @@
         self.assertLessEqual(len(writers), 2)
 
 
+class TestRequestsWithoutId(NotRunCase):
+    """A request without an id cannot be matched with any response."""
+
+    def test_request_without_id_is_refused_at_once(self):
+        """Guards against sending a request whose outcome cannot be known."""
+
+        async def work(replica, recorded, writer):
+            return await replica.run(recorded, writer)
+
+        async def run():
+            replica = RunningReplica(work)
+            async with EntryFixture(replica) as fixture:
+                status, _, body = await fixture.send_request(request_id="")
+            return status, json.loads(body)["error"]["code"], replica.runs
+
+        self.assertEqual((400, "CP1201", 0), asyncio.run(run()))
+
+
 class TestKnownOutcomes(NotRunCase):
     """A request whose outcome is decided does not wait for a slot."""
 
