Place a hold on a new connection

Cause: the result of a hold is taken from the response alone, while reports show the effect of every other order.

test_second_copy_of_a_report_is_not_the_result_of_a_hold failed with ACCEPTED instead of CONFLICT. A hold is now placed on a new connection, one for each map change; other calls share one as before.

--- a/packages/chicoryplank-wire/src/chicoryplank_wire/calls.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/calls.py
@@ -53,6 +53,8 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         timeout_s: float | None = None,
+        *,
+        on_new_connection: bool = False,
     ) -> tuple[int, bytes]:
         """Sends a request and returns the status and body of the response.
 
@@ -62,13 +64,20 @@
             body: Request body.
             headers: Headers in addition to Host.
             timeout_s: Replaces the timeout of the client if given.
+            on_new_connection: Whether to send the request on a new connection,
+                where no late response to an earlier request can arrive.
 
         Raises:
             ConnectionBrokenError: If there is no complete response. A request
                 that was sent may nevertheless have been executed.
         """
         response, content = await self.exchange(
-            method, target, body, headers, timeout_s
+            method,
+            target,
+            body,
+            headers,
+            timeout_s,
+            on_new_connection=on_new_connection,
         )
         return response.status, content
 
@@ -79,6 +88,8 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         timeout_s: float | None = None,
+        *,
+        on_new_connection: bool = False,
     ) -> tuple[Response, bytes]:
         """Same as `call`, but returns the response with its headers.
 
@@ -86,7 +97,7 @@
             ConnectionBrokenError: If there is no complete response.
         """
         effective_timeout_s = timeout_s or self._timeout_s
-        connection = self._pop_idle()
+        connection = None if on_new_connection else self._pop_idle()
         if connection is None:
             connection = await connect(self.address, effective_timeout_s)
         can_reuse = False
