Send rejection statuses of the own front only if a request did not run

Cause: the status of an error came from its code alone. CP1602, another attempt holds the claim, and CP1401, CP1210, CP1214 and CP1901 with the verdict may_have_run had status 503 or 429, which tell a caller that its request did not run. A backend server's own 408, 429 or 503 was passed on without any verdict.

Errors whose verdict is not not_run now get 502 instead, as in the other front; a backend server's own response keeps its status and gets X-Verdict: may_have_run. The statuses stand once, in chicoryplank.verdict.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -4,14 +4,12 @@
 import enum
 
 from chicoryplank.traffic import ReplicaRecord
-from chicoryplank.verdict import Verdict
+from chicoryplank.verdict import NOT_RUN_STATUSES, Verdict
 from chicoryplank_entry.forwarding.backends import BackendAddress
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_wire.client_connection import ClientConnection, Response
 
 _MISDIRECTED = 421
-# Statuses that tell a caller that its request did not run and will not run.
-_REJECTION_STATUSES = frozenset({408, 429, 503})
 _FIRST_SERVER_ERROR = 500
 _SUCCESS = range(200, 300)
 
@@ -131,6 +129,6 @@
         return Outcome.MISDIRECTED
     if states_not_run:
         return Outcome.FULL
-    if status in _REJECTION_STATUSES:
+    if status in NOT_RUN_STATUSES:
         return Outcome.UNSTATED
     return Outcome.FAILURE if status >= _FIRST_SERVER_ERROR else Outcome.FINAL
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -29,12 +29,10 @@
     read_token,
 )
 from chicoryplank_entry.http_responses import (
-    EventStreamResponse,
+    make_backend_response,
     make_error_response,
-    validate_response_head,
 )
 from chicoryplank_entry.requests import CallerRequest, RequestKind, find_account
-from chicoryplank_entry.responses import ResponseStream
 
 _METHOD_NOT_ALLOWED = 405
 _FORWARDED_HEADERS = ("content-type", "accept", "idempotency-key")
@@ -171,10 +169,7 @@
             raise
         finally:
             disconnect_task.cancel()
-        validate_response_head(response)
-        if isinstance(response.body, ResponseStream):
-            return EventStreamResponse(response)
-        return Response(response.body, response.status, dict(response.headers))
+        return make_backend_response(response)
 
     async def _serve_completion(self, request: Request) -> Response:
         token = read_token(request)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http_responses.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http_responses.py
@@ -6,7 +6,7 @@
 from starlette.responses import Response
 
 from chicoryplank.errors import ChicoryplankError, ErrorCode
-from chicoryplank.verdict import Verdict
+from chicoryplank.verdict import NOT_RUN_STATUSES, Verdict
 from chicoryplank_entry import metrics
 from chicoryplank_entry.responses import (
     CallerResponse,
@@ -35,12 +35,24 @@
     ErrorCode.INTERNAL_ERROR: 500,
 }
 _DEFAULT_STATUS = 503
+_BAD_GATEWAY = 502
 _FINAL_STATUSES = range(200, 600)
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # Latin-1 without control characters other than the tab.
 _HEADER_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 
 
+def get_status(error: ChicoryplankError) -> int:
+    """Returns the HTTP status of an error.
+
+    A status that means "not run" is used only if the request did not run.
+    """
+    status = _STATUS_OF_CODE.get(error.code, _DEFAULT_STATUS)
+    if error.verdict is not Verdict.NOT_RUN and status in NOT_RUN_STATUSES:
+        return _BAD_GATEWAY
+    return status
+
+
 def make_error_response(
     error: ChicoryplankError, status: int | None = None
 ) -> Response:
@@ -56,7 +68,7 @@
         headers["Retry-After"] = str(seconds)
     return Response(
         format_error(error),
-        status or _STATUS_OF_CODE.get(error.code, _DEFAULT_STATUS),
+        status or get_status(error),
         headers,
         "application/json",
     )
@@ -117,7 +129,27 @@
         await send({"type": "http.response.body", "body": last_chunk})
 
 
-def validate_response_head(response: CallerResponse) -> None:
+def make_backend_response(response: CallerResponse) -> Response:
+    """Creates the HTTP response that passes on that of a backend server.
+
+    Raises:
+        ChicoryplankError: With BACKEND_FAILED and verdict MAY_HAVE_RUN if the
+            status or a header is invalid.
+    """
+    _validate_head(response)
+    if isinstance(response.body, ResponseStream):
+        http_response = EventStreamResponse(response)
+    else:
+        http_response = Response(
+            response.body, response.status, dict(response.headers)
+        )
+    if response.status in NOT_RUN_STATUSES:
+        # A backend server may send such a status after it ran the request.
+        http_response.headers["X-Verdict"] = Verdict.MAY_HAVE_RUN.value
+    return http_response
+
+
+def _validate_head(response: CallerResponse) -> None:
     """Checks that the HTTP server can send a response head.
 
     Raises:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_http.py
@@ -1,9 +1,12 @@
 """Tests of the HTTP interface with invalid requests and responses."""
 
 import asyncio
+import itertools
 
 import testtools
 
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.verdict import Verdict
 from chicoryplank_entry.tests.harness import (
     MODEL_BODY,
     make_completion_request,
@@ -12,6 +15,8 @@
 )
 
 _SEND_PATH = "/v1/services/quotes/send"
+# Statuses that tell a caller that its request did not run.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 def _send_each(*messages, method="POST", error_to_raise=None, **limits):
@@ -289,6 +294,47 @@
         self.assertEqual("CP1219", responses[0].error)
         self.assertEqual("may_have_run", responses[0].headers["x-verdict"])
 
+    def test_status_of_a_request_that_may_have_run(self):
+        """Guards against a status that tells a caller "not run" wrongly."""
+
+        async def scenario(harness):
+            statuses = {verdict: set() for verdict in Verdict}
+            for verdict, code in itertools.product(Verdict, ErrorCode):
+                harness.dispatcher.error_to_raise = ChicoryplankError(
+                    code, "failed", verdict
+                )
+                connection = await harness.connect()
+                response = await connection.request(make_completion_request())
+                self.assertEqual(verdict.value, response.headers["x-verdict"])
+                statuses[verdict].add(response.status)
+            return statuses
+
+        statuses = run_with_harness(scenario)
+        self.assertEqual(
+            {408, 429, 503}, statuses[Verdict.NOT_RUN] & _NOT_RUN_STATUSES
+        )
+        self.assertEqual(
+            set(), statuses[Verdict.MAY_HAVE_RUN] & _NOT_RUN_STATUSES
+        )
+        self.assertEqual(set(), statuses[Verdict.RAN] & _NOT_RUN_STATUSES)
+
+    def test_rejection_status_of_a_backend_server_has_a_verdict(self):
+        """Guards against "not run" for a request that a backend server ran."""
+
+        async def scenario(harness):
+            verdicts = {}
+            for status in (200, 500, *_NOT_RUN_STATUSES):
+                harness.dispatcher.status = status
+                connection = await harness.connect()
+                response = await connection.request(make_completion_request())
+                self.assertEqual(status, response.status)
+                verdicts[status] = response.headers.get("x-verdict")
+            return verdicts
+
+        expected = dict.fromkeys((200, 500))
+        expected |= dict.fromkeys(_NOT_RUN_STATUSES, "may_have_run")
+        self.assertEqual(expected, run_with_harness(scenario))
+
     def test_malformed_response_has_an_error_code(self):
         """Guards against a response head that the server cannot send."""
 
--- a/packages/chicoryplank/src/chicoryplank/verdict.py
+++ b/packages/chicoryplank/src/chicoryplank/verdict.py
@@ -2,6 +2,10 @@
 
 import enum
 
+# HTTP statuses that tell a caller that its request did not run and will not
+# run later.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class Verdict(enum.Enum):
     """What is known about the execution of a request.
