Send each request of an agent on a connection of its own

Cause: a response on a persistent connection was believed without an id, which backend servers need not send. A server that sends a response twice shifted all later responses of that connection by one: test_late_copy_of_a_response_is_not_a_response got the responses /first, /first and /second.

Every request now has a connection of its own, as non-idempotent ones already had. With that no request can be sent again by the HTTP client, so that a refused connection always means that the request did not run.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -21,6 +21,7 @@
 _EVENT_ID = re.compile(rb"^id: ?(\S+)", re.MULTILINE)
 _END_MARKER = b"data: [DONE]"
 _MAX_RESUMES = 3
+_CLOSE = {"Connection": "close"}
 _RESPONSE_HEADERS = frozenset({"content-type", "retry-after"})
 
 
@@ -35,7 +36,6 @@
         path: Path and query string.
         headers: Headers as (name, value).
         body: Request body.
-        repeatable: Whether the request is idempotent.
     """
 
     request_id: str
@@ -43,7 +43,6 @@
     path: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
-    repeatable: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +64,11 @@
 class BackendClient:
     """Client of one backend server.
 
+    Each request is sent on a connection of its own. On a persistent connection
+    the HTTP client may send a request a second time when the connection breaks,
+    and a late response to an earlier request cannot be told from the response
+    to the next one, since backend servers need not send a request id.
+
     Args:
         address: Host and port of the backend server.
         max_connections: Maximum number of concurrent requests.
@@ -72,18 +76,11 @@
 
     def __init__(self, address: str, max_connections: int) -> None:
         self._url = f"http://{address}"
-        self._client = make_client(max_connections)
-        # When a persistent connection breaks, the HTTP client may send a PUT
-        # or DELETE a second time. A non-idempotent request is therefore always
-        # sent on a new connection.
-        self._non_persistent_client = make_client(
-            max_connections, max_requests=0
-        )
+        self._client = make_client(max_connections, max_requests=0)
 
     async def close(self) -> None:
         """Closes all connections to the backend server."""
         await self._client.aclose()
-        await self._non_persistent_client.aclose()
 
     async def send(self, request: BackendRequest) -> BackendResponse:
         """Sends a request and returns its response, with an unread body.
@@ -94,12 +91,8 @@
         """
         headers = dict(request.headers)
         headers["X-Request-Id"] = request.request_id
-        client = self._client
-        if not request.repeatable:
-            client = self._non_persistent_client
-            headers["Connection"] = "close"
         response = await self._send_request(
-            client, request.method, request.path, headers, request.body
+            request.method, request.path, headers, request.body
         )
         response_headers = tuple(
             (name.lower(), value)
@@ -119,7 +112,7 @@
         """Asks the backend server to cancel a request; ignores failures."""
         try:
             response = await self._client.delete(
-                f"{self._url}/v1/streams/{request_id}"
+                f"{self._url}/v1/streams/{request_id}", headers=_CLOSE
             )
             await response.content()
         except HTTP_FAILURES:
@@ -128,7 +121,7 @@
     async def fetch_json(self, path: str) -> dict | None:
         """Returns a JSON document, or None if it cannot be fetched."""
         try:
-            response = await self._client.get(self._url + path)
+            response = await self._client.get(self._url + path, headers=_CLOSE)
             if response.status_code != _HTTP_OK:
                 return None
             return await response.json()
@@ -144,12 +137,10 @@
             ChicoryplankError: With verdict NOT_RUN if no connection was made,
                 otherwise MAY_HAVE_RUN.
         """
-        headers = {"Content-Type": "application/json", "Connection": "close"}
+        headers = {"Content-Type": "application/json"}
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                response = await self._send_request(
-                    self._non_persistent_client, "POST", path, headers, body
-                )
+                response = await self._send_request("POST", path, headers, body)
                 chunks = [chunk async for chunk in _read_body(response)]
         except TimeoutError as error:
             raise _make_response_error(error) from error
@@ -157,7 +148,6 @@
 
     async def _send_request(
         self,
-        client: aiosonic.HTTPClient,
         method: str,
         path: str,
         headers: dict[str, str],
@@ -169,23 +159,19 @@
             request_timeout=None,
         )
         try:
-            return await client.request(
+            return await self._client.request(
                 self._url + path,
                 method,
-                headers=headers,
+                headers=headers | _CLOSE,
                 data=body or None,
                 stream=True,
                 timeouts=timeouts,
             )
         except (ConnectionRefusedError, ConnectTimeout) as error:
-            # The HTTP client may already have sent the request on a persistent
-            # connection that broke, and was refused only when it connected to
-            # send the request again.
-            may_have_been_sent = client is self._client
             raise ChicoryplankError(
                 ErrorCode.BACKEND_FAILED,
                 "cannot connect to the backend server",
-                Verdict.MAY_HAVE_RUN if may_have_been_sent else Verdict.NOT_RUN,
+                Verdict.NOT_RUN,
             ) from error
         except HTTP_FAILURES as error:
             raise _make_response_error(error) from error
@@ -218,7 +204,6 @@
             if not last_event_id:
                 raise _make_response_error(failure)
             response = await self._send_request(
-                self._client,
                 "GET",
                 f"/v1/streams/{request_id}",
                 {"Last-Event-ID": last_event_id.decode()},
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
@@ -500,5 +500,4 @@
         start.path,
         tuple((item.name, item.value) for item in start.headers),
         start.body,
-        start.repeatable,
     )
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend.py
@@ -12,8 +12,8 @@
 _HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
 
 
-def _make_request(path, method="GET", repeatable=True):
-    return BackendRequest(path, method, path, (), b"", repeatable)
+def _make_request(path, method="GET"):
+    return BackendRequest(path, method, path, (), b"")
 
 
 class _Server:
@@ -23,6 +23,8 @@
         paths: Paths of the received requests.
         arrived: Set when a request for /slow has arrived.
         release: Lets the response to /slow be sent when set.
+        repeats: Whether the server sends a second copy of each response before
+            the next one on the same connection.
         closes_on: Path at which the server closes the connection.
         stops_on: Path at which the server stops listening and closes the
             connection.
@@ -32,6 +34,7 @@
         self.paths = []
         self.arrived = asyncio.Event()
         self.release = asyncio.Event()
+        self.repeats = False
         self.closes_on = b""
         self.stops_on = b""
         self._closed = []
@@ -52,6 +55,7 @@
     async def _handle_connection(self, reader, writer):
         closed = asyncio.Event()
         self._closed.append(closed)
+        late = b""
         while head := await reader.readline():
             path = head.split()[1]
             self.paths.append(path.decode())
@@ -65,7 +69,9 @@
                 break
             if path == self.closes_on:
                 break
-            writer.write(_HEAD % (len(path), path))
+            writer.write(late + _HEAD % (len(path), path))
+            if self.repeats:
+                late = _HEAD % (len(path), path)
         writer.close()
         closed.set()
 
@@ -104,16 +110,25 @@
 
         self.assertEqual(b"/last", self._run(work))
 
+    def test_late_copy_of_a_response_is_not_a_response(self):
+        """Guards against a request that gets the response to another one."""
+
+        async def work(server, client):
+            server.repeats = True
+            paths = ("/first", "/second", "/third")
+            return [await _read(client, _make_request(path)) for path in paths]
+
+        self.assertEqual([b"/first", b"/second", b"/third"], self._run(work))
+
     def test_non_idempotent_request_is_sent_once(self):
         """Guards against a resend if a persistent connection breaks."""
 
         async def work(server, client):
             await _read(client, _make_request("/first"))
-            await _read(client, _make_request("/second", "PUT", False))
+            await _read(client, _make_request("/second", "PUT"))
             server.closes_on = b"/quotes"
-            request = _make_request("/quotes", "PUT", repeatable=False)
             try:
-                await _read(client, request)
+                await _read(client, _make_request("/quotes", "PUT"))
             except ChicoryplankError:
                 pass
             return server.paths.count("/quotes")
@@ -121,11 +136,7 @@
         self.assertEqual(1, self._run(work))
 
     def test_refused_resend_is_reported_as_may_have_run(self):
-        """Guards against NOT_RUN for a request that the server received.
-
-        The HTTP client sends a GET again if a persistent connection breaks. If
-        the second connection is refused, the first send may still have arrived.
-        """
+        """Guards against NOT_RUN for a request that the server received."""
 
         async def work(server, client):
             await _read(client, _make_request("/first"))
