Test verdicts against replicas that respond at random

Two replicas draw rejections, second copies of them, rejections without an id, statuses that only look like rejections and broken connections.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
@@ -1,7 +1,9 @@
 """Tests of which responses may count as "not run", on loopback."""
 
 import asyncio
+import collections
 import json
+import random
 
 import logbook
 import testtools
@@ -9,6 +11,7 @@
 from chicoryplank.events import Event
 from chicoryplank.ids import InstanceId
 from chicoryplank.traffic import RequestKind
+from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.tests.harness import (
     EntryFixture,
     Replica,
@@ -343,3 +346,73 @@
                 fields["reused"],
             ),
         )
+
+
+class UnreliableReplica(RunningReplica):
+    """Replica that draws how it responds to each request.
+
+    Args:
+        rng: Random number generator.
+        runs_by_id: Number of runs of each request at all replicas, which this
+            replica updates.
+    """
+
+    def __init__(self, rng, runs_by_id):
+        super().__init__(UnreliableReplica._respond)
+        self._rng = rng
+        self._runs_by_id = runs_by_id
+        self._last_rejections = {}
+
+    async def _respond(self, recorded, writer):
+        rng = self._rng
+        if rng.random() < 0.5 and writer in self._last_rejections:
+            request_id = self._last_rejections.pop(writer)
+            await send_rejection(recorded, writer, request_id=request_id)
+        if rng.random() < 0.5:
+            self._last_rejections[writer] = recorded.headers["x-id"]
+            return await reject()(recorded, writer)
+        self._runs_by_id[recorded.headers["x-id"]] += 1
+        behavior = rng.randrange(6)
+        if behavior == 0:
+            await send_rejection(recorded, writer)
+        elif behavior == 1:
+            status = rng.choice(_NOT_RUN_STATUSES)
+            return await self.run(recorded, writer, status)
+        elif behavior == 2:
+            return await self.run(recorded, writer, extra=("X-Not-Run: 1",))
+        elif behavior == 3:
+            return False
+        return await self.run(recorded, writer)
+
+
+class TestUnreliableReplicas(NotRunCase):
+    """No response of a replica leads to a false "not run" or a second run."""
+
+    def _check_requests(self, seed):
+        rng = random.Random(seed)
+        runs_by_id = collections.Counter()
+        replicas = [UnreliableReplica(rng, runs_by_id) for _ in range(2)]
+
+        async def run():
+            async with EntryFixture(
+                *replicas,
+                kind=RequestKind.NON_IDEMPOTENT,
+                parameters=ExchangeParameters(max_wait_share=1.0),
+            ) as fixture:
+                for number in range(20):
+                    request_id = f"{seed}-{number}"
+                    status, _, _ = await fixture.send_request(
+                        request_id=request_id, left_ms=300
+                    )
+                    runs = runs_by_id[request_id]
+                    self.assertLessEqual(runs, 1, (request_id, status))
+                    if status in (408, 421, 429, 503):
+                        self.assertEqual(0, runs, (request_id, status))
+
+        asyncio.run(run())
+        self.assertGreater(sum(runs_by_id.values()), 5)
+
+    def test_runs_match_the_statuses(self):
+        """Guards against a combination of responses that no other test has."""
+        for seed in range(6):
+            self._check_requests(seed)
