--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -91,28 +91,6 @@
     return EchoedId.OWN if echoed_id == request_id else EchoedId.OTHER
 
 
-def describe_evidence(
-    names: HeaderNames, attempt: Attempt, request_id: str
-) -> dict[str, object]:
-    """Returns log fields that show what the verdict on an attempt rests on."""
-    response = attempt.response
-    fields: dict[str, object] = {
-        "address": attempt.backend.address,
-        "reused": attempt.is_connection_reused,
-        "carried_before": attempt.has_carried_call,
-        "verdict_before": attempt.earlier_verdict.value,
-    }
-    if response.status:
-        fields |= {
-            "status": response.status,
-            "echoed_id": get_echoed_id(names, response, request_id).value,
-            "states_not_run": response.get(names.not_run) is not None,
-            "has_proof": response.get(names.proof) is not None,
-            "at_fault": response.get(names.at_fault),
-        }
-    return fields
-
-
 def classify(
     names: HeaderNames, response: Response, request_id: str
 ) -> Outcome:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -10,13 +10,8 @@
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry.forwarding.admission import CallAdmission
 from chicoryplank_entry.forwarding.answers import ResponseRelay
-from chicoryplank_entry.forwarding.attempts import (
-    Attempt,
-    Outcome,
-    classify,
-    describe_evidence,
-    get_echoed_id,
-)
+from chicoryplank_entry.forwarding.attempt_log import AttemptLog
+from chicoryplank_entry.forwarding.attempts import Attempt, Outcome, classify
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
 from chicoryplank_entry.forwarding.calls import Call, make_call
 from chicoryplank_entry.forwarding.fields import HeaderNames
@@ -67,6 +62,7 @@
         self._pool = pool
         self._parameters = parameters or ExchangeParameters()
         self._admission = CallAdmission(state, self._parameters)
+        self._log = AttemptLog(names, state.now_s)
         self.in_progress = 0
         self.refuses_all = False
 
@@ -223,13 +219,7 @@
             except ConnectionBrokenError as error:
                 self._end_attempt(call, replica.instance, False)
                 call.tried_replicas.add(replica.instance)
-                self._record_failure(
-                    call,
-                    replica.instance,
-                    "connect",
-                    detail=str(error),
-                    address=replica.address,
-                )
+                self._log.record_connection_failure(call, backend, error)
                 continue
             except BaseException:
                 self._end_attempt(call, replica.instance, None)
@@ -297,7 +287,7 @@
             if reply.started:
                 self._prepare_resume(call, relay, error)
         finally:
-            self._record_skipped(call, attempt)
+            self._log.record_skipped_responses(call, attempt)
             self._pool.release(attempt.backend, attempt.connection)
             self._end_attempt(call, instance, succeeded)
         return False
@@ -316,13 +306,8 @@
         at_fault = attempt.response.get(self._names.at_fault)
         if outcome in (Outcome.MISDIRECTED, Outcome.FULL):
             call.verdict = attempt.earlier_verdict
-            echoed_id = get_echoed_id(
-                self._names, attempt.response, call.request_id
-            )
-            METRICS.count_rejection(
-                echoed_id.value, attempt.is_connection_reused
-            )
-        self._record_attempt_failure(
+            self._log.record_rejection(call, attempt)
+        self._log.record_failure(
             call,
             attempt,
             outcome.value,
@@ -350,7 +335,7 @@
     ) -> None:
         """Records a response that is missing or incomplete."""
         call.verdict = Verdict.MAY_HAVE_RUN
-        self._record_attempt_failure(call, attempt, "break", str(error))
+        self._log.record_failure(call, attempt, "break", str(error))
         is_stale_connection = (
             attempt.is_connection_reused
             and not attempt.response.status
@@ -395,43 +380,3 @@
         self._state.end_request(
             call.service_state, instance, succeeded, self._state.now_s()
         )
-
-    def _record_failure(
-        self, call: Call, instance: InstanceId, stage: str, **fields: object
-    ) -> None:
-        METRICS.count_failure(stage)
-        emit(
-            Event.ATTEMPT_FAILED,
-            request=call.request_id,
-            replica=instance,
-            stage=stage,
-            sends=call.attempts,
-            after_ms=self._get_elapsed_ms(call.request),
-            verdict=call.verdict.value,
-            **fields,
-        )
-
-    def _record_attempt_failure(
-        self, call: Call, attempt: Attempt, stage: str, detail: str
-    ) -> None:
-        """Records a failed attempt with the evidence for its verdict."""
-        self._record_failure(
-            call,
-            attempt.replica.instance,
-            stage,
-            detail=detail,
-            **describe_evidence(self._names, attempt, call.request_id),
-        )
-
-    def _record_skipped(self, call: Call, attempt: Attempt) -> None:
-        """Records the responses to other requests that were skipped."""
-        for skipped in attempt.response.skipped:
-            METRICS.count_skipped_response()
-            emit(
-                Event.RESPONSE_SKIPPED,
-                request=call.request_id,
-                replica=attempt.replica.instance,
-                status=skipped.status,
-                echoed_id=skipped.match_id,
-                reused=attempt.is_connection_reused,
-            )
