Delay copies of responses and change routes in bursts in the soak

Copies that arrive some milliseconds after their response meet a connection while it is idle, while it is taken from the pool or while it carries another request. Routes change after 0.03 to 2.5 s instead of 2.5 s.

--- a/tools/soak_forwarding.py
+++ b/tools/soak_forwarding.py
@@ -70,7 +70,8 @@
 ANY_CONNECTION_PROBABILITY = 0.3
 CHANGING_ROUTE_PROBABILITY = 0.05
 ADDRESS_LIFETIME_S = 2.0
-ROUTE_CHANGE_INTERVAL_S = 2.5
+# Choices for the time between two changes of the routes.
+ROUTE_CHANGE_INTERVALS_S = (0.03, 0.3, 2.5, 2.5)
 # Pause after the last fault and duration of the traffic after it.
 SETTLE_TIME_S = 6.0
 RECOVERY_TIME_S = 4.0
@@ -152,7 +153,7 @@
     async def run(self) -> None:
         """Adds and removes routes repeatedly until cancelled."""
         while True:
-            await asyncio.sleep(ROUTE_CHANGE_INTERVAL_S)
+            await asyncio.sleep(self._rng.choice(ROUTE_CHANGE_INTERVALS_S))
             if self.changing_routes and self._rng.random() < 0.5:
                 path = self.changing_routes.pop(0)
                 self.write()
--- a/tools/soak_forwarding_faults.py
+++ b/tools/soak_forwarding_faults.py
@@ -27,6 +27,7 @@
 _MAX_DRAIN_EXTRA_S = 2.5
 _FALSE_REJECTIONS = (
     ReplicaFault.REPEATS,
+    ReplicaFault.DELAYS_COPY,
     ReplicaFault.ANONYMOUS,
     ReplicaFault.UNSTATED,
 )
