--- a/tools/soak_forwarding_faults.py
+++ b/tools/soak_forwarding_faults.py
@@ -12,7 +12,7 @@
 from fleet import Fleet, TcpProxy, wait_for_http
 from soak_records import Timeline
 
-from chicoryplank_platform.names import READY_PATH
+from chicoryplank_platform.names import READY_PATH, REPLICA_PREFIX
 from chicoryplank_platform.tests.simulated_replica import (
     ReplicaFault,
     SimulatedReplica,
@@ -347,6 +347,38 @@
     context.reserved.discard(name)
 
 
+async def swap_addresses(context: FaultContext) -> None:
+    """Crashes a replica of each service; each returns at the other's address.
+
+    The old registrations remain for a while.
+    """
+    by_service: dict[str, list[str]] = {}
+    for name, replica in context.replicas.items():
+        if name not in context.reserved:
+            by_service.setdefault(replica.service, []).append(name)
+    if len(by_service) < 2:
+        return
+    names = [context.rng.choice(free) for free in by_service.values()]
+    replicas = [context.replicas[name] for name in names]
+    links = [context.replica_links[name] for name in names]
+    ports = [replica.port for replica in replicas]
+    outdated = [replica.name for replica in replicas]
+    with context.record_fault("crash", *names, *outdated):
+        for replica in replicas:
+            await replica.crash()
+        await asyncio.sleep(context.draw_duration_s(0.05, 1.0))
+        for replica, port, name, link in zip(
+            replicas, reversed(ports), names, reversed(links), strict=True
+        ):
+            await replica.start(port, changes_name=True)
+            replica.advertised_address = link.address
+            context.replica_links[name] = link
+            replica.register()
+        await asyncio.sleep(context.draw_duration_s(0.0, 2.0))
+        for name in outdated:
+            context.store.remove(REPLICA_PREFIX + name)
+
+
 async def inject_replica_fault(context: FaultContext) -> None:
     """Makes the responses of a replica wrong, late or absent for a time."""
     name = context.rng.choice(list(context.replicas))
@@ -394,6 +426,7 @@
     "store": disturb_store,
     "crash": crash_replica,
     "drain": drain_replica,
+    "swap": swap_addresses,
     "spoil": inject_replica_fault,
     "false_rejections": inject_false_rejections,
     "disturbed_stop": disturb_stop,
