Exclude a misdirected replica that is named by its address

Cause: a replica is excluded after 421 only if it is the one at fault, and the header that names it holds an address, which was compared with its id alone. Every request that chose it went there up to six times, for as long as its registration stood.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -317,7 +317,8 @@
             # The response to this request may still follow.
             attempt.connection.abort()
         if outcome is Outcome.MISDIRECTED:
-            if at_fault in (None, instance):
+            replica = attempt.replica
+            if at_fault in (None, replica.instance, replica.address):
                 self._state.exclude(instance)
             return None
         if outcome is Outcome.FULL:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/fields.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/fields.py
@@ -16,7 +16,8 @@
         proof: Proof that a successful response comes from the replica.
         urgency: Position class in the queue of a replica, 0 to 9; 0 is the most
             urgent.
-        at_fault: Replica that caused the failure, for example of its group.
+        at_fault: Id or address of the replica that caused the failure, for
+            example of another one of its group.
         last_event: Id of the last event that the receiver of a stream got.
     """
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
@@ -255,6 +255,30 @@
         asyncio.run(run())
         self.assertLessEqual(len(moved.requests), 1)
 
+    def test_misdirected_replica_is_excluded_by_its_address(self):
+        """Guards against repeated requests to an address that was reassigned.
+
+        The response names the replica at fault by its address.
+        """
+
+        async def misdirect(recorded, writer):
+            host, port = writer.get_extra_info("sockname")
+            script = reject(
+                "421 Misdirected Request", (f"X-At-Fault: {host}:{port}",)
+            )
+            return await script(recorded, writer)
+
+        moved = Replica(misdirect)
+
+        async def run():
+            async with EntryFixture(moved, Replica(respond())) as fixture:
+                for _ in range(6):
+                    status, _, _ = await fixture.send_request()
+                    self.assertEqual(200, status)
+
+        asyncio.run(run())
+        self.assertLessEqual(len(moved.requests), 1)
+
 
 class TestOutage(ExchangeCase):
     """Requests wait while all replicas of a group are down."""
