Ignore trailers of requests and responses

Cause: the parser reports trailers of a chunked body like headers, and both sides of the wire package stored them as such. A replica's trailer that states "not run" turned a complete response into 502 (at into another attempt), and a caller's trailer reached the replica as a header.

Trailers are dropped now; nothing in the protocol uses them.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
@@ -348,6 +348,45 @@
         )
 
 
+class TestTrailers(NotRunCase):
+    """Trailers of a chunked body are not headers."""
+
+    def test_statement_in_a_trailer_is_not_believed(self):
+        """Guards against a second run after a statement behind a body."""
+
+        async def work(replica, recorded, writer):
+            replica.runs += 1
+            head = make_head(recorded, extra=("Transfer-Encoding: chunked",))
+            lines = [*head, "", "3", "ran", "0", "X-Not-Run: 1", "", ""]
+            writer.write("\r\n".join(lines).encode())
+            await writer.drain()
+            return True
+
+        replicas = [RunningReplica(work), RunningReplica(work)]
+        self.assertEqual([(200, None)], self.send_requests(*replicas))
+        self.assertEqual(1, self.count_runs(replicas))
+
+    def test_trailer_of_a_request_is_not_forwarded_as_a_header(self):
+        """Guards against headers that a caller adds behind its body."""
+
+        async def work(replica, recorded, writer):
+            return await replica.run(recorded, writer)
+
+        async def run():
+            replica = RunningReplica(work)
+            async with EntryFixture(replica) as fixture:
+                reader, writer = await fixture.connect()
+                head = make_request("POST", **{"Transfer-Encoding": "chunked"})
+                writer.write(head + b"1\r\na\r\n0\r\nX-Model: n\r\n\r\n")
+                status, _, _ = await read_response(reader)
+                writer.close()
+            return status, replica.requests[0]
+
+        status, recorded = asyncio.run(run())
+        self.assertEqual((200, b"a"), (status, recorded.body))
+        self.assertNotIn("x-model", recorded.headers)
+
+
 class UnreliableReplica(RunningReplica):
     """Replica that draws how it responds to each request.
 
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
@@ -202,6 +202,7 @@
         self._response: Response | None = None
         self._expected_id = ""
         self._headers: list[tuple[str, str]] = []
+        self._reads_head = False
         self._skipping = False
         self._ends_at_close = False
         self._keep_alive = False
@@ -306,20 +307,23 @@
     def on_message_begin(self) -> None:
         """Starts a response; closes the connection if no request is pending."""
         self._headers = []
+        self._reads_head = True
         if self._response is None:
             self.abort()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header."""
-        self._headers.append(
-            (name.decode("latin-1").lower(), value.decode("latin-1"))
-        )
+        """Stores a header; ignores trailers, which must not act as headers."""
+        if self._reads_head:
+            self._headers.append(
+                (name.decode("latin-1").lower(), value.decode("latin-1"))
+            )
 
     def on_headers_complete(self) -> None:
         """Passes the head to the pending response unless it must be skipped.
 
         Skipped are interim responses (1xx) and responses to other requests.
         """
+        self._reads_head = False
         if self._response is None or self._closed:
             return
         status = self._parser.get_status_code()
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
@@ -176,6 +176,7 @@
         self._rejected = False
         self._target = b""
         self._headers: list[tuple[str, str]] = []
+        self._reads_head = False
         self._head_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -245,6 +246,7 @@
 
     def on_message_begin(self) -> None:
         """Starts a request unless its first bytes have already done so."""
+        self._reads_head = True
         if self._receive_started_s is None:
             self._start_request(self._hooks.now_s())
 
@@ -253,7 +255,13 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header; rejects the request if its head is too large."""
+        """Stores a header; rejects the request if its head is too large.
+
+        Trailers are ignored, since they must not act as headers (RFC 9110,
+        section 6.5.1).
+        """
+        if not self._reads_head:
+            return
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
         size = len(self._target) + sum(
             len(key) + len(text) + 4 for key, text in self._headers
@@ -263,6 +271,7 @@
 
     def on_headers_complete(self) -> None:
         """Sends 100 Continue if the caller waits for it before the body."""
+        self._reads_head = False
         for name, value in self._headers:
             if name.lower() == "expect" and value.lower() == "100-continue":
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
