Close a connection with malformed data behind a request

A caller whose connection had malformed data behind a request in progress got its response, but the connection stayed open and was never read again, so that later requests on it waited for their deadline. The connection is now closed after the response.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
@@ -424,6 +424,23 @@
         self.assertEqual(0, asyncio.run(run()))
 
 
+class TestMalformedRequests(ExchangeCase):
+    """A connection with malformed data is closed."""
+
+    def test_malformed_data_behind_a_request_closes_the_connection(self):
+        """Guards against a connection that is neither closed nor read."""
+
+        async def run():
+            async with EntryFixture(Replica(respond())) as fixture:
+                reader, writer = await fixture.connect()
+                writer.write(make_request() + b"\x00 no request\r\n\r\n")
+                status, _, _ = await read_response(reader)
+                async with asyncio.timeout(1):
+                    return status, await reader.read()
+
+        self.assertEqual((200, b""), asyncio.run(run()))
+
+
 class TestDraining(ExchangeCase):
     """A draining entry closes its connections in an orderly way."""
 
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
@@ -328,7 +328,7 @@
         """Closes the connection or starts the next queued request."""
         if not reply.ended:
             self._transport.abort()
-        elif not reply.keep_alive:
+        elif self._rejected or not reply.keep_alive:
             self._transport.close()
         elif self._queued:
             self._start_next()
