--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -249,6 +249,7 @@
         self.unblock()
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._is_closed = False
 
     async def start(self) -> None:
         """Starts to listen for connections."""
@@ -258,6 +259,7 @@
 
     async def close(self) -> None:
         """Stops listening and breaks all connections."""
+        self._is_closed = True
         if self._server is not None:
             self._server.close()
         self.unblock()
@@ -301,6 +303,10 @@
         except OSError:
             writer.transport.abort()
             return
+        if self._is_closed:
+            writer.transport.abort()
+            target_writer.transport.abort()
+            return
         self._writers |= {writer, target_writer}
         try:
             await asyncio.gather(
