Split the tests of verdicts into three modules

Replicas that count executions and their test case stand in running_replica.py, the tests of log lines in test_attempt_log.py (TestEvidence is TestAttemptLog now). No test changed.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
@@ -5,100 +5,24 @@
 import json
 import random
 
-import logbook
-import testtools
-
-from chicoryplank.events import Event
 from chicoryplank.ids import InstanceId
 from chicoryplank.traffic import RequestKind
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.tests.harness import (
     EntryFixture,
-    Replica,
     make_head,
     make_request,
     read_response,
     reject,
-    respond,
-    write_response,
 )
-
-REPLICA = InstanceId("replica-0")
-_UNAVAILABLE = "503 Service Unavailable"
-# Statuses that tell a caller that its request did not run.
-_NOT_RUN_STATUSES = (
-    "408 Request Timeout",
-    "429 Too Many Requests",
-    _UNAVAILABLE,
+from chicoryplank_entry.forwarding.tests.running_replica import (
+    NOT_RUN_STATUSES,
+    NotRunCase,
+    RunningReplica,
+    send_rejection,
 )
 
-
-class RunningReplica(Replica):
-    """Replica that counts the requests that it runs.
-
-    Args:
-        work: Asynchronous function of the replica, a request and the writer
-            that responds to the request.
-
-    Attributes:
-        runs: Number of requests that ran.
-    """
-
-    def __init__(self, work):
-        super().__init__()
-        self.runs = 0
-
-        async def script(recorded, writer):
-            return await work(self, recorded, writer)
-
-        self.scripts = [script]
-
-    async def run(self, recorded, writer, status="200 OK", **options):
-        """Runs a request and sends the response to it."""
-        self.runs += 1
-        return await respond(b"ran", status, **options)(recorded, writer)
-
-
-async def send_rejection(
-    recorded, writer, status=_UNAVAILABLE, request_id=None
-):
-    """Sends a rejection with another request id, or with none."""
-    head = make_head(recorded, status, proof=False, extra=("X-Not-Run: 1",))
-    head[1:2] = [] if request_id is None else [f"X-Id: {request_id}"]
-    write_response(writer, head)
-    await writer.drain()
-
-
-class NotRunCase(testtools.TestCase):
-    """Sends requests, by default non-idempotent ones, over one connection."""
-
-    def send_requests(self, *replicas, count=1, **arguments):
-        """Returns the status and the verdict of each response.
-
-        The verdict is None if the response comes from a replica.
-        """
-
-        async def run():
-            arguments.setdefault("kind", RequestKind.NON_IDEMPOTENT)
-            results = []
-            async with EntryFixture(*replicas, **arguments) as fixture:
-                reader, writer = await fixture.connect()
-                for number in range(count):
-                    writer.write(make_request(request_id=f"7{number}"))
-                    status, headers, body = await read_response(reader)
-                    verdict = None
-                    if headers.get("content-type") == "application/json":
-                        verdict = json.loads(body)["error"]["verdict"]
-                        self.assertNotIn("x-proof", headers)
-                    results.append((status, verdict))
-                writer.close()
-            return results
-
-        return asyncio.run(run())
-
-    def count_runs(self, replicas):
-        """Returns how often the replicas ran a request."""
-        return sum(replica.runs for replica in replicas)
+REPLICA = InstanceId("replica-0")
 
 
 class TestUnidentifiedRejections(NotRunCase):
@@ -112,7 +36,7 @@
             await send_rejection(recorded, writer, status)
             return True
 
-        for status in ("421 Misdirected Request", *_NOT_RUN_STATUSES):
+        for status in ("421 Misdirected Request", *NOT_RUN_STATUSES):
             replicas = [RunningReplica(work), RunningReplica(work)]
             results = self.send_requests(*replicas)
             self.assertEqual([(502, "may_have_run")], results, status)
@@ -187,53 +111,6 @@
         self.assertLessEqual(len(writers), 2)
 
 
-class TestRequestsWithoutId(NotRunCase):
-    """A request without an id cannot be matched with any response."""
-
-    def test_request_without_id_is_refused_at_once(self):
-        """Guards against sending a request whose outcome cannot be known."""
-
-        async def work(replica, recorded, writer):
-            return await replica.run(recorded, writer)
-
-        async def run():
-            replica = RunningReplica(work)
-            async with EntryFixture(replica) as fixture:
-                status, _, body = await fixture.send_request(request_id="")
-            return status, json.loads(body)["error"]["code"], replica.runs
-
-        self.assertEqual((400, "CP1201", 0), asyncio.run(run()))
-
-
-class TestKnownOutcomes(NotRunCase):
-    """A request whose outcome is decided does not wait for a slot."""
-
-    def test_request_that_may_have_run_does_not_wait_for_a_slot(self):
-        """Guards against holding a request that will not be sent again."""
-
-        async def work(replica, recorded, writer):
-            occupancy = fixtures[0].state.occupancy
-            now_s = fixtures[0].state.now_s()
-            occupancy.observe_peer("entry-2", {REPLICA: 2}, now_s)
-            return False
-
-        async def run():
-            async with EntryFixture(
-                RunningReplica(work), kind=RequestKind.NON_IDEMPOTENT
-            ) as fixture:
-                fixtures.append(fixture)
-                loop = asyncio.get_running_loop()
-                started_s = loop.time()
-                status, _, body = await fixture.send_request()
-                elapsed_s = loop.time() - started_s
-            return status, json.loads(body)["error"]["verdict"], elapsed_s
-
-        fixtures = []
-        status, verdict, elapsed_s = asyncio.run(run())
-        self.assertEqual((502, "may_have_run"), (status, verdict))
-        self.assertLess(elapsed_s, 0.3)
-
-
 class TestUnstatedRejections(NotRunCase):
     """A status of a replica alone does not state that a request did not run."""
 
@@ -243,7 +120,7 @@
         async def work(replica, recorded, writer):
             return await replica.run(recorded, writer, status)
 
-        for status in _NOT_RUN_STATUSES:
+        for status in NOT_RUN_STATUSES:
             replicas = [RunningReplica(work), RunningReplica(work)]
             results = self.send_requests(*replicas)
             self.assertEqual([(502, "may_have_run")], results, status)
@@ -255,7 +132,7 @@
         async def work(replica, recorded, writer):
             return await replica.run(recorded, writer, status)
 
-        for status in _NOT_RUN_STATUSES:
+        for status in NOT_RUN_STATUSES:
             replicas = [RunningReplica(work), RunningReplica(work)]
             results = self.send_requests(*replicas, kind=RequestKind.IDEMPOTENT)
             self.assertEqual([(502, "may_have_run")], results, status)
@@ -273,79 +150,51 @@
         self.assertEqual(1, self.count_runs(replicas))
 
 
-class TestEvidence(NotRunCase):
-    """The log shows what each verdict rests on."""
-
-    def _send_recorded(self, replica, **arguments):
-        """Returns the fields of all log lines by event."""
-        handler = logbook.TestHandler()
-        with handler.applicationbound():
-            self.send_requests(replica, **arguments)
-        lines = {}
-        for record in handler.records:
-            fields = record.extra["fields"]
-            lines.setdefault(record.extra["event"], []).append(fields)
-        return lines
+class TestRequestsWithoutId(NotRunCase):
+    """A request without an id cannot be matched with any response."""
 
-    def test_rejection_is_logged_with_its_evidence(self):
-        """Guards against a verdict that cannot be explained afterwards."""
+    def test_request_without_id_is_refused_at_once(self):
+        """Guards against sending a request whose outcome cannot be known."""
 
         async def work(replica, recorded, writer):
-            if len(replica.requests) == 1:
-                return await reject()(recorded, writer)
             return await replica.run(recorded, writer)
 
-        lines = self._send_recorded(RunningReplica(work))
-        (fields,) = lines[Event.ATTEMPT_FAILED.number]
-        self.assertEqual(("full", 503), (fields["stage"], fields["status"]))
-        self.assertEqual(
-            ("own", True, False, False, False),
-            (
-                fields["echoed_id"],
-                fields["states_not_run"],
-                fields["has_proof"],
-                fields["reused"],
-                fields["carried_before"],
-            ),
-        )
-        self.assertEqual(
-            ("not_run", "not_run"),
-            (fields["verdict_before"], fields["verdict"]),
-        )
-
-    def test_broken_attempt_is_logged_with_its_verdict(self):
-        """Guards against a log that shows the verdict of before an attempt."""
+        async def run():
+            replica = RunningReplica(work)
+            async with EntryFixture(replica) as fixture:
+                status, _, body = await fixture.send_request(request_id="")
+            return status, json.loads(body)["error"]["code"], replica.runs
 
-        async def work(replica, recorded, writer):
-            return False
+        self.assertEqual((400, "CP1201", 0), asyncio.run(run()))
 
-        lines = self._send_recorded(RunningReplica(work))
-        (fields,) = lines[Event.ATTEMPT_FAILED.number]
-        self.assertEqual(
-            ("break", "not_run", "may_have_run"),
-            (fields["stage"], fields["verdict_before"], fields["verdict"]),
-        )
-        self.assertNotIn("status", fields)
 
-    def test_skipped_response_is_logged(self):
-        """Guards against responses to other requests that leave no trace."""
+class TestKnownOutcomes(NotRunCase):
+    """A request whose outcome is decided does not wait for a slot."""
+
+    def test_request_that_may_have_run_does_not_wait_for_a_slot(self):
+        """Guards against holding a request that will not be sent again."""
 
         async def work(replica, recorded, writer):
-            if len(replica.requests) > 1:
-                await send_rejection(recorded, writer, request_id="70")
-            return await replica.run(recorded, writer)
+            occupancy = fixtures[0].state.occupancy
+            now_s = fixtures[0].state.now_s()
+            occupancy.observe_peer("entry-2", {REPLICA: 2}, now_s)
+            return False
+
+        async def run():
+            async with EntryFixture(
+                RunningReplica(work), kind=RequestKind.NON_IDEMPOTENT
+            ) as fixture:
+                fixtures.append(fixture)
+                loop = asyncio.get_running_loop()
+                started_s = loop.time()
+                status, _, body = await fixture.send_request()
+                elapsed_s = loop.time() - started_s
+            return status, json.loads(body)["error"]["verdict"], elapsed_s
 
-        lines = self._send_recorded(RunningReplica(work), count=2)
-        (fields,) = lines[Event.RESPONSE_SKIPPED.number]
-        self.assertEqual(
-            ("71", "70", 503, True),
-            (
-                fields["request"],
-                fields["echoed_id"],
-                fields["status"],
-                fields["reused"],
-            ),
-        )
+        fixtures = []
+        status, verdict, elapsed_s = asyncio.run(run())
+        self.assertEqual((502, "may_have_run"), (status, verdict))
+        self.assertLess(elapsed_s, 0.3)
 
 
 class TestTrailers(NotRunCase):
@@ -415,7 +264,7 @@
         if behavior == 0:
             await send_rejection(recorded, writer)
         elif behavior == 1:
-            status = rng.choice(_NOT_RUN_STATUSES)
+            status = rng.choice(NOT_RUN_STATUSES)
             return await self.run(recorded, writer, status)
         elif behavior == 2:
             return await self.run(recorded, writer, extra=("X-Not-Run: 1",))
