--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_checks.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_checks.py
@@ -11,6 +11,8 @@
 from chicoryplank_standins.tokens import expected_tokens
 
 MAX_EXAMPLES = 10
+# Statuses that tell a caller that its request did not run.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,8 +25,8 @@
             empty for none.
         verdict: Whether the call may have run: `not_run`, `may_have_run`,
             `ran`, or empty if unknown.
-        defect: Defect of a response that is neither correct nor an error;
-            empty for none.
+        defect: Defect of a response that is neither correct nor a consistent
+            error; empty for none.
     """
 
     is_correct: bool = False
@@ -117,7 +119,10 @@
         return Outcome(refusal=f"http_{status}", verdict=verdict.lower())
     verdict = str(error.get("verdict") or verdict).lower()
     code = str(error.get("code") or f"http_{status}")
-    return Outcome(refusal=code, verdict=verdict)
+    defect = ""
+    if status in _NOT_RUN_STATUSES and verdict != "not_run":
+        defect = f"status {status} with the verdict {verdict!r}"
+    return Outcome(refusal=code, verdict=verdict, defect=defect)
 
 
 def check_complete_response(call: Call, model: str, body: bytes) -> Outcome:
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_load.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/tests/test_load.py
@@ -11,6 +11,7 @@
     Outcome,
     StreamVerifier,
     check_complete_response,
+    parse_error_response,
 )
 from chicoryplank_standins._traffic import (
     Call,
@@ -152,3 +153,20 @@
         self.assertNotEqual(
             "", check_complete_response(reads[1], "", body).defect
         )
+
+
+class TestErrorResponses(testtools.TestCase):
+    """The status and the verdict of an error response are consistent."""
+
+    def test_status_that_contradicts_the_verdict_is_a_defect(self):
+        """Guards against a load run that overlooks a false "not run"."""
+        for status, verdict, is_defect in (
+            (503, "not_run", False),
+            (502, "may_have_run", False),
+            (503, "may_have_run", True),
+            (429, "ran", True),
+        ):
+            payload = {"error": {"code": "CP1602", "verdict": verdict}}
+            outcome = parse_error_response(payload, "", status)
+            self.assertEqual(verdict, outcome.verdict)
+            self.assertEqual(is_defect, bool(outcome.defect), outcome)
