Count a break of a used connection as a possible run

An idempotent request ran up to four times although its route allows two runs (too_many_runs; rule BUDGET). A connection that had carried another request and closed without a response was taken for an idle one that the replica had closed before it read the request, so that the attempt did not count as a run. A replica that runs a request and closes the connection looks the same.

Every break counts now. So that a replica that did close its idle connections costs no second run, the next attempt opens a new connection, and the same replica may still be chosen.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
@@ -47,6 +47,8 @@
         caller_deadline_s: Time when the caller stops waiting.
         tried_replicas: Replicas that were tried.
         used_connections: Connections that carried the request.
+        needs_new_connection: Whether an idle connection broke under the
+            request, so that others are likely closed as well.
         attempts: Number of times the request was sent.
         possible_runs: Number of attempts that ran or may have run.
         verdict: Whether any attempt may have run.
@@ -70,6 +72,7 @@
     used_connections: list[ClientConnection] = dataclasses.field(
         default_factory=list
     )
+    needs_new_connection: bool = False
     attempts: int = 0
     possible_runs: int = 0
     verdict: Verdict = Verdict.NOT_RUN
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -213,9 +213,7 @@
                 call.service_state, replica.instance, now_s
             )
             try:
-                connection = await self._pool.acquire(
-                    backend, call.route.repeatable, call.used_connections
-                )
+                connection = await self._connect(call, backend)
             except ConnectionBrokenError as error:
                 self._end_attempt(call, replica.instance, False)
                 call.tried_replicas.add(replica.instance)
@@ -226,6 +224,20 @@
                 raise
             return self._write_request(call, replica, backend, connection)
 
+    async def _connect(
+        self, call: Call, backend: BackendAddress
+    ) -> ClientConnection:
+        """Returns a connection that has not carried the request.
+
+        Raises:
+            ConnectionBrokenError: If no connection can be made.
+        """
+        if call.needs_new_connection:
+            return await self._pool.open(backend)
+        return await self._pool.acquire(
+            backend, call.route.repeatable, call.used_connections
+        )
+
     def _write_request(
         self,
         call: Call,
@@ -336,18 +348,18 @@
     ) -> None:
         """Records a response that is missing or incomplete."""
         call.verdict = Verdict.MAY_HAVE_RUN
+        call.possible_runs += 1
         self._log.record_failure(call, attempt, "break", str(error))
-        is_stale_connection = (
+        if (
             attempt.is_connection_reused
             and not attempt.response.status
             and error.reason in (BreakReason.CLOSED, BreakReason.RESET)
-        )
-        if not is_stale_connection:
-            call.possible_runs += 1
-        else:
-            # The replica closed an idle connection before it read the request.
-            # This is no failure, so that the same replica may be chosen again.
+        ):
+            # Most likely the replica closed an idle connection before it read
+            # the request, so the same replica may be chosen again. Its other
+            # idle connections may be closed as well.
             call.tried_replicas.discard(attempt.replica.instance)
+            call.needs_new_connection = True
 
     def _prepare_resume(
         self, call: Call, relay: ResponseRelay, error: ConnectionBrokenError
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
@@ -14,6 +14,7 @@
     make_request,
     read_response,
     reject,
+    respond,
 )
 from chicoryplank_entry.forwarding.tests.running_replica import (
     NOT_RUN_STATUSES,
@@ -197,6 +198,54 @@
         self.assertLess(elapsed_s, 0.3)
 
 
+class TestBrokenConnections(NotRunCase):
+    """A connection that breaks does not tell whether the request ran."""
+
+    def test_break_of_a_used_connection_counts_as_a_run(self):
+        """Guards against more runs of an idempotent request than allowed."""
+
+        async def work(replica, recorded, writer):
+            if recorded.headers["x-id"] == "70":
+                return await respond()(recorded, writer)
+            replica.runs += 1
+            return False
+
+        replica = RunningReplica(work)
+        results = self.send_requests(
+            replica, count=2, kind=RequestKind.IDEMPOTENT, max_runs=2
+        )
+        self.assertEqual([(200, None), (502, "may_have_run")], results)
+        self.assertEqual(2, replica.runs)
+
+    def test_request_is_sent_again_on_a_new_connection(self):
+        """Guards against a failure because all used connections are closed.
+
+        A replica that drops its idle connections drops all of them.
+        """
+
+        async def work(replica, recorded, writer):
+            if recorded.headers["x-id"] in ("1", "2"):
+                await asyncio.sleep(0.05)
+                used.add(writer)
+            elif writer in used:
+                return False
+            return await replica.run(recorded, writer)
+
+        async def run():
+            replica = RunningReplica(work)
+            async with EntryFixture(replica, max_runs=2) as fixture:
+                await asyncio.gather(
+                    fixture.send_request(request_id="1"),
+                    fixture.send_request(request_id="2"),
+                )
+                status, _, _ = await fixture.send_request(request_id="3")
+            return status
+
+        used = set()
+        self.assertEqual(200, asyncio.run(run()))
+        self.assertEqual(2, len(used))
+
+
 class TestTrailers(NotRunCase):
     """Trailers of a chunked body are not headers."""
 
