Extend a fault of a replica link to the id behind it after a restart

Cause, in the soak: a fault of a link was recorded for the id that the replica had when it began. A replica that restarted or swapped its address during the fault had another id, and the request counted as sent late. The platform's rule excuses a request whose link to the replica was harmed.

The interval now gets the new id; the check and its bound are unchanged.

--- a/tools/soak_forwarding_faults.py
+++ b/tools/soak_forwarding_faults.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 
 from fleet import Fleet, TcpProxy, wait_for_http
-from soak_records import Timeline
+from soak_records import Interval, Timeline
 
 from chicoryplank_platform.names import READY_PATH, REPLICA_PREFIX
 from chicoryplank_platform.tests.simulated_replica import (
@@ -87,6 +87,7 @@
             its drain.
         reserved: Names of the entries and replicas that a fault restarts or
             pauses, so that no other such fault uses them.
+        link_faults: Interval of the current fault of each replica link.
     """
 
     fleet: Fleet
@@ -98,12 +99,21 @@
     rng: random.Random
     record_drain: Callable[[SimulatedReplica], None]
     reserved: set[str] = dataclasses.field(default_factory=set)
+    link_faults: dict[TcpProxy, Interval] = dataclasses.field(
+        default_factory=dict
+    )
 
     def choose_unreserved(self, items: dict[str, object]) -> str | None:
         """Returns a random name that is not in `reserved`, or None."""
         free = [name for name in items if name not in self.reserved]
         return self.rng.choice(free) if free else None
 
+    def observe_restart(self, name: str) -> None:
+        """Extends a fault of the link of a replica to its current id."""
+        interval = self.link_faults.get(self.replica_links[name])
+        if interval is not None:
+            interval.targets |= {self.replicas[name].name}
+
     @contextlib.contextmanager
     def record_fault(self, kind: str, *names: str) -> Iterator[None]:
         """Records a fault of entries, which are reserved for its duration."""
@@ -266,9 +276,13 @@
     """Injects a fault into the link between all entries and a replica."""
     name = context.rng.choice(list(context.replicas))
     link = context.replica_links[name]
+    if link in context.link_faults:
+        return
     interval = context.timeline.begin("link", context.replicas[name].name)
+    context.link_faults[link] = interval
     await _disturb_link(context, link, "replica_link", name)
     context.timeline.end(interval)
+    del context.link_faults[link]
 
 
 async def disturb_store(context: FaultContext) -> None:
@@ -319,6 +333,7 @@
     if renames:
         replica.unregister()
     await replica.start(port, renames)
+    context.observe_restart(name)
     replica.register()
     context.timeline.end(interval)
     context.reserved.discard(name)
@@ -342,6 +357,7 @@
     replica.unregister()
     await replica.crash()
     await replica.start(port, changes_name=True)
+    context.observe_restart(name)
     replica.register()
     context.timeline.end(interval)
     context.reserved.discard(name)
@@ -373,6 +389,7 @@
             await replica.start(port, changes_name=True)
             replica.advertised_address = link.address
             context.replica_links[name] = link
+            context.observe_restart(name)
             replica.register()
         await asyncio.sleep(context.draw_duration_s(0.0, 2.0))
         for name in outdated:
