Log the number of entries that share the extra retries

Line 1216 has the number of entries in force, the one before and the registered ones. Without it the log cannot tell a divisor that is too small from a window that is lost with its process. No change of logic.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -186,7 +186,15 @@
         for known in (self._registered_s, self._statuses):
             for name in [name for name in known if name not in self._members]:
                 del known[name]
-        self._state.entry_count = len(self._members) + 1
+        entry_count = len(self._members) + 1
+        if entry_count != self._state.entry_count:
+            emit(
+                Event.RETRY_SHARE_CHANGED,
+                entries=entry_count,
+                previous=self._state.entry_count,
+                registered=len(members),
+            )
+        self._state.entry_count = entry_count
 
     @property
     def _is_direct(self) -> bool:
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -193,6 +193,12 @@
         "a response of {replica} with status {status} does not belong to "
         "request {request} and was skipped",
     )
+    RETRY_SHARE_CHANGED = (
+        1216,
+        logbook.INFO,
+        "the extra retries are divided among {entries} entries instead of "
+        "{previous}; {registered} are registered",
+    )
     STORE_LOST = (
         1304,
         logbook.WARNING,
