Bound the retries of all entries also while entries restart

Cause, shown by line 1216 and the model: each entry allowed itself a share of the extra retries that (1) was divided by the entries registered now, which an entry that stops leaves at once although it serves on, so that on a rolling restart all eight entries divided by one; and (2) was full again in each process that starts. Both conclude from what a process sees now to what the fleet may have spent in the window.

Change: the budget is a token bucket that is empty when the process starts, is filled by requests and time, and saves a limited number, so that its sum over any window needs no memory of earlier processes. The divisor is the greatest number of entries seen in the last minute; entries tell each other this number with its age, so that a new process learns it with the first message and old numbers are not renewed. A lowered budget still counts earlier retries.

The tests of the unit and of the reload now use a process that has run for a minute, since a new one has nothing to spend; the checks are the same.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
@@ -59,15 +59,18 @@
         Raises:
             ChicoryplankError: If the budget is exhausted.
         """
-        if call.attempts and not call.service_state.retry_budget.try_spend(
-            self._state.entry_count, self._state.now_s()
-        ):
+        if call.attempts and not self._try_spend_retry(call):
             raise self.make_refusal(
                 call,
                 ErrorCode.RETRY_BUDGET_EXHAUSTED,
                 "the retry budget is exhausted",
             )
 
+    def _try_spend_retry(self, call: Call) -> bool:
+        now_s = self._state.now_s()
+        entries = self._state.entry_bound.get_bound(now_s)
+        return call.service_state.retry_budget.try_spend(entries, now_s)
+
     async def wait_for_slot(self, call: Call, must_wait: bool) -> None:
         """Waits for a slot at any replica, if one is expected in time.
 
@@ -159,7 +162,7 @@
             and call.deadline_s - now_s > _MIN_TIME_LEFT_S
             and len(call.service_state.slots) > 1
             and call.service_state.retry_budget.can_spend(
-                self._state.entry_count, now_s
+                self._state.entry_bound.get_bound(now_s), now_s
             )
         )
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -79,7 +79,7 @@
                 )
             await self._state.wait_for_configuration(_CONFIGURATION_TIMEOUT_S)
             call = make_call(self._state, self._names, request)
-            call.service_state.retry_budget.observe_request(self._state.now_s())
+            call.service_state.retry_budget.observe_request()
             await self._forward(call, reply)
         except ChicoryplankError as error:
             self._refuse(call, request, reply, error)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -28,6 +28,8 @@
 # Time in seconds after its registration in which an entry counts as alive
 # without a message from it.
 _REGISTRATION_GRACE_S = 2.0
+# Bound on the number of entries that a message may report.
+_MAX_ENTRIES = 100_000
 _FIELDS = frozenset(
     {"kind", "member", "leaving", "revision", "counts", "absent"}
 )
@@ -94,6 +96,21 @@
     return frozenset(map(InstanceId, map(str, instances))), float(age_s)
 
 
+def _decode_entry_report(report: list | None) -> tuple[int, float] | None:
+    """Returns a number of entries and the age of that number in seconds.
+
+    Raises:
+        ValueError, TypeError: If the report is malformed.
+    """
+    if report is None:
+        return None
+    count, age_s = report
+    count, age_s = int(count), float(age_s)
+    if not 0 < count <= _MAX_ENTRIES or not age_s >= 0:
+        raise ValueError(f"{report} is not a number of entries and its age")
+    return count, age_s
+
+
 @dataclasses.dataclass(slots=True)
 class _PeerStatus:
     """Latest information on another entry.
@@ -145,6 +162,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._task: asyncio.Task | None = None
         self._malformed_count = 0
+        self._logged_bound = 1
         self.revision = 0
 
     async def start(self) -> None:
@@ -186,15 +204,22 @@
         for known in (self._registered_s, self._statuses):
             for name in [name for name in known if name not in self._members]:
                 del known[name]
-        entry_count = len(self._members) + 1
-        if entry_count != self._state.entry_count:
+        self._state.entry_count = len(self._members) + 1
+        self._update_entry_bound(self._state.entry_count, now_s)
+
+    def _update_entry_bound(self, count: int, seen_s: float) -> None:
+        """Records a number of entries that this or another entry saw."""
+        now_s = self._state.now_s()
+        self._state.entry_bound.observe(count, seen_s)
+        bound = self._state.entry_bound.get_bound(now_s)
+        if bound != self._logged_bound:
             emit(
                 Event.RETRY_SHARE_CHANGED,
-                entries=entry_count,
-                previous=self._state.entry_count,
-                registered=len(members),
+                entries=bound,
+                previous=self._logged_bound,
+                registered=self._state.entry_count,
             )
-        self._state.entry_count = entry_count
+            self._logged_bound = bound
 
     @property
     def _is_direct(self) -> bool:
@@ -274,6 +299,7 @@
 
     def send_updates(self) -> None:
         """Sends one round of updates and expires the counts of dead entries."""
+        self._update_entry_bound(self._state.entry_count, self._state.now_s())
         if self._is_direct:
             self.send_own_counts()
         else:
@@ -384,6 +410,7 @@
         if report is not None:
             instances, age_s = report
             slow = [round(age_s, 3), sorted(instances)]
+        count, age_s = self._state.entry_bound.get_report(self._state.now_s())
         return json.dumps(
             {
                 "kind": kind,
@@ -393,6 +420,7 @@
                 "counts": counts,
                 "absent": list(absent),
                 "slow": slow,
+                "entries": [count, round(age_s, 3)],
             },
             separators=(",", ":"),
         ).encode()
@@ -424,7 +452,13 @@
             absent = frozenset(map(str, document["absent"]))
             revision = int(document["revision"])
             slow_report = _decode_slow_report(document.get("slow"))
-        except (ValueError, TypeError, AttributeError) as error:
+            entry_report = _decode_entry_report(document.get("entries"))
+        except (
+            ValueError,
+            TypeError,
+            AttributeError,
+            OverflowError,
+        ) as error:
             self._malformed_count += 1
             if self._malformed_count & (self._malformed_count - 1) == 0:
                 emit(Event.BATCH_REJECTED, peer=addr[0], error=repr(error))
@@ -439,6 +473,9 @@
         status.is_draining = bool(document["leaving"])
         if document["kind"] != _OWN:
             self._apply_liveness(document["kind"], name, absent, now_s)
+        if entry_report is not None:
+            count, age_s = entry_report
+            self._update_entry_bound(count, now_s - age_s)
         if slow_report is not None:
             instances, age_s = slow_report
             self._state.slow_replicas.observe(instances, now_s - age_s)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -9,6 +9,7 @@
 
 from chicoryplank.admission import (
     CircuitBreaker,
+    EntryCount,
     Occupancy,
     RetryBudget,
     RetryBudgetParameters,
@@ -131,6 +132,11 @@
         retry_budget_parameters: Limits on retries.
         registration_grace_s: Time after a store outage in which replicas may
             register again before their old registrations are dropped.
+
+    Attributes:
+        started_s: Time at which this process started, in seconds.
+        entry_count: Number of entries that are visible now, with this one.
+        entry_bound: Number of entries among which an allowance is divided.
     """
 
     def __init__(
@@ -144,6 +150,7 @@
         self.clock = clock
         self.zone = zone
         self.rng = rng
+        self.started_s = self.now_s()
         self.registry = ReplicaRegistry(registration_grace_s)
         self.occupancy = Occupancy()
         self.slow_replicas = SlowReplicas()
@@ -151,6 +158,7 @@
         self.routes: RouteIndex | None = None
         self.retry_budget_parameters = retry_budget_parameters
         self.entry_count = 1
+        self.entry_bound = EntryCount()
         self.is_draining = False
         self._configured = asyncio.Event()
         self._services: dict[ServiceId, ServiceState] = {}
@@ -195,7 +203,7 @@
         """Changes the limits on retries; past retries still count."""
         self.retry_budget_parameters = parameters
         for state in self._services.values():
-            state.retry_budget.parameters = parameters
+            state.retry_budget.configure(parameters)
 
     def get_service(self, service: ServiceId) -> ServiceState:
         """Returns the state of a service, which is created on first use."""
@@ -206,7 +214,7 @@
             state = ServiceState(
                 make_balanced_policy(self.zone, parameters, self.rng),
                 SlotQueue(_MAX_QUEUED_REQUESTS),
-                RetryBudget(self.retry_budget_parameters),
+                RetryBudget(self.retry_budget_parameters, self.started_s),
             )
             self._services[service] = state
             self._refresh_service(service, state)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
@@ -233,6 +233,8 @@
             RetryBudgetParameters(1.0, 100),
             registration_grace_s=2.0,
         )
+        # The entry has run long enough to retry requests.
+        self.state.started_s -= 60.0
         self.pool = BackendPool(NAMES.request_id, self.state.now_s)
         self.exchange = Exchange(
             self.state, NAMES, self.pool, parameters or ExchangeParameters()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/retry_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/retry_model.py
@@ -52,13 +52,16 @@
         )
         self.peers.connection_made(_Transport(model, member.instance))
         self.admission = CallAdmission(self.state, ExchangeParameters())
+        # Without a configuration, which it reads with the registrations, an
+        # entry refuses all requests.
+        self.has_read_store = False
         self.next_update_s = 0.0
         self.ends_s = float("inf")
 
     def forward(self, now_s, is_rejected, retries):
         """Forwards a request that replicas reject; appends retry times."""
         service = self.state.get_service(SERVICE)
-        service.retry_budget.observe_request(now_s)
+        service.retry_budget.observe_request()
         call = SimpleNamespace(
             service_state=service,
             attempts=0,
@@ -110,6 +113,7 @@
         self.frozen_until_s = collections.defaultdict(float)
         self.held = collections.Counter()
         self.cut_until_s = collections.defaultdict(float)
+        self.cut_from_store_until_s = collections.defaultdict(float)
         self.store_away_until_s = 0.0
         for name in self._members:
             self._start(name)
@@ -155,8 +159,11 @@
     def freeze(self, name, duration_s):
         self.frozen_until_s[name] = self.now_s + duration_s
 
-    def cut(self, name, duration_s):
+    def cut(self, name, duration_s, *, from_store=True):
+        """Cuts an entry off from the others, and possibly from the store."""
         self.cut_until_s[name] = self.now_s + duration_s
+        if from_store:
+            self.cut_from_store_until_s[name] = self.now_s + duration_s
 
     def lose_store(self, duration_s):
         """Makes the store unavailable; all registrations lapse."""
@@ -200,10 +207,13 @@
         for name, process in self.processes.items():
             if self._is_active(name):
                 process.peers.set_members(members)
+                process.has_read_store = True
 
     def _is_active(self, name):
+        """Returns whether the entry runs and reaches the store."""
         return (
-            not self._is_cut(name) and self.frozen_until_s[name] <= self.now_s
+            self.cut_from_store_until_s[name] <= self.now_s
+            and self.frozen_until_s[name] <= self.now_s
         )
 
     def _send_updates(self):
@@ -228,7 +238,7 @@
 
     def _forward(self, name):
         process = self.processes.get(name)
-        if process is not None:
+        if process is not None and process.has_read_store:
             process.forward(
                 self.now_s,
                 lambda: self.rejecting and self.rng.random() < 0.95,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_reload.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_reload.py
@@ -104,13 +104,15 @@
         """Guards against retries beyond a budget that the operator lowered."""
         entry = _make_entry()
         service = entry.state.get_service(ServiceId("cards"))
+        now_s = entry.state.now_s() + 60.0
         for number in range(10):
-            self.assertTrue(service.retry_budget.try_spend(1, number / 100))
+            at_s = now_s + number / 100
+            self.assertTrue(service.retry_budget.try_spend(1, at_s))
         changed = dataclasses.replace(
             _PARAMETERS, repeats=RetryBudgetParameters(0.2, 10)
         )
         self.assertEqual([], entry.apply_parameters(changed))
-        self.assertFalse(service.retry_budget.try_spend(1, 0.2))
+        self.assertFalse(service.retry_budget.try_spend(1, now_s + 0.2))
         later = entry.state.get_service(ServiceId("notes"))
         self.assertEqual(10, later.retry_budget.parameters.extra)
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_retry_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_retry_model.py
@@ -50,7 +50,7 @@
             fleet.kill(name)
         fleet.run(1.05, _RATE_PER_S)
         for name in sorted(fleet.processes):
-            fleet.cut(name, 5.0)
+            fleet.cut(name, 5.0, from_store=False)
         fleet.run(8, _RATE_PER_S)
         self.assertLessEqual(fleet.find_excess(), 0)
 
@@ -80,4 +80,6 @@
             elif kind == "freeze":
                 fleet.freeze(name, rng.uniform(0.5, 4.0))
             elif kind == "cut":
-                fleet.cut(name, rng.uniform(0.5, 6.0))
+                fleet.cut(
+                    name, rng.uniform(0.5, 6.0), from_store=rng.random() < 0.5
+                )
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from chicoryplank.admission._circuit_breaker import CircuitBreaker
+from chicoryplank.admission._entry_count import EntryCount
 from chicoryplank.admission._occupancy import Occupancy
 from chicoryplank.admission._retry_after import RetryAfterJitter
 from chicoryplank.admission._retry_budget import (
@@ -15,6 +16,7 @@
 
 __all__ = [
     "CircuitBreaker",
+    "EntryCount",
     "Occupancy",
     "RetryAfterJitter",
     "RetryBudget",
