--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
@@ -54,17 +54,23 @@
             )
 
     def spend_retry(self, call: Call) -> None:
-        """Charges an attempt to the retry budget unless it is the first.
+        """Charges the next attempt to the retry budget unless it is the first.
+
+        An attempt for which no connection could be made has been charged
+        already.
 
         Raises:
             ChicoryplankError: If the budget is exhausted.
         """
-        if call.attempts and not self._try_spend_retry(call):
+        if not call.attempts or call.is_retry_charged:
+            return
+        if not self._try_spend_retry(call):
             raise self.make_refusal(
                 call,
                 ErrorCode.RETRY_BUDGET_EXHAUSTED,
                 "the retry budget is exhausted",
             )
+        call.is_retry_charged = True
 
     def _try_spend_retry(self, call: Call) -> bool:
         now_s = self._state.now_s()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
@@ -50,6 +50,8 @@
         needs_new_connection: Whether an idle connection broke under the
             request, so that others are likely closed as well.
         attempts: Number of times the request was sent.
+        is_retry_charged: Whether the next attempt was charged to the retry
+            budget.
         possible_runs: Number of attempts that ran or may have run.
         verdict: Whether any attempt may have run.
         resume_after: Id of the last event that the caller received, for a
@@ -74,6 +76,7 @@
     )
     needs_new_connection: bool = False
     attempts: int = 0
+    is_retry_charged: bool = False
     possible_runs: int = 0
     verdict: Verdict = Verdict.NOT_RUN
     resume_after: str = ""
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -255,6 +255,7 @@
         # From now on the request counts as not run only if the replica says so.
         call.verdict = Verdict.MAY_HAVE_RUN
         call.attempts += 1
+        call.is_retry_charged = False
         call.tried_replicas.add(replica.instance)
         call.used_connections.append(connection)
         return Attempt(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/retry_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/retry_model.py
@@ -70,6 +70,7 @@
         )
         for attempt in range(_MAX_RETRIES + 1):
             call.attempts = attempt
+            call.is_retry_charged = False
             try:
                 self.admission.spend_retry(call)
             except ChicoryplankError:
