Read and log the limits that replicas name

Entries now read the header Server-Limit of responses that are proven to come from the replica, and log each change (1217) and malformed values (1218). The limit is not applied yet.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -15,6 +15,7 @@
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
 from chicoryplank_entry.forwarding.calls import Call, make_call
 from chicoryplank_entry.forwarding.fields import HeaderNames
+from chicoryplank_entry.forwarding.limit_reports import LimitReader
 from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.refusals import send_error
@@ -63,6 +64,7 @@
         self._parameters = parameters or ExchangeParameters()
         self._admission = CallAdmission(state, self._parameters)
         self._log = AttemptLog(names, state.now_s)
+        self._limit_reader = LimitReader(names, state)
         self.in_progress = 0
         self.refuses_all = False
 
@@ -282,6 +284,8 @@
         try:
             await relay.wait_head(attempt)
             outcome = classify(self._names, attempt.response, call.request_id)
+            if outcome not in (Outcome.UNPROVEN, Outcome.MISDIRECTED):
+                self._limit_reader.read(attempt)
             if outcome is Outcome.FINAL or (
                 outcome is Outcome.FAILURE
                 and not self._admission.is_worth_retrying(call)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/fields.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/fields.py
@@ -18,6 +18,8 @@
             urgent.
         at_fault: Id or address of the replica that caused the failure, for
             example of another one of its group.
+        server_limit: Requests per second that a replica takes from all entries
+            together; absent while it takes any number.
         last_event: Id of the last event that the receiver of a stream got.
     """
 
@@ -29,6 +31,7 @@
     proof: str
     urgency: str
     at_fault: str
+    server_limit: str = "server-limit"
     last_event: str = "last-event-id"
 
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -13,6 +13,7 @@
     Occupancy,
     RetryBudget,
     RetryBudgetParameters,
+    ServerLimits,
     SlotQueue,
     SlowReplicas,
 )
@@ -137,6 +138,7 @@
         started_s: Time at which this process started, in seconds.
         entry_count: Number of entries that are visible now, with this one.
         entry_bound: Number of entries among which an allowance is divided.
+        server_limits: Limits that replicas name for all entries together.
     """
 
     def __init__(
@@ -159,6 +161,7 @@
         self.retry_budget_parameters = retry_budget_parameters
         self.entry_count = 1
         self.entry_bound = EntryCount()
+        self.server_limits = ServerLimits()
         self.is_draining = False
         self._configured = asyncio.Event()
         self._services: dict[ServiceId, ServiceState] = {}
@@ -225,6 +228,7 @@
         known = {record.instance for record in self.registry.list_all()}
         for instance in self._excluded_until_s.keys() - known:
             del self._excluded_until_s[instance]
+        self.server_limits.retain(known)
         for service, state in self._services.items():
             self._refresh_service(service, state)
 
@@ -235,8 +239,9 @@
             self.refresh_candidates()
 
     def readmit(self, instance: InstanceId) -> None:
-        """Ends the exclusion of a replica that has registered again."""
+        """Forgets what was observed of a replica that has started again."""
         self._excluded_until_s.pop(instance, None)
+        self.server_limits.reset(instance, self.now_s())
 
     def _refresh_service(self, service: ServiceId, state: ServiceState) -> None:
         records = [
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -11,6 +11,13 @@
     RetryBudget,
     RetryBudgetParameters,
 )
+from chicoryplank.admission._server_limits import (
+    LimitReport,
+    MalformedLimitError,
+    RateBucket,
+    ServerLimits,
+    parse_limit,
+)
 from chicoryplank.admission._slot_queue import SlotQueue, Waiter
 from chicoryplank.admission._slow_groups import SlowReplicas, find_slow_replicas
 
@@ -18,11 +25,16 @@
     "CircuitBreaker",
     "EntryCount",
     "Occupancy",
+    "LimitReport",
+    "MalformedLimitError",
+    "RateBucket",
     "RetryAfterJitter",
     "RetryBudget",
     "RetryBudgetParameters",
+    "ServerLimits",
     "SlotQueue",
     "SlowReplicas",
     "Waiter",
     "find_slow_replicas",
+    "parse_limit",
 ]
--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/admission/_server_limits.py
@@ -0,0 +1,191 @@
+"""Limits on the request rate that backend servers name in their responses.
+
+A server in need names the requests per second that it takes from all entries
+together, and stops naming them once it has recovered.
+"""
+
+import dataclasses
+import re
+from collections.abc import Iterable
+
+from chicoryplank.ids import InstanceId
+
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+# Longer numbers are not plausible and would be costly to convert.
+_MAX_DIGITS = 64
+# Rate in requests per second at which a server that takes fewer or none is
+# still asked, since only its responses tell that it takes more again.
+_PROBE_RATE = 0.25
+# Time in seconds for which a withdrawn limit is reported to other entries, so
+# that older reports of that limit do not restore it.
+_WITHDRAWAL_MEMORY_S = 30.0
+# Seconds of its rate that a bucket saves.
+_BURST_S = 0.25
+
+
+class MalformedLimitError(ValueError):
+    """The value is not a decimal number."""
+
+
+def parse_limit(text: str) -> float:
+    """Parses a limit in requests per second.
+
+    Raises:
+        MalformedLimitError: If the text is not a decimal number.
+
+    Example:
+        >>> parse_limit("2.5")
+        2.5
+    """
+    text = text.strip()
+    if len(text) > _MAX_DIGITS or not _DECIMAL.fullmatch(text):
+        raise MalformedLimitError(f"{text[:_MAX_DIGITS]!r} is not a number")
+    return float(text)
+
+
+class RateBucket:
+    """Token bucket of the requests to one server; empty at first.
+
+    Since a new bucket is empty, replacing the process that keeps it grants no
+    request twice.
+
+    Args:
+        now_s: Current time in seconds.
+
+    Example:
+        >>> bucket = RateBucket(0.0)
+        >>> bucket.try_take(2.0, 0.25), bucket.try_take(2.0, 0.5)
+        (0.25, 0.0)
+    """
+
+    def __init__(self, now_s: float) -> None:
+        self._level = 0.0
+        self._updated_s = now_s
+
+    def try_take(self, limit: float, now_s: float) -> float:
+        """Takes one request.
+
+        Args:
+            limit: Limit in requests per second.
+            now_s: Current time in seconds.
+
+        Returns:
+            0 if the request may be sent, or else the time in seconds after
+            which one may be.
+        """
+        rate = max(limit, _PROBE_RATE)
+        elapsed_s = max(0.0, now_s - self._updated_s)
+        self._updated_s = now_s
+        self._level = min(
+            self._level + rate * elapsed_s, max(1.0, rate * _BURST_S)
+        )
+        if self._level < 1:
+            return (1 - self._level) / rate
+        self._level -= 1
+        return 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitReport:
+    """Newest information on the limit of a server.
+
+    Attributes:
+        limit: Limit in requests per second; None if it was withdrawn.
+        seen_s: Time of the response that named it, or of the request whose
+            response named none, in seconds.
+    """
+
+    limit: float | None
+    seen_s: float
+
+
+class ServerLimits:
+    """Limits of all servers, as known to one entry.
+
+    The newest report on a server counts.
+
+    Example:
+        >>> limits = ServerLimits()
+        >>> limits.observe(InstanceId("a"), LimitReport(5.0, seen_s=1.5))
+        >>> limits.observe(InstanceId("a"), LimitReport(None, seen_s=1.2))
+        >>> limits.get(InstanceId("a"))
+        5.0
+    """
+
+    def __init__(self) -> None:
+        self._reports: dict[InstanceId, LimitReport] = {}
+        self._held_until_s: dict[InstanceId, float] = {}
+
+    def get(self, instance: InstanceId) -> float | None:
+        """Returns the limit of a server in requests per second, if any."""
+        report = self._reports.get(instance)
+        return None if report is None else report.limit
+
+    def observe(self, instance: InstanceId, report: LimitReport) -> None:
+        """Records a report unless a newer one is known."""
+        known = self._reports.get(instance)
+        if known is not None and report.seen_s <= known.seen_s:
+            return
+        self._reports[instance] = report
+        if known is None or report.limit != known.limit:
+            self._held_until_s.pop(instance, None)
+
+    def reset(self, instance: InstanceId, now_s: float) -> None:
+        """Withdraws the limit of a server that has started again."""
+        if instance in self._reports:
+            self.observe(instance, LimitReport(None, now_s))
+
+    def retain(self, instances: Iterable[InstanceId]) -> None:
+        """Forgets all other servers."""
+        known = set(instances)
+        for values in (self._reports, self._held_until_s):
+            for instance in values.keys() - known:
+                del values[instance]
+
+    def list_reports(self, now_s: float) -> dict[InstanceId, LimitReport]:
+        """Returns the reports that other entries may lack."""
+        outdated = [
+            instance
+            for instance, report in self._reports.items()
+            if report.limit is None
+            and now_s - report.seen_s > _WITHDRAWAL_MEMORY_S
+        ]
+        for instance in outdated:
+            del self._reports[instance]
+        return dict(self._reports)
+
+    def hold(self, instance: InstanceId, until_s: float) -> None:
+        """Keeps requests away from a server whose limit is used up."""
+        self._held_until_s[instance] = until_s
+
+    def list_held(self, now_s: float) -> frozenset[InstanceId]:
+        """Returns the servers that get no request now."""
+        for instance, until_s in list(self._held_until_s.items()):
+            if now_s >= until_s:
+                del self._held_until_s[instance]
+        return frozenset(self._held_until_s)
+
+    def estimate_wait_s(
+        self, instances: Iterable[InstanceId], queued: int, now_s: float
+    ) -> float:
+        """Returns the least time until one of several servers may be sent to.
+
+        Args:
+            instances: The servers.
+            queued: Requests that wait for the same servers.
+            now_s: Current time in seconds.
+
+        Returns:
+            Seconds; 0 if any of the servers has no limit.
+        """
+        total = 0.0
+        first_s = float("inf")
+        for instance in instances:
+            limit = self.get(instance)
+            if limit is None:
+                return 0.0
+            total += max(limit, _PROBE_RATE)
+            first_s = min(first_s, self._held_until_s.get(instance, now_s))
+        if not total:
+            return 0.0
+        return max(first_s - now_s, queued / total)
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -199,6 +199,17 @@
         "the extra retries are divided among {entries} entries instead of "
         "{previous}; {registered} are registered",
     )
+    SERVER_LIMIT_CHANGED = (
+        1217,
+        logbook.INFO,
+        "replica {replica} takes {limit} requests per second instead of "
+        "{previous}; learned from {source}",
+    )
+    SERVER_LIMIT_MALFORMED = (
+        1218,
+        logbook.WARNING,
+        "replica {replica} names a malformed limit: {value}",
+    )
     STORE_LOST = (
         1304,
         logbook.WARNING,
