Keep the limits of replicas over all entries

A limit that each entry keeps for itself, or divides by the entries that it sees, has the fault of the retry budget.

Change: for each replica with a limit one entry, chosen by rendezvous hashing over the live entries, has the only token bucket. The others ask it for a permit by datagram before each attempt, first or retried, and leave the replica alone while none is due. Limits and withdrawals travel with the counts, so that an entry that starts knows them. If the fleet is partitioned, each part uses its share of the entries; an entry that gets no reply sends nothing. Requests that no replica takes in time are refused at once. There are no calls to the store.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -150,11 +150,13 @@
             _REGISTRATION_GRACE_S,
         )
         self._pool = BackendPool(adapter.names.request_id, self.state.now_s)
-        self.exchange = Exchange(self.state, adapter.names, self._pool)
         self.registration = Registration(
             adapter.store, clock, parameters.registration_key, own.encode()
         )
         self.peers = Peers(own, self.state, rng, self._observe_newer_revision)
+        self.exchange = Exchange(
+            self.state, adapter.names, self._pool, self.peers.permits
+        )
         self.feed = FeedServer(lambda: self.view.is_current)
         self.view = StoreView(
             FeedSource(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -18,6 +18,7 @@
 from chicoryplank_entry.forwarding.limit_reports import LimitReader
 from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
+from chicoryplank_entry.forwarding.permits import Permits
 from chicoryplank_entry.forwarding.refusals import send_error
 from chicoryplank_entry.forwarding.state import EntryState
 from chicoryplank_wire.client_connection import (
@@ -44,6 +45,7 @@
         state: Shared state of this entry.
         names: Header names.
         pool: Connections to replicas.
+        permits: Permits for requests to replicas with a limit.
         parameters: Time limits.
 
     Attributes:
@@ -56,11 +58,13 @@
         state: EntryState,
         names: HeaderNames,
         pool: BackendPool,
+        permits: Permits,
         parameters: ExchangeParameters | None = None,
     ) -> None:
         self._state = state
         self._names = names
         self._pool = pool
+        self._permits = permits
         self._parameters = parameters or ExchangeParameters()
         self._admission = CallAdmission(state, self._parameters)
         self._log = AttemptLog(names, state.now_s)
@@ -215,6 +219,9 @@
                 call.service_state, replica.instance, now_s
             )
             try:
+                if not await self._permits.acquire(replica.instance):
+                    self._end_attempt(call, replica.instance, None)
+                    continue
                 connection = await self._connect(call, backend)
             except ConnectionBrokenError as error:
                 self._end_attempt(call, replica.instance, False)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -9,6 +9,10 @@
 
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
+from chicoryplank_entry.forwarding.permits import (
+    PERMIT_KINDS,
+    Permits,
+)
 from chicoryplank_entry.forwarding.state import EntryState
 
 # Slightly less than the maximum of UDP over IPv4.
@@ -141,6 +145,7 @@
 
     Attributes:
         revision: Store revision that this entry has read.
+        permits: Permits for requests to replicas with a limit.
     """
 
     def __init__(
@@ -164,6 +169,9 @@
         self._malformed_count = 0
         self._logged_bound = 1
         self.revision = 0
+        self.permits = Permits(
+            own.instance, state, self.list_live_members, self._send_document
+        )
 
     async def start(self) -> None:
         """Opens the socket and starts to send."""
@@ -421,10 +429,18 @@
                 "absent": list(absent),
                 "slow": slow,
                 "entries": [count, round(age_s, 3)],
+                "limits": self.permits.encode_reports(),
             },
             separators=(",", ":"),
         ).encode()
 
+    def _send_document(self, document: Mapping, name: InstanceId) -> None:
+        """Sends a document to an entry, if it is registered."""
+        member = self._members.get(name)
+        if member is not None:
+            datagram = json.dumps(document, separators=(",", ":")).encode()
+            self._send(datagram, [member])
+
     def _send(self, datagram: bytes, members: Iterable[Member]) -> None:
         if len(datagram) > _MAX_DATAGRAM_BYTES:
             return
@@ -443,7 +459,12 @@
         """Applies the message of another entry; ignores malformed ones."""
         try:
             document = json.loads(data)
-            if not isinstance(document, dict) or not document.keys() >= _FIELDS:
+            if not isinstance(document, dict):
+                raise ValueError("message is not an object")
+            if document.get("kind") in PERMIT_KINDS:
+                self.permits.handle(document)
+                return
+            if not document.keys() >= _FIELDS:
                 raise ValueError("message lacks required fields")
             counts = {
                 InstanceId(key): int(value)
@@ -453,10 +474,12 @@
             revision = int(document["revision"])
             slow_report = _decode_slow_report(document.get("slow"))
             entry_report = _decode_entry_report(document.get("entries"))
+            self.permits.apply_reports(document.get("limits") or {})
         except (
             ValueError,
             TypeError,
             AttributeError,
+            KeyError,
             OverflowError,
         ) as error:
             self._malformed_count += 1
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
@@ -0,0 +1,198 @@
+"""Permits for requests to replicas that limit the requests of all entries.
+
+For each such replica one entry, the issuer, keeps the only token bucket, and
+the others ask it for a permit by datagram before each request. The store is not
+involved. Entries choose the issuer by rendezvous hashing over the live entries,
+so that its loss moves few replicas to other issuers. If the fleet is
+partitioned, the issuer of each part uses the part of the limit that corresponds
+to the number of its entries.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Callable, Mapping
+
+from chicoryplank.admission import LimitReport, RateBucket
+from chicoryplank.ids import InstanceId
+from chicoryplank.rendezvous import rank_members
+from chicoryplank_entry.forwarding.limit_reports import record_report
+from chicoryplank_entry.forwarding.state import EntryState
+
+REQUEST_KIND = "permit-request"
+REPLY_KIND = "permit-reply"
+PERMIT_KINDS = frozenset({REQUEST_KIND, REPLY_KIND})
+# Time in seconds in which an issuer replies; a datagram between zones takes a
+# few milliseconds.
+_REPLY_TIMEOUT_S = 0.06
+# Time in seconds for which a replica is left alone if its issuer did not reply
+# or is not the issuer in its own view.
+_UNKNOWN_WAIT_S = 0.1
+_MIN_WAIT_S = 0.01
+
+Document = Mapping[str, object]
+
+
+class Permits:
+    """Asks for permits of one entry, and issues permits to others.
+
+    Args:
+        own: This entry.
+        state: Shared state of this entry.
+        list_live_members: Returns all live entries, with this one.
+        send: Sends a document to another entry.
+    """
+
+    def __init__(
+        self,
+        own: InstanceId,
+        state: EntryState,
+        list_live_members: Callable[[], list[InstanceId]],
+        send: Callable[[Document, InstanceId], None],
+    ) -> None:
+        self._own = own
+        self._state = state
+        self._list_live_members = list_live_members
+        self._send = send
+        self._buckets: dict[InstanceId, RateBucket] = {}
+        self._numbers = itertools.count(1)
+        self._pending: dict[int, Callable[[float], None]] = {}
+
+    async def acquire(self, instance: InstanceId) -> bool:
+        """Returns whether a request may be sent to a replica now.
+
+        If not, the replica is held until the limit allows a request.
+        """
+        if self._state.server_limits.get(instance) is None:
+            return True
+        answered = asyncio.get_running_loop().create_future()
+
+        def set_wait(wait_s: float) -> None:
+            if not answered.done():
+                answered.set_result(wait_s)
+
+        number = self.request(instance, set_wait)
+        try:
+            async with asyncio.timeout(_REPLY_TIMEOUT_S) as timeout:
+                wait_s = await answered
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            wait_s = _UNKNOWN_WAIT_S
+        finally:
+            self._pending.pop(number, None)
+        return self.apply_wait(instance, wait_s)
+
+    def apply_wait(self, instance: InstanceId, wait_s: float) -> bool:
+        """Holds a replica unless the wait is 0; returns whether it is 0."""
+        if wait_s <= 0:
+            return True
+        until_s = self._state.now_s() + max(wait_s, _MIN_WAIT_S)
+        self._state.server_limits.hold(instance, until_s)
+        return False
+
+    def request(
+        self, instance: InstanceId, on_reply: Callable[[float], None]
+    ) -> int:
+        """Asks the issuer for a permit.
+
+        Args:
+            instance: Replica with a limit.
+            on_reply: Called with the time in seconds after which a request may
+                be sent, 0 for now; not called if no reply arrives.
+
+        Returns:
+            Number of the question.
+        """
+        number = next(self._numbers)
+        issuer = self._choose_issuer(instance)
+        if issuer == self._own:
+            on_reply(self._issue(instance))
+            return number
+        self._pending[number] = on_reply
+        now_s = self._state.now_s()
+        report = self._state.server_limits.list_reports(now_s).get(instance)
+        document = {
+            "kind": REQUEST_KIND,
+            "member": self._own,
+            "number": number,
+            "replica": instance,
+        }
+        if report is not None:
+            document["limit"] = [report.limit, now_s - report.seen_s]
+        self._send(document, issuer)
+        return number
+
+    def handle(self, document: Document) -> None:
+        """Handles a question or a reply of another entry.
+
+        Raises:
+            ValueError, TypeError, KeyError, OverflowError: If it is malformed.
+        """
+        number = int(document["number"])
+        if document["kind"] == REPLY_KIND:
+            wait_s = float(document["wait_s"])
+            on_reply = self._pending.pop(number, None)
+            if on_reply is not None and wait_s >= 0:
+                on_reply(wait_s)
+            return
+        instance = InstanceId(str(document["replica"]))
+        member = InstanceId(str(document["member"]))
+        if document.get("limit") is not None:
+            # An issuer that has just started may not know the limit yet.
+            self.apply_reports({instance: document["limit"]})
+        reply = {
+            "kind": REPLY_KIND,
+            "member": self._own,
+            "number": number,
+            "wait_s": self._issue(instance),
+        }
+        self._send(reply, member)
+
+    def _choose_issuer(self, instance: InstanceId) -> InstanceId:
+        members = self._list_live_members()
+        if self._state.is_draining and len(members) > 1:
+            members = [name for name in members if name != self._own]
+        return rank_members(instance, members)[0]
+
+    def _issue(self, instance: InstanceId) -> float:
+        """Takes a request from the bucket of a replica; returns the wait."""
+        limit = self._state.server_limits.get(instance)
+        if self._choose_issuer(instance) != self._own:
+            self._buckets.pop(instance, None)
+            return _UNKNOWN_WAIT_S
+        if limit is None:
+            # Withdrawn, as this entry knows, but the other one does not yet.
+            self._buckets.pop(instance, None)
+            return 0.0
+        now_s = self._state.now_s()
+        live = len(self._list_live_members())
+        share = min(1.0, live / self._state.entry_bound.get_bound(now_s))
+        bucket = self._buckets.setdefault(instance, RateBucket(now_s))
+        return bucket.try_take(limit * share, now_s)
+
+    def encode_reports(self) -> dict[InstanceId, list]:
+        """Returns limits and the ages of their reports, for other entries."""
+        now_s = self._state.now_s()
+        return {
+            instance: [report.limit, round(now_s - report.seen_s, 3)]
+            for instance, report in self._state.server_limits.list_reports(
+                now_s
+            ).items()
+        }
+
+    def apply_reports(self, reports: Mapping[str, list]) -> None:
+        """Applies the limits that another entry reports.
+
+        Raises:
+            ValueError, TypeError: If a report is malformed.
+        """
+        now_s = self._state.now_s()
+        for name, (limit, age_s) in reports.items():
+            if limit is not None and not 0 <= float(limit) < float("inf"):
+                raise ValueError(f"limit {limit} is out of range")
+            if not float(age_s) >= 0:
+                raise ValueError(f"age {age_s} is negative")
+            report = LimitReport(
+                None if limit is None else float(limit), now_s - float(age_s)
+            )
+            record_report(self._state, InstanceId(name), report, "peer")
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -272,7 +272,12 @@
         free = total
         if not state.circuit_breaker.is_open:
             free = max(0, total - self.occupancy.count_total(used))
-        return state.slot_queue.estimate_wait(total * share, free * share)
+        return max(
+            state.slot_queue.estimate_wait(total * share, free * share),
+            self.server_limits.estimate_wait_s(
+                state.slots, len(state.slot_queue), self.now_s()
+            ),
+        )
 
     def list_full_replicas(
         self, state: ServiceState, allowance: int, now_s: float
@@ -291,7 +296,10 @@
             for instance, slots in state.slots.items()
             if occupancy.count(instance) >= slots + allowance
             or occupancy.is_full(instance, now_s)
-        ) | self.slow_replicas.list_avoided(state.slots, now_s)
+        ).union(
+            self.slow_replicas.list_avoided(state.slots, now_s),
+            self.server_limits.list_held(now_s) & state.slots.keys(),
+        )
 
     def choose_replica(
         self,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
@@ -28,6 +28,7 @@
 from chicoryplank_entry.forwarding.exchange import Exchange
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
+from chicoryplank_entry.forwarding.permits import Permits
 from chicoryplank_entry.forwarding.state import EntryState
 from chicoryplank_wire.server_connection import CallerConnection, ListenerHooks
 
@@ -236,8 +237,13 @@
         # The entry has run long enough to retry requests.
         self.state.started_s -= 60.0
         self.pool = BackendPool(NAMES.request_id, self.state.now_s)
+        own = InstanceId("entry")
         self.exchange = Exchange(
-            self.state, NAMES, self.pool, parameters or ExchangeParameters()
+            self.state,
+            NAMES,
+            self.pool,
+            Permits(own, self.state, lambda: [own], lambda *message: None),
+            parameters or ExchangeParameters(),
         )
         service = Service(SERVICE, engine=engine)
         self.configuration = TrafficConfiguration(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
@@ -146,6 +146,21 @@
             {"counts": {"r": "x"}},
             {"revision": None},
             {"absent": 5},
+            {"revision": float("inf")},
+            {"entries": 8},
+            {"entries": [0, 1.0]},
+            {"entries": [float("inf"), 1.0]},
+            {"entries": [8, "x"]},
+            {"entries": [8, -1.0]},
+            {"limits": 5},
+            {"limits": {"r": 1.0}},
+            {"limits": {"r": ["x", 1.0]}},
+            {"limits": {"r": [-1.0, 1.0]}},
+            {"limits": {"r": [1.0, -5.0]}},
+            {"kind": "permit-request"},
+            {"kind": "permit-reply", "number": "x"},
+            {"kind": "permit-reply", "number": 1, "wait_s": None},
+            {"kind": []},
         ):
             data = json.dumps({**message, **change}).encode()
             peers.datagram_received(data, ("10.0.0.9", 1))
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_server_limits.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_server_limits.py
@@ -71,3 +71,56 @@
         count, statuses = self._count(reject(extra=("Server-Limit: 0",)))
         self.assertLessEqual(count, 5)
         self.assertEqual({200}, set(statuses))
+
+    def test_withdrawn_limit(self):
+        """Guards against a limit that outlives the need of a replica."""
+        scripts = [respond(extra=("Server-Limit: 1",))] * 2
+        count, _ = self._count(*scripts, respond(), requests=60, duration_s=4.0)
+        self.assertGreater(count, 8)
+
+    def test_malformed_limit_keeps_the_last_one(self):
+        """Guards against a value without meaning that lifts a limit."""
+        first = respond(extra=("Server-Limit: 1",))
+        malformed = respond(extra=("Server-Limit: many",))
+        count, _ = self._count(first, malformed)
+        self.assertLessEqual(count, 1.5 * 1 + 5)
+
+    def test_malformed_and_huge_limits_do_not_bind(self):
+        """Guards against refusals because of a value without meaning."""
+        for value in ("", "-1", "nan", "1e999", "9" * 300, "9" * 40):
+            script = respond(extra=(f"Server-Limit: {value}",))
+            count, statuses = self._count(script, others=0, requests=10)
+            self.assertEqual((10, {200}), (count, set(statuses)), value)
+
+    def test_limit_of_a_misdirected_response_is_ignored(self):
+        """Guards against a limit that another replica names."""
+        script = reject("421 Misdirected Request", extra=("Server-Limit: 0",))
+
+        async def run():
+            async with EntryFixture(
+                Replica(script), Replica(respond())
+            ) as fixture:
+                for number in range(4):
+                    await fixture.send_request(request_id=str(number))
+                return fixture.state.server_limits.get(_LIMITED)
+
+        self.assertIsNone(asyncio.run(run()))
+
+    def test_request_is_refused_at_once(self):
+        """Guards against a wait for replicas that take no request in time."""
+
+        async def run():
+            replica = Replica(respond(extra=("Server-Limit: 0",)))
+            async with EntryFixture(replica) as fixture:
+                await fixture.send_request()
+                await fixture.send_request(request_id="78")
+                started_s = time.monotonic()
+                status, headers, body = await fixture.send_request(
+                    request_id="79"
+                )
+                return time.monotonic() - started_s, status, headers, body
+
+        elapsed_s, status, headers, body = asyncio.run(run())
+        self.assertEqual((503, "not_run"), (status, self.get_verdict(body)))
+        self.assertIn("retry-after", headers)
+        self.assertLess(elapsed_s, 0.1)
