Bound bytes without end in heads and bodies

Cause, one in all places: sizes were checked where a complete header, chunk or event is handled, and not while it is collected.

- A client connection collected a head, a header or a trailer until memory ran out, waited for a response behind interim responses without end, and read the body of a skipped response without end.
It is closed now after 64 KiB outside of a body, eight interim responses or 1 MiB that is skipped.
- A caller's connection collected a header or a target until its end, and trailers without end.
It gets 431 now.
Summing the sizes of all headers for each header took 7 s of processor time for 256 KiB of small ones, in which the entry answered nobody; the sum is kept now.
- The HTTP client of agents and of the store read lines, chunks, events and documents of any size, and a status line without end raised an error that nobody handled.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import json
 import re
 from collections.abc import AsyncIterator
 from datetime import timedelta
@@ -12,7 +13,7 @@
 
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.verdict import Verdict
-from chicoryplank_wire.http import HTTP_FAILURES, make_client
+from chicoryplank_wire.http import HTTP_FAILURES, make_client, read_content
 
 EVENT_STREAM = "text/event-stream"
 _CONNECT_TIMEOUT_S = 1.0
@@ -21,6 +22,11 @@
 _EVENT_ID = re.compile(rb"^id: ?(\S+)", re.MULTILINE)
 _END_MARKER = b"data: [DONE]"
 _MAX_RESUMES = 3
+# Largest event of a stream, and largest JSON document, in bytes.
+_MAX_EVENT_BYTES = 1_048_576
+_MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
+# Time in seconds in which a cancellation or a JSON document is answered.
+_CALL_TIMEOUT_S = 10.0
 _CLOSE = {"Connection": "close"}
 _RESPONSE_HEADERS = frozenset({"content-type", "retry-after"})
 
@@ -111,20 +117,29 @@
     async def cancel(self, request_id: str) -> None:
         """Asks the backend server to cancel a request; ignores failures."""
         try:
-            response = await self._client.delete(
-                f"{self._url}/v1/streams/{request_id}", headers=_CLOSE
-            )
-            await response.content()
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                response = await self._client.request(
+                    f"{self._url}/v1/streams/{request_id}",
+                    "DELETE",
+                    headers=_CLOSE,
+                    stream=True,
+                )
+                await response.aclose()
         except HTTP_FAILURES:
             return
 
     async def fetch_json(self, path: str) -> dict | None:
         """Returns a JSON document, or None if it cannot be fetched."""
         try:
-            response = await self._client.get(self._url + path, headers=_CLOSE)
-            if response.status_code != _HTTP_OK:
-                return None
-            return await response.json()
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                response = await self._client.request(
+                    self._url + path, "GET", headers=_CLOSE, stream=True
+                )
+                if response.status_code != _HTTP_OK:
+                    await response.aclose()
+                    return None
+                content = await read_content(response, _MAX_DOCUMENT_BYTES)
+            return json.loads(content)
         except HTTP_FAILURES:
             return None
 
@@ -141,10 +156,10 @@
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 response = await self._send_request("POST", path, headers, body)
-                chunks = [chunk async for chunk in _read_body(response)]
-        except TimeoutError as error:
+                content = await read_content(response, _MAX_DOCUMENT_BYTES)
+        except HTTP_FAILURES as error:
             raise _make_response_error(error) from error
-        return response.status_code, b"".join(chunks)
+        return response.status_code, content
 
     async def _send_request(
         self,
@@ -190,6 +205,8 @@
                     buffer += data
                     boundary = buffer.rfind(b"\n\n") + 2
                     if boundary < 2:
+                        if len(buffer) > _MAX_EVENT_BYTES:
+                            raise ValueError("event exceeds the size limit")
                         continue
                     events, buffer = buffer[:boundary], buffer[boundary:]
                     ended = _ends_with_marker(events)
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
@@ -20,6 +20,15 @@
 # Number of responses to other requests that are skipped before the connection
 # is closed.
 _MAX_MISMATCHED_RESPONSES = 3
+# Size of their bodies, in bytes, above which the connection is closed.
+_MAX_SKIPPED_BYTES = 1_048_576
+# Number of interim responses (1xx) before a response above which the connection
+# is closed.
+_MAX_INTERIM_RESPONSES = 8
+# Number of bytes in which a head must end, or a part of a body must arrive: the
+# parser collects incomplete headers, and bytes outside of the body such as
+# chunk extensions and trailers may come without end.
+_MAX_HEAD_BYTES = 65_536
 # Time without TCP acknowledgement after which the kernel closes a connection to
 # an unreachable peer.
 _USER_TIMEOUT_MS = 4_000
@@ -204,6 +213,9 @@
         self._headers: list[tuple[str, str]] = []
         self._reads_head = False
         self._skipping = False
+        self._skipped_bytes = 0
+        self._interim_responses = 0
+        self._bytes_outside_body = 0
         self._ends_at_close = False
         self._keep_alive = False
         self._closed = False
@@ -239,6 +251,9 @@
         """
         self._expected_id = expected
         self.requests_sent += 1
+        self._skipped_bytes = 0
+        self._interim_responses = 0
+        self._bytes_outside_body = 0
         self._response = Response(self)
         if self._closed or self._transport.is_closing():
             self._response.fail(ConnectionBrokenError(BreakReason.CLOSED))
@@ -269,13 +284,21 @@
         if self._response is None:
             self.abort()
             return
+        self._bytes_outside_body += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(
-                ConnectionBrokenError(BreakReason.MALFORMED, repr(error))
+            self._break(BreakReason.MALFORMED, repr(error))
+        if self._bytes_outside_body > _MAX_HEAD_BYTES:
+            self._break(
+                BreakReason.MALFORMED,
+                f"no end of the head within {_MAX_HEAD_BYTES} bytes",
             )
-            self.abort()
+
+    def _break(self, reason: BreakReason, detail: str = "") -> None:
+        """Fails the pending response and closes the connection."""
+        self._fail(ConnectionBrokenError(reason, detail))
+        self.abort()
 
     def eof_received(self) -> bool:
         """Completes a response that ends with the connection."""
@@ -324,11 +347,15 @@
         Skipped are interim responses (1xx) and responses to other requests.
         """
         self._reads_head = False
+        self._bytes_outside_body = 0
         if self._response is None or self._closed:
             return
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
             self._skipping = True
+            self._interim_responses += 1
+            if self._interim_responses > _MAX_INTERIM_RESPONSES:
+                self._break(BreakReason.MALFORMED, "too many interim responses")
             return
         self._keep_alive = self._parser.should_keep_alive()
         values = dict(self._headers)
@@ -337,8 +364,7 @@
         if self._skipping:
             self._response.skipped.append(SkippedResponse(status, response_id))
             if len(self._response.skipped) > _MAX_MISMATCHED_RESPONSES:
-                self._fail(ConnectionBrokenError(BreakReason.MISMATCHED))
-                self.abort()
+                self._break(BreakReason.MISMATCHED)
             return
         self._parse_keep_alive(values.get("keep-alive"))
         length = values.get("content-length")
@@ -367,11 +393,17 @@
 
     def on_body(self, data: bytes) -> None:
         """Passes a part of the body to the pending response."""
-        if self._response is not None and not self._skipping:
+        self._bytes_outside_body = 0
+        if self._skipping:
+            self._skipped_bytes += len(data)
+            if self._skipped_bytes > _MAX_SKIPPED_BYTES:
+                self._break(BreakReason.MISMATCHED)
+        elif self._response is not None:
             self._response.feed(data)
 
     def on_message_complete(self) -> None:
         """Completes the pending response, or ends a skipped one."""
+        self._bytes_outside_body = 0
         if self._skipping:
             self._skipping = False
         else:
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
@@ -12,6 +12,7 @@
 from chicoryplank_wire.client_connection import set_socket_options
 
 # Number of pipelined requests that may be queued on one connection.
+_LINE_BYTES = 1_024
 _MAX_PIPELINED = 16
 # Additional time before an idle connection is closed, so that a request sent
 # just before the idle timeout still arrives.
@@ -176,8 +177,9 @@
         self._rejected = False
         self._target = b""
         self._headers: list[tuple[str, str]] = []
+        self._header_bytes = 0
         self._reads_head = False
-        self._head_bytes = 0
+        self._bytes_outside_body = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._receive_started_s: float | None = None
@@ -225,20 +227,24 @@
         self._last_active_s = now_s
         if self._receive_started_s is None:
             self._start_request(now_s)
-        if not self._body_bytes:
-            self._head_bytes += len(data)
+        self._bytes_outside_body += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.reject(http.HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
             self.reject(http.HTTPStatus.BAD_REQUEST)
+        # The parser collects a header until its end, and bytes outside of the
+        # body such as chunk extensions and trailers may come without end.
+        max_bytes = self._hooks.get_limits().max_head_bytes + _LINE_BYTES
+        if self._bytes_outside_body > max_bytes:
+            self.reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _start_request(self, now_s: float) -> None:
         self._receive_started_s = now_s
         self._target = b""
         self._headers = []
-        self._head_bytes = 0
+        self._header_bytes = 0
         self._body = []
         self._body_bytes = 0
 
@@ -260,24 +266,25 @@
         Trailers are ignored, since they must not act as headers (RFC 9110,
         section 6.5.1).
         """
-        if not self._reads_head:
+        if not self._reads_head or self._rejected:
             return
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
-        size = len(self._target) + sum(
-            len(key) + len(text) + 4 for key, text in self._headers
-        )
+        self._header_bytes += len(name) + len(value) + 4
+        size = len(self._target) + self._header_bytes
         if size > self._hooks.get_limits().max_head_bytes:
             self.reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
         """Sends 100 Continue if the caller waits for it before the body."""
         self._reads_head = False
+        self._bytes_outside_body = 0
         for name, value in self._headers:
             if name.lower() == "expect" and value.lower() == "100-continue":
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
         """Stores a part of the body; rejects the request if it is too large."""
+        self._bytes_outside_body = 0
         self._body_bytes += len(data)
         if self._body_bytes > self._hooks.get_limits().max_body_bytes:
             self.reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -286,6 +293,7 @@
 
     def on_message_complete(self) -> None:
         """Queues the complete request and starts it if none is in progress."""
+        self._bytes_outside_body = 0
         if self._rejected or self._receive_started_s is None:
             return
         request = ReceivedRequest(
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/store.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/store.py
@@ -10,9 +10,10 @@
 
 from chicoryplank.store import Record, StoreError, SwapOutcome
 from chicoryplank.verdict import Verdict
-from chicoryplank_wire.http import HTTP_FAILURES, make_client
+from chicoryplank_wire.http import HTTP_FAILURES, make_client, read_content
 
 _HTTP_OK = 200
+_MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 _MAX_CONNECTIONS = 16
 _FAILURES = (*HTTP_FAILURES, KeyError)
 
@@ -57,16 +58,18 @@
     async def _call(self, path: str, body: dict, verdict: Verdict) -> dict:
         try:
             async with asyncio.timeout(self._timeout_s):
-                response = await self._client.post(
+                response = await self._client.request(
                     self._url + path,
+                    "POST",
                     json=body,
+                    stream=True,
                     timeouts=Timeouts(
                         sock_connect=self._timeout_s,
                         sock_read=self._timeout_s,
                         request_timeout=None,
                     ),
                 )
-                content = await response.content()
+                content = await read_content(response, _MAX_RESPONSE_BYTES)
         except _FAILURES as error:
             raise StoreError(
                 f"no response to {path}: {error!r}", verdict
