Keep the limits of backend servers in their agents

All requests to a backend server pass through its agent, so the agent keeps the limit for all entries, with the same parser, reports and bucket.

Entries retry them at other replicas within their budget, and choose the limited replica last until then. Resumed streams, orders, documents and cancellations wait for the limit; the load of a limited server is not polled.

--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -59,7 +59,7 @@
             Incarnation(f"agent-{port}-a"),
             clock,
             table,
-            BackendClient("127.0.0.1:1", 1),
+            BackendClient("127.0.0.1:1", 1, SystemClock()),
         )
         server = make_server([service], _MAX_MESSAGE_BYTES)
         await server.start(sock=listener)
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -11,8 +11,10 @@
 from aiosonic.exceptions import ConnectTimeout
 from aiosonic.timeout import Timeouts
 
+from chicoryplank.clock import Clock
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.verdict import Verdict
+from chicoryplank_agent.backend_limit import BackendLimit
 from chicoryplank_wire.http import HTTP_FAILURES, make_client, read_content
 
 EVENT_STREAM = "text/event-stream"
@@ -78,9 +80,16 @@
     Args:
         address: Host and port of the backend server.
         max_connections: Maximum number of concurrent requests.
+        clock: Source of time.
+
+    Attributes:
+        limit: Limit that the backend server names for all its requests.
     """
 
-    def __init__(self, address: str, max_connections: int) -> None:
+    def __init__(
+        self, address: str, max_connections: int, clock: Clock
+    ) -> None:
+        self.limit = BackendLimit(address, clock)
         self._url = f"http://{address}"
         self._client = make_client(max_connections, max_requests=0)
 
@@ -92,9 +101,11 @@
         """Sends a request and returns its response, with an unread body.
 
         Raises:
-            ChicoryplankError: With verdict NOT_RUN if no connection was made,
-                otherwise MAY_HAVE_RUN.
+            ChicoryplankError: With verdict NOT_RUN if the limit of the backend
+                server is used up or no connection was made, otherwise
+                MAY_HAVE_RUN.
         """
+        self.limit.check()
         headers = dict(request.headers)
         headers["X-Request-Id"] = request.request_id
         response = await self._send_request(
@@ -118,29 +129,25 @@
         """Asks the backend server to cancel a request; ignores failures."""
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_S):
-                response = await self._client.request(
-                    f"{self._url}/v1/streams/{request_id}",
-                    "DELETE",
-                    headers=_CLOSE,
-                    stream=True,
-                )
+                await self.limit.wait()
+                path = f"/v1/streams/{request_id}"
+                response = await self._send_request("DELETE", path, {}, b"")
                 await response.aclose()
-        except HTTP_FAILURES:
+        except (ChicoryplankError, *HTTP_FAILURES):
             return
 
     async def fetch_json(self, path: str) -> dict | None:
         """Returns a JSON document, or None if it cannot be fetched."""
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_S):
-                response = await self._client.request(
-                    self._url + path, "GET", headers=_CLOSE, stream=True
-                )
+                await self.limit.wait()
+                response = await self._send_request("GET", path, {}, b"")
                 if response.status_code != _HTTP_OK:
                     await response.aclose()
                     return None
                 content = await read_content(response, _MAX_DOCUMENT_BYTES)
             return json.loads(content)
-        except HTTP_FAILURES:
+        except (ChicoryplankError, *HTTP_FAILURES):
             return None
 
     async def post_json(
@@ -155,6 +162,7 @@
         headers = {"Content-Type": "application/json"}
         try:
             async with asyncio.timeout(timeout.total_seconds()):
+                await self.limit.wait()
                 response = await self._send_request("POST", path, headers, body)
                 content = await read_content(response, _MAX_DOCUMENT_BYTES)
         except HTTP_FAILURES as error:
@@ -173,8 +181,9 @@
             sock_read=None,
             request_timeout=None,
         )
+        sent_s = self.limit.get_now_s()
         try:
-            return await self._client.request(
+            response = await self._client.request(
                 self._url + path,
                 method,
                 headers=headers | _CLOSE,
@@ -190,6 +199,8 @@
             ) from error
         except HTTP_FAILURES as error:
             raise _make_response_error(error) from error
+        self.limit.observe(response.headers, sent_s)
+        return response
 
     async def _read_events(
         self, request_id: str, response: aiosonic.HttpResponse
@@ -220,6 +231,7 @@
                 return
             if not last_event_id:
                 raise _make_response_error(failure)
+            await self.limit.wait()
             response = await self._send_request(
                 "GET",
                 f"/v1/streams/{request_id}",
--- /dev/null
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend_limit.py
@@ -0,0 +1,125 @@
+"""Limit on the requests to a backend server that the server itself names.
+
+All requests to a backend server pass through its agent, so the agent alone
+keeps the limit for all entries.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from datetime import timedelta
+
+from chicoryplank.admission import (
+    LimitReport,
+    MalformedLimitError,
+    RateBucket,
+    ServerLimits,
+    parse_limit,
+)
+from chicoryplank.clock import Clock
+from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.events import Event, emit
+from chicoryplank.ids import InstanceId
+
+_LIMIT_HEADER = "server-limit"
+
+
+class BackendLimit:
+    """Token bucket of a backend server while it names a limit.
+
+    Args:
+        address: Host and port of the backend server.
+        clock: Source of time.
+    """
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._server = InstanceId(address)
+        self._clock = clock
+        self._limits = ServerLimits()
+        self._bucket: RateBucket | None = None
+        self._malformed = ""
+
+    @property
+    def is_named(self) -> bool:
+        """Whether the backend server limits its requests now."""
+        return self._limits.get(self._server) is not None
+
+    def get_now_s(self) -> float:
+        """Returns the monotonic time in seconds."""
+        return self._clock.elapsed().total_seconds()
+
+    def try_take(self) -> float:
+        """Takes one request; returns 0, or the wait in seconds."""
+        limit = self._limits.get(self._server)
+        if limit is None:
+            self._bucket = None
+            return 0.0
+        now_s = self.get_now_s()
+        if self._bucket is None:
+            self._bucket = RateBucket(now_s)
+        return self._bucket.try_take(limit, now_s)
+
+    def check(self) -> None:
+        """Takes one request.
+
+        Raises:
+            ChicoryplankError: With REPLICA_LIMITED, verdict NOT_RUN and the
+                time after which a request may be sent.
+        """
+        wait_s = self.try_take()
+        if wait_s > 0:
+            raise ChicoryplankError(
+                ErrorCode.REPLICA_LIMITED,
+                "the backend server takes no more requests per second",
+                retry_after=timedelta(seconds=wait_s),
+            )
+
+    async def wait(self) -> None:
+        """Takes one request; waits until the limit allows it."""
+        while (wait_s := self.try_take()) > 0:
+            await asyncio.sleep(wait_s)
+
+    def observe(self, headers: Mapping[str, str], sent_s: float) -> None:
+        """Applies the limit in a response, or the lack of one.
+
+        Args:
+            headers: Headers of the response.
+            sent_s: Time at which the request was sent, in seconds.
+        """
+        text = next(
+            (
+                value
+                for name, value in headers.items()
+                if name.lower() == _LIMIT_HEADER
+            ),
+            None,
+        )
+        previous = self._limits.get(self._server)
+        if text is None:
+            report = LimitReport(None, sent_s)
+        else:
+            try:
+                report = LimitReport(parse_limit(text), self.get_now_s())
+            except MalformedLimitError:
+                self._log_malformed(text)
+                return
+        if previous is None and report.limit is None:
+            return
+        self._limits.observe(self._server, report)
+        limit = self._limits.get(self._server)
+        if limit != previous:
+            emit(
+                Event.SERVER_LIMIT_CHANGED,
+                replica=self._server,
+                limit="none" if limit is None else f"{limit:g}",
+                previous="none" if previous is None else f"{previous:g}",
+                source="response",
+            )
+
+    def _log_malformed(self, text: str) -> None:
+        if text != self._malformed:
+            self._malformed = text
+            emit(
+                Event.SERVER_LIMIT_MALFORMED,
+                replica=self._server,
+                value=repr(text[:50]),
+            )
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/daemon.py
@@ -47,7 +47,7 @@
         self._clock = clock
         incarnation = Incarnation(f"{settings.instance}-{uuid.uuid4().hex}")
         self.backend = BackendClient(
-            settings.backend_address, settings.limits.max_requests
+            settings.backend_address, settings.limits.max_requests, clock
         )
         table = AgentAttemptTable(
             clock, settings.limits, settings.max_clock_skew
@@ -113,6 +113,11 @@
 
     async def _poll_load(self) -> None:
         while True:
+            if self.backend.limit.is_named:
+                # The limit is left to requests, whose responses also show when
+                # it ends.
+                await self._clock.sleep(_LOAD_POLL_INTERVAL)
+                continue
             document = await self.backend.fetch_json("/load")
             if document is None or "running" not in document:
                 # Backend servers other than inference engines report no load.
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from chicoryplank.clock import SystemClock
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.verdict import Verdict
 from chicoryplank_agent import backend
@@ -87,7 +88,7 @@
     def _run(self, work):
         async def run():
             server = _Server()
-            client = BackendClient(await server.start(), 1)
+            client = BackendClient(await server.start(), 1, SystemClock())
             try:
                 return await work(server, client)
             finally:
@@ -171,7 +172,7 @@
                 handle_connection, "127.0.0.1", 0
             )
             port = server.sockets[0].getsockname()[1]
-            client = BackendClient(f"127.0.0.1:{port}", 1)
+            client = BackendClient(f"127.0.0.1:{port}", 1, SystemClock())
             results = []
             try:
                 async with asyncio.timeout(5):
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_endless.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_endless.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from chicoryplank.clock import SystemClock
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.verdict import Verdict
 from chicoryplank_agent.backend import BackendClient, BackendRequest
@@ -27,7 +28,7 @@
     def _run(self, prefix, part, work):
         async def run():
             async with EndlessServer(prefix, part) as server:
-                client = BackendClient(server.address, 4)
+                client = BackendClient(server.address, 4, SystemClock())
                 try:
                     async with asyncio.timeout(_TIMEOUT_S):
                         result = await work(client)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/exchange.py
@@ -148,6 +148,9 @@
     def release(self, sent_attempt: SentAttempt) -> None:
         """Removes an attempt; cancels it at the agent if it has not ended."""
         sent_attempt.relay.in_flight -= 1
+        error = sent_attempt.attempt.error
+        if error is not None and error.code is ErrorCode.REPLICA_LIMITED:
+            self._selector.hold(sent_attempt.relay, error.retry_after)
         self._selector.end_attempt(
             sent_attempt.relay, _get_replica_success(sent_attempt.attempt)
         )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
@@ -155,6 +155,7 @@
         self._policies: dict[str, Policy] = {}
         self._candidates: dict[str, tuple[Candidate, ...]] = {}
         self._candidate_ids: dict[str, list[InstanceId]] = {}
+        self._held_until: dict[InstanceId, timedelta] = {}
         self._joined_at: dict[InstanceId, datetime] = {}
 
     def choose(
@@ -178,7 +179,10 @@
             for relay in pool.get_relays(deployment)
             if relay.is_usable
         }
-        if not relays.keys() - excluded:
+        held = self._list_held()
+        if relays.keys() - excluded - held:
+            excluded |= held
+        elif not relays.keys() - excluded:
             excluded = frozenset()
         candidates = self._update_candidates(deployment, relays)
         request = RoutingRequest(prefix=prefix, excluded=excluded)
@@ -186,6 +190,18 @@
         selected = policy.choose(request, candidates, self._clock.now())
         return None if selected is None else relays[selected]
 
+    def hold(self, relay: Relay, duration: timedelta | None) -> None:
+        """Prefers other replicas until the limit of this one allows more."""
+        until = self._clock.elapsed() + (duration or timedelta())
+        self._held_until[relay.instance.instance] = until
+
+    def _list_held(self) -> frozenset[InstanceId]:
+        now = self._clock.elapsed()
+        for instance, until in list(self._held_until.items()):
+            if now >= until:
+                del self._held_until[instance]
+        return frozenset(self._held_until)
+
     def begin_attempt(self, relay: Relay) -> None:
         """Records the start of an attempt at a replica."""
         policy = self._get_policy(relay.instance.deployment)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_selection.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_selection.py
@@ -1,13 +1,18 @@
 """Tests of the choice of connected agents and of version announcers."""
 
 import collections
+import random
+from datetime import timedelta
+from types import SimpleNamespace
 
 import testtools
 
+from chicoryplank.clock import ManualClock
 from chicoryplank.configuration import ServiceConfiguration, Snapshot
 from chicoryplank.ids import ConfigVersion, InstanceId, ServiceId, ZoneId
 from chicoryplank.process_state import Instance
 from chicoryplank_entry.selection import (
+    RelaySelector,
     choose_agents,
     choose_announcers,
     get_service_deployments,
@@ -91,3 +96,41 @@
             self.assertEqual(2, len(announcers))
             for entry in announcers:
                 self.assertIn(agent.instance, connected[entry])
+
+
+class TestHeldReplicas(testtools.TestCase):
+    """A replica whose limit is used up is the last choice."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.selector = RelaySelector(
+            ZoneId("zone-0"), self.clock, random.Random(1), lambda: 1
+        )
+        self.relays = [
+            SimpleNamespace(instance=instance, is_usable=True)
+            for instance in _make_instances(0, 2, 1)
+        ]
+        self.pool = SimpleNamespace(get_relays=lambda deployment: self.relays)
+
+    def _choose(self, excluded=frozenset()):
+        return {
+            self.selector.choose(
+                self.pool, "llm", str(number).encode(), excluded
+            ).instance.instance
+            for number in range(40)
+        }
+
+    def test_other_replica_is_chosen(self):
+        """Guards against requests that each spend a retry on the limit."""
+        self.assertEqual({"agent-0", "agent-1"}, self._choose())
+        self.selector.hold(self.relays[0], timedelta(seconds=1))
+        self.assertEqual({"agent-1"}, self._choose())
+        self.clock.advance(timedelta(seconds=2))
+        self.assertEqual({"agent-0", "agent-1"}, self._choose())
+
+    def test_held_replica_is_the_last_choice(self):
+        """Guards against refusals while only held replicas are left."""
+        self.selector.hold(self.relays[0], timedelta(seconds=1))
+        chosen = self._choose(frozenset({InstanceId("agent-1")}))
+        self.assertEqual({"agent-0"}, chosen)
--- a/packages/chicoryplank/src/chicoryplank/admission/_server_limits.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_server_limits.py
@@ -21,6 +21,8 @@
 _WITHDRAWAL_MEMORY_S = 30.0
 # Seconds of its rate that a bucket saves.
 _BURST_S = 0.25
+# A shorter wait is not worth a refusal; the bucket then has a debt.
+_MIN_WAIT_S = 0.001
 
 
 class MalformedLimitError(ValueError):
@@ -79,8 +81,9 @@
         self._level = min(
             self._level + rate * elapsed_s, max(1.0, rate * _BURST_S)
         )
-        if self._level < 1:
-            return (1 - self._level) / rate
+        wait_s = (1 - self._level) / rate
+        if wait_s > _MIN_WAIT_S:
+            return wait_s
         self._level -= 1
         return 0.0
 
--- a/packages/chicoryplank/src/chicoryplank/retry/_policy.py
+++ b/packages/chicoryplank/src/chicoryplank/retry/_policy.py
@@ -26,9 +26,15 @@
         ErrorCode.BACKEND_FAILED,
         ErrorCode.MEMBER_UNREACHABLE,
         ErrorCode.OUTCOME_UNKNOWN,
+        ErrorCode.REPLICA_LIMITED,
         ErrorCode.SHUTTING_DOWN,
     }
 )
+# Errors of one replica that say when it takes requests again; others may take
+# the request at once.
+_ELSEWHERE_CODES = frozenset(
+    {ErrorCode.REPLICA_LIMITED, ErrorCode.SHUTTING_DOWN}
+)
 _OVERLOAD_CODES = frozenset(
     {
         ErrorCode.DEADLINE_UNREACHABLE,
@@ -172,8 +178,7 @@
     def _allows_retry(self, failure: Failure) -> bool:
         error = failure.error
         overloaded = error.code in _OVERLOAD_CODES or (
-            error.retry_after is not None
-            and error.code is not ErrorCode.SHUTTING_DOWN
+            error.retry_after is not None and error.code not in _ELSEWHERE_CODES
         )
         return (
             failure.sent_bytes == 0
--- a/packages/chicoryplank/src/chicoryplank/retry/tests/test_policy.py
+++ b/packages/chicoryplank/src/chicoryplank/retry/tests/test_policy.py
@@ -70,6 +70,15 @@
             self.assertFalse(decision.allowed)
             self.assertIs(failure.error, decision.error)
 
+    def test_limited_replica_is_retried_elsewhere(self):
+        """Guards against refusals while only one replica takes no requests."""
+        failure = make_failure(
+            ErrorCode.REPLICA_LIMITED,
+            retry_after=timedelta(seconds=3),
+            repeatable=False,
+        )
+        self.assertTrue(self.policy.admit(failure, START).allowed)
+
     def test_error_covers_all_attempts(self):
         """Guards against a verdict that ignores earlier attempts.
 
