--- a/tools/soak_forwarding.py
+++ b/tools/soak_forwarding.py
@@ -468,6 +468,7 @@
             self._timeline,
             random.Random(f"{options.seed}/faults"),
             self._record_drain,
+            self._checker.record_limit,
         )
         concurrency = context.rng.choice(FAULT_CONCURRENCY_CHOICES)
         background_tasks = [
@@ -505,6 +506,7 @@
     ) -> dict[str, Any]:
         checker = self._checker
         checker.check_retry_budget()
+        checker.check_server_limits()
         checker.check_recovery(recovery_start_s)
         for name in self._fleet.list_ended():
             checker.add("process_ended", name)
--- a/tools/soak_forwarding_faults.py
+++ b/tools/soak_forwarding_faults.py
@@ -85,6 +85,8 @@
         rng: Source of random numbers.
         record_drain: Called with a replica after the store has acknowledged
             its drain.
+        record_limit: Called with a replica, the limit that it named until now,
+            and the Unix time in seconds since which it named it.
         reserved: Names of the entries and replicas that a fault restarts or
             pauses, so that no other such fault uses them.
         link_faults: Interval of the current fault of each replica link.
@@ -98,6 +100,7 @@
     timeline: Timeline
     rng: random.Random
     record_drain: Callable[[SimulatedReplica], None]
+    record_limit: Callable[[str, float, float], None]
     reserved: set[str] = dataclasses.field(default_factory=set)
     link_faults: dict[TcpProxy, Interval] = dataclasses.field(
         default_factory=dict
@@ -413,6 +416,36 @@
     await _spoil_replicas(context, names, _FALSE_REJECTIONS)
 
 
+async def shed_requests(context: FaultContext) -> None:
+    """Makes all replicas of a service reject most requests."""
+    service = context.rng.choice(list(context.replicas.values())).service
+    names = [
+        name
+        for name, replica in context.replicas.items()
+        if replica.service == service
+    ]
+    await _spoil_replicas(context, names, [ReplicaFault.SHEDS])
+
+
+async def limit_replica(context: FaultContext) -> None:
+    """Makes a replica name a limit for some seconds, and maybe change it."""
+    name = context.choose_unreserved(context.replicas)
+    if name is None:
+        return
+    replica = context.replicas[name]
+    with context.record_fault("limit", name, replica.name):
+        for _ in range(context.rng.choice((1, 1, 2))):
+            limit = context.rng.choice((0.0, 0.5, 1.0, 2.5, 6.0))
+            replica.server_limit = f"{limit:g}"
+            begun_s = time.time()
+            await asyncio.sleep(context.draw_duration_s(5.0, 9.0))
+            context.record_limit(replica.name, limit, begun_s)
+        # A malformed limit changes nothing.
+        replica.server_limit = context.rng.choice(("", "many", "-1"))
+        await asyncio.sleep(context.draw_duration_s(0.0, 0.5))
+        replica.server_limit = ""
+
+
 async def _spoil_replicas(
     context: FaultContext, names: list[str], faults: Sequence[ReplicaFault]
 ) -> None:
@@ -447,6 +480,8 @@
     "spoil": inject_replica_fault,
     "false_rejections": inject_false_rejections,
     "disturbed_stop": disturb_stop,
+    "shed": shed_requests,
+    "limit": limit_replica,
 }
 
 
--- a/tools/soak_forwarding_judge.py
+++ b/tools/soak_forwarding_judge.py
@@ -38,6 +38,12 @@
 RETRY_BUDGET_RATIO = 0.2
 RETRY_BUDGET_EXTRA = 90
 RETRY_BUDGET_WINDOW_S = 10.0
+# Bound on the requests at a replica that names a limit: a multiple of the limit
+# and a number of further requests in a window, from a time after it was named.
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+LIMIT_WINDOW_S = 4.0
+LIMIT_NOTICE_S = 3.0
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _NOT_FOUND = 404
 _DENIED_STATUSES = frozenset({400, 401, 403, 404})
@@ -106,6 +112,8 @@
         self.added_routes: dict[str, float] = {}
         # Unix time at which the store acknowledged each removal, by path.
         self.removed_routes: dict[str, float] = {}
+        # Replica, limit, and Unix times between which it named the limit.
+        self._named_limits: list[tuple[str, float, float, float]] = []
         # Unix time at which the store acknowledged the drain of each replica.
         self.draining_since: dict[str, float] = {}
         self._timeline = timeline
@@ -359,6 +367,34 @@
                 )
                 return
 
+    def record_limit(self, replica: str, limit: float, begun_s: float) -> None:
+        """Records a limit that a replica has named since a time until now."""
+        self._named_limits.append((replica, limit, begun_s, time.time()))
+
+    def check_server_limits(self) -> None:
+        """Checks the requests of all entries at replicas that name limits."""
+        arrivals = [
+            arrival for item in self.sent.values() for arrival in item.arrivals
+        ]
+        for replica, limit, begun_s, ended_s in self._named_limits:
+            times = sorted(
+                arrival.arrived_at_s
+                for arrival in arrivals
+                if arrival.replica == replica
+                and begun_s + LIMIT_NOTICE_S <= arrival.arrived_at_s <= ended_s
+            )
+            allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit + LIMIT_EXTRA
+            for index, start_s in enumerate(times):
+                count = sum(
+                    at_s < start_s + LIMIT_WINDOW_S for at_s in times[index:]
+                )
+                if count > allowed:
+                    self.add(
+                        "limit_exceeded",
+                        f"{replica}: {count} requests, {allowed:.0f} allowed",
+                    )
+                    break
+
     def check_recovery(self, recovery_start_s: float) -> None:
         """Checks the share of requests served after the last fault."""
         recovery_requests = [
