Count permits, and leave held replicas out of the expected wait

While the limit of a replica is used up, its free slots made the expected wait too short, so that requests waited for replicas that took none instead of being refused at once (test_slots_of_held_replicas_do_not_count failed before, with a wait of 0). Buckets of replicas without a limit are removed. A counter shows how many permits were granted, denied or not answered.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
@@ -46,6 +46,7 @@
         self._rejections: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self._permits: collections.Counter[str] = collections.Counter()
         self._skipped_responses = 0
         self._first_output: dict[str, _Latencies] = {}
         self._total: dict[str, _Latencies] = {}
@@ -71,6 +72,10 @@
         connection = "reused" if is_connection_reused else "new"
         self._rejections[echoed_id, connection] += 1
 
+    def count_permit(self, result: str) -> None:
+        """Counts a question for a permit: granted, denied or no_reply."""
+        self._permits[result] += 1
+
     def count_skipped_response(self) -> None:
         """Counts a response of a replica to another request."""
         self._skipped_responses += 1
@@ -116,6 +121,15 @@
         )
         for labels, count in self._rejections.items():
             rejections.add_metric(labels, count)
+        permits = CounterMetricFamily(
+            "chicoryplank_forwarding_permits",
+            "Permits for requests to replicas that limit their requests, by "
+            "result.",
+            labels=["result"],
+        )
+        for result, count in self._permits.items():
+            permits.add_metric([result], count)
+        yield permits
         yield refusals
         yield failures
         yield rejections
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
@@ -16,6 +16,7 @@
 from chicoryplank.ids import InstanceId
 from chicoryplank.rendezvous import rank_members
 from chicoryplank_entry.forwarding.limit_reports import record_report
+from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.state import EntryState
 
 REQUEST_KIND = "permit-request"
@@ -71,6 +72,7 @@
                 answered.set_result(wait_s)
 
         number = self.request(instance, set_wait)
+        result = "denied"
         try:
             async with asyncio.timeout(_REPLY_TIMEOUT_S) as timeout:
                 wait_s = await answered
@@ -78,9 +80,12 @@
             if not timeout.expired():
                 raise
             wait_s = _UNKNOWN_WAIT_S
+            result = "no_reply"
         finally:
             self._pending.pop(number, None)
-        return self.apply_wait(instance, wait_s)
+        is_granted = self.apply_wait(instance, wait_s)
+        METRICS.count_permit("granted" if is_granted else result)
+        return is_granted
 
     def apply_wait(self, instance: InstanceId, wait_s: float) -> bool:
         """Holds a replica unless the wait is 0; returns whether it is 0."""
@@ -167,9 +172,18 @@
         now_s = self._state.now_s()
         live = len(self._list_live_members())
         share = min(1.0, live / self._state.entry_bound.get_bound(now_s))
-        bucket = self._buckets.setdefault(instance, RateBucket(now_s))
+        bucket = self._buckets.get(instance)
+        if bucket is None:
+            self._remove_unused_buckets()
+            bucket = self._buckets[instance] = RateBucket(now_s)
         return bucket.try_take(limit * share, now_s)
 
+    def _remove_unused_buckets(self) -> None:
+        """Removes the buckets of replicas that no longer have a limit."""
+        for instance in list(self._buckets):
+            if self._state.server_limits.get(instance) is None:
+                del self._buckets[instance]
+
     def encode_reports(self) -> dict[InstanceId, list]:
         """Returns limits and the ages of their reports, for other entries."""
         now_s = self._state.now_s()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -266,8 +266,11 @@
     def estimate_wait_s(self, state: ServiceState) -> float:
         """Estimates how long a new request waits for a slot, in seconds."""
         share = 1.0 / self.entry_count
-        avoided = self.slow_replicas.list_avoided(state.slots, self.now_s())
+        now_s = self.now_s()
+        avoided = self.slow_replicas.list_avoided(state.slots, now_s)
         used = state.slots.keys() - avoided
+        # The slots of a replica whose limit is used up are of no use.
+        used = used - self.server_limits.list_held(now_s) or used
         total = sum(state.slots[instance] for instance in used)
         free = total
         if not state.circuit_breaker.is_open:
@@ -275,7 +278,7 @@
         return max(
             state.slot_queue.estimate_wait(total * share, free * share),
             self.server_limits.estimate_wait_s(
-                state.slots, len(state.slot_queue), self.now_s()
+                state.slots, len(state.slot_queue), now_s
             ),
         )
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_server_limits.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_server_limits.py
@@ -9,8 +9,10 @@
 
 from chicoryplank.ids import InstanceId
 from chicoryplank_entry.forwarding.tests.harness import (
+    SERVICE,
     EntryFixture,
     Replica,
+    hang,
     reject,
     respond,
 )
@@ -124,3 +126,24 @@
         self.assertEqual((503, "not_run"), (status, self.get_verdict(body)))
         self.assertIn("retry-after", headers)
         self.assertLess(elapsed_s, 0.1)
+
+    def test_slots_of_held_replicas_do_not_count(self):
+        """Guards against a wait for slots that the limit keeps empty."""
+
+        async def run():
+            limited = [Replica(respond()) for _ in range(3)]
+            async with EntryFixture(*limited, Replica(hang())) as fixture:
+                state = fixture.state
+                service = state.get_service(SERVICE)
+                service.slot_queue.observe_duration(0.2)
+                for _ in range(2):
+                    state.occupancy.begin(InstanceId("replica-3"))
+                before_s = state.estimate_wait_s(service)
+                for number in range(3):
+                    name = InstanceId(f"replica-{number}")
+                    state.server_limits.hold(name, state.now_s() + 5.0)
+                return before_s, state.estimate_wait_s(service)
+
+        before_s, after_s = asyncio.run(run())
+        self.assertEqual(0.0, before_s)
+        self.assertAlmostEqual(0.1, after_s)
