--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -9,10 +9,7 @@
 
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
-from chicoryplank_entry.forwarding.permits import (
-    PERMIT_KINDS,
-    Permits,
-)
+from chicoryplank_entry.forwarding.permits import PERMIT_KINDS, Permits
 from chicoryplank_entry.forwarding.state import EntryState
 
 # Slightly less than the maximum of UDP over IPv4.
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import heapq
 import itertools
 from collections.abc import Callable, Mapping
 
@@ -29,6 +30,9 @@
 # or is not the issuer in its own view.
 _UNKNOWN_WAIT_S = 0.1
 _MIN_WAIT_S = 0.01
+# Number of limits in one message, which must fit into a datagram. Questions for
+# permits contain the limit too.
+_MAX_REPORTS = 200
 
 Document = Mapping[str, object]
 
@@ -136,8 +140,10 @@
         number = int(document["number"])
         if document["kind"] == REPLY_KIND:
             wait_s = float(document["wait_s"])
+            if not 0 <= wait_s < float("inf"):
+                raise ValueError(f"wait {wait_s} is out of range")
             on_reply = self._pending.pop(number, None)
-            if on_reply is not None and wait_s >= 0:
+            if on_reply is not None:
                 on_reply(wait_s)
             return
         instance = InstanceId(str(document["replica"]))
@@ -185,13 +191,15 @@
                 del self._buckets[instance]
 
     def encode_reports(self) -> dict[InstanceId, list]:
-        """Returns limits and the ages of their reports, for other entries."""
+        """Returns the newest limits and the ages of their reports."""
         now_s = self._state.now_s()
+        reports = self._state.server_limits.list_reports(now_s)
+        newest = heapq.nlargest(
+            _MAX_REPORTS, reports.items(), key=lambda item: item[1].seen_s
+        )
         return {
             instance: [report.limit, round(now_s - report.seen_s, 3)]
-            for instance, report in self._state.server_limits.list_reports(
-                now_s
-            ).items()
+            for instance, report in newest
         }
 
     def apply_reports(self, reports: Mapping[str, list]) -> None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -269,8 +269,10 @@
         now_s = self.now_s()
         avoided = self.slow_replicas.list_avoided(state.slots, now_s)
         used = state.slots.keys() - avoided
-        # The slots of a replica whose limit is used up are of no use.
-        used = used - self.server_limits.list_held(now_s) or used
+        # The slots of a replica whose limit is used up are of no use now.
+        held = self.server_limits.list_held(now_s)
+        if used - held:
+            used -= held
         total = sum(state.slots[instance] for instance in used)
         free = total
         if not state.circuit_breaker.is_open:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_limit_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_limit_model.py
@@ -4,8 +4,12 @@
 freeze or are cut off.
 """
 
+import json
+
 import testtools
 
+from chicoryplank.admission import LimitReport
+from chicoryplank.ids import InstanceId
 from chicoryplank_entry.forwarding.tests.limit_model import LimitedFleet
 
 _RATE_PER_S = 80.0
@@ -76,6 +80,19 @@
                 fleet.run(fleet.rng.uniform(0.1, 1.2), _RATE_PER_S)
             self.assertLessEqual(fleet.find_excess(), 0, f"seed {seed}")
 
+    def test_many_limits_fit_into_a_message(self):
+        """Guards against messages that are too large to be sent."""
+        fleet = self._make_fleet(None, entries=3)
+        process = fleet.processes[sorted(fleet.processes)[0]]
+        for number in range(5_000):
+            process.state.server_limits.observe(
+                InstanceId(f"replica-of-a-long-name-{number}"),
+                LimitReport(1.0, fleet.now_s + number),
+            )
+        reports = process.peers.permits.encode_reports()
+        self.assertIn("replica-of-a-long-name-4999", reports)
+        self.assertLess(len(json.dumps(reports)), 20_000)
+
     def _disturb(self, fleet):
         rng = fleet.rng
         names = sorted(fleet.processes)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
@@ -160,6 +160,8 @@
             {"kind": "permit-request"},
             {"kind": "permit-reply", "number": "x"},
             {"kind": "permit-reply", "number": 1, "wait_s": None},
+            {"kind": "permit-reply", "number": 1, "wait_s": float("inf")},
+            {"kind": "permit-reply", "number": 1, "wait_s": -1},
             {"kind": []},
         ):
             data = json.dumps({**message, **change}).encode()
