Refuse endless trailers and chunk extensions of callers of the own front

The caller server of the product's own front counted bytes in the head only: a chunk extension without end kept the connection open, and a trailer without end was collected until memory ran out.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/caller_server.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/caller_server.py
@@ -100,8 +100,7 @@
         self._cycles: collections.deque[RequestResponseCycle] = (
             collections.deque()
         )
-        self._received_head_bytes = 0
-        self._head_complete = False
+        self._bytes_outside_body = 0
         self._parsed_head_bytes = 0
         self._header_count = 0
         self._refusal: tuple[ChicoryplankError, int | None] | None = None
@@ -160,8 +159,7 @@
         if self._error_sent or self._deferred_refusal is not None:
             return
         self._unset_keepalive_if_required()
-        started_in_head = self._read_phase is not _ReadPhase.BODY
-        self._head_complete = False
+        self._bytes_outside_body += len(data)
         unparsed = data
         while unparsed:
             try:
@@ -172,9 +170,9 @@
             except httptools.HttpParserError:
                 self._refuse_unparsable()
                 return
-        if started_in_head and not self._head_complete:
-            self._received_head_bytes += len(data)
-        if self._received_head_bytes > self._limits.max_header_bytes:
+        # The parser collects a header or trailer until its end, and skips chunk
+        # extensions of any length.
+        if self._bytes_outside_body > self._limits.max_header_bytes:
             self._set_head_too_large(_HEADERS_TOO_LARGE)
             self._refuse_unparsable()
         elif (
@@ -205,8 +203,7 @@
     def on_headers_complete(self) -> None:
         """Starts the request, or queues it behind the preceding request."""
         self._stop_head_timer()
-        self._received_head_bytes = 0
-        self._head_complete = True
+        self._bytes_outside_body = 0
         if self._is_upgrade():
             return
         if len(self.pipeline) >= _MAX_PIPELINED_REQUESTS:
@@ -223,11 +220,17 @@
         self._get_active_cycle()
         self._cycles.append(self.cycle)
 
+    def on_body(self, body: bytes) -> None:
+        """Passes a part of the body to the request."""
+        self._bytes_outside_body = 0
+        super().on_body(body)
+
     def on_message_complete(self) -> None:
         """Marks the request body as complete and stops its timeout."""
         if self._is_upgrade():
             return
         super().on_message_complete()
+        self._bytes_outside_body = 0
         self._read_phase = _ReadPhase.IDLE
         if self._body_timer is not None:
             self._body_timer.cancel()
