Let services of the soak name limits, and refuse at once what they exclude

The stand-in of a service can name a limit, and the soak of the own front checks the requests that it runs meanwhile (fault limit_service).

Found with it: requests were retried although every replica that they could use had just refused them for its limit, so that callers got CP1401 and the retry budget was spent in vain. A request that may run once is bound to one replica by its key and is refused with CP1304; others are refused with CP1209 once all usable replicas are held. Both say when to come back.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/exchange.py
@@ -179,6 +179,13 @@
                 f"no replica of {deployment} can accept the request",
                 retry_after=_RETRY_AFTER,
             )
+        hold = self._selector.get_hold(relay)
+        if hold:
+            raise ChicoryplankError(
+                ErrorCode.NO_REPLICA,
+                f"all usable replicas of {deployment} limit their requests",
+                retry_after=hold,
+            )
         return relay
 
     def _make_start_frame(self, call: Call) -> relay_pb2.Start:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
@@ -195,6 +195,11 @@
         until = self._clock.elapsed() + (duration or timedelta())
         self._held_until[relay.instance.instance] = until
 
+    def get_hold(self, relay: Relay) -> timedelta:
+        """Returns the time until the limit of a replica allows a request."""
+        until = self._held_until.get(relay.instance.instance, timedelta())
+        return max(timedelta(), until - self._clock.elapsed())
+
     def _list_held(self) -> frozenset[InstanceId]:
         now = self._clock.elapsed()
         for instance, until in list(self._held_until.items()):
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_selection.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_selection.py
@@ -134,3 +134,13 @@
         self.selector.hold(self.relays[0], timedelta(seconds=1))
         chosen = self._choose(frozenset({InstanceId("agent-1")}))
         self.assertEqual({"agent-0"}, chosen)
+
+    def test_hold_ends(self):
+        """Guards against refusals after the limit allows a request."""
+        self.selector.hold(self.relays[0], timedelta(seconds=1))
+        self.clock.advance(timedelta(milliseconds=400))
+        self.assertEqual(
+            timedelta(milliseconds=600), self.selector.get_hold(self.relays[0])
+        )
+        self.clock.advance(timedelta(seconds=1))
+        self.assertEqual(timedelta(), self.selector.get_hold(self.relays[0]))
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/_records.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/_records.py
@@ -102,6 +102,10 @@
         return [record.to_json() for record in self._records.values()]
 
 
+# Faults that None clears.
+_CLEARABLE = frozenset({"cut_after_tokens", "server_limit"})
+
+
 @dataclasses.dataclass(slots=True)
 class BackendFaults:
     """Faults injected into an engine or a service.
@@ -116,6 +120,8 @@
         slow_factor: Factor by which a step or call takes longer.
         prepare_delay_ms: Simulated time to load weights before a rank is
             prepared for a map.
+        server_limit: Requests per second that the server names in its
+            responses; None for no limit.
     """
 
     stall_ms: float = 0
@@ -123,6 +129,7 @@
     cut_after_tokens: int | None = None
     slow_factor: float = 1
     prepare_delay_ms: float = 0
+    server_limit: float | None = None
 
     def update(self, fields: dict[str, Any]) -> None:
         """Sets the given fields; the others keep their values.
@@ -135,12 +142,18 @@
         for name, value in fields.items():
             if name not in names:
                 raise ValueError(f"unknown fault {name!r}")
-            cleared = name == "cut_after_tokens" and value is None
+            cleared = value is None and name in _CLEARABLE
             if not cleared and not isinstance(value, int | float):
                 raise ValueError(f"{name} must be a number, not {value!r}")
         for name, value in fields.items():
             setattr(self, name, value)
 
+    def get_headers(self) -> dict[str, str]:
+        """Returns the headers of responses that depend on the faults."""
+        if self.server_limit is None:
+            return {}
+        return {"Server-Limit": f"{self.server_limit:g}"}
+
     def consume_failure(self) -> bool:
         """Counts a request; tells whether it has to fail."""
         if self.fail_next <= 0:
--- a/packages/chicoryplank-standins/src/chicoryplank_standins/service.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/service.py
@@ -74,7 +74,9 @@
             "request_id": record.request_id,
             "idempotency_key": key,
         }
-        return JSONResponse(response_fields)
+        return JSONResponse(
+            response_fields, headers=service.faults.get_headers()
+        )
 
     async def records(_: Request) -> Response:
         return JSONResponse({"records": service.records.to_json()})
--- a/packages/chicoryplank/src/chicoryplank/retry/_policy.py
+++ b/packages/chicoryplank/src/chicoryplank/retry/_policy.py
@@ -177,6 +177,10 @@
 
     def _allows_retry(self, failure: Failure) -> bool:
         error = failure.error
+        if error.code is ErrorCode.REPLICA_LIMITED and not failure.repeatable:
+            # The idempotency key determines the replica, so that a retry would
+            # meet the same limit.
+            return False
         overloaded = error.code in _OVERLOAD_CODES or (
             error.retry_after is not None and error.code not in _ELSEWHERE_CODES
         )
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -28,6 +28,14 @@
 STOP_TIMEOUT_S = 40
 
 
+# Bound on the requests at a service that names a limit: a multiple of the limit
+# and a number of further requests in a window, from a time after it was named.
+_LIMIT_FACTOR = 1.5
+_LIMIT_EXTRA = 5
+_LIMIT_WINDOW_S = 4.0
+_LIMIT_NOTICE_S = 1.0
+
+
 class FaultContext:
     """Objects that faults act on, with the reservations of processes.
 
@@ -283,6 +291,47 @@
             await asyncio.sleep(rng.uniform(0, 1))
 
 
+async def limit_service(context: FaultContext, rng: random.Random) -> None:
+    """Makes a service name a limit and checks that it is kept."""
+    with context.reserve_random(rng, "service-") as names:
+        for name in names:
+            limit = rng.choice((0.5, 1.0, 2.0, 4.0))
+            agent = f"agent-{name}"
+            with context.reserve([agent]):
+                async with context.record_fault("limit_service", name, agent):
+                    await context.set_faults(name, server_limit=limit)
+                    await asyncio.sleep(_LIMIT_NOTICE_S)
+                    begun_s = time.time()
+                    await asyncio.sleep(rng.uniform(4.5, 7.0))
+                    await _check_limit(context, name, limit, begun_s)
+                    await context.set_faults(name, server_limit=None)
+
+
+async def _check_limit(
+    context: FaultContext, name: str, limit: float, begun_s: float
+) -> None:
+    """Checks the executions of a service since a Unix time in seconds."""
+    _, document = await request_json(context.site.addresses[name], "/records")
+    if document is None:
+        context.errors.append(f"{name} did not return its records")
+        return
+    times = sorted(
+        at_s
+        for record in document["records"]
+        for at_s in record["times_s"]
+        if at_s >= begun_s
+    )
+    allowed = _LIMIT_FACTOR * _LIMIT_WINDOW_S * limit + _LIMIT_EXTRA
+    for index, start_s in enumerate(times):
+        count = sum(at_s < start_s + _LIMIT_WINDOW_S for at_s in times[index:])
+        if count > allowed:
+            context.errors.append(
+                f"{name} got {count} requests in {_LIMIT_WINDOW_S} s, "
+                f"{allowed:g} allowed"
+            )
+            return
+
+
 def _make_write(context: FaultContext, rng: random.Random) -> Call:
     calls = make_calls(context.target, 1, 1e9, rng)
     return next(call for call in calls if call.kind is CallKind.WRITE)
@@ -387,6 +436,7 @@
     "lose_zone": lose_zone,
     "mark_leaving": mark_leaving,
     "drain": drain,
+    "limit_service": limit_service,
     "stop_entry": _make_stop("stop_entry", "entry-", 1),
     "stop_agent": _make_stop("stop_agent", "agent-", 1),
     "replace_entries": _make_stop("replace_entries", "entry-", 2),
