Read and log limits of servers in one place

Entries and agents had a copy each of the reading and logging of limits; ServerLimits does both now.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend_limit.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend_limit.py
@@ -8,16 +8,9 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
-from chicoryplank.admission import (
-    LimitReport,
-    MalformedLimitError,
-    RateBucket,
-    ServerLimits,
-    parse_limit,
-)
+from chicoryplank.admission import RateBucket, ServerLimits
 from chicoryplank.clock import Clock
 from chicoryplank.errors import ChicoryplankError, ErrorCode
-from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
 
 _LIMIT_HEADER = "server-limit"
@@ -36,7 +29,6 @@
         self._clock = clock
         self._limits = ServerLimits()
         self._bucket: RateBucket | None = None
-        self._malformed = ""
 
     @property
     def is_named(self) -> bool:
@@ -93,33 +85,4 @@
             ),
             None,
         )
-        previous = self._limits.get(self._server)
-        if text is None:
-            report = LimitReport(None, sent_s)
-        else:
-            try:
-                report = LimitReport(parse_limit(text), self.get_now_s())
-            except MalformedLimitError:
-                self._log_malformed(text)
-                return
-        if previous is None and report.limit is None:
-            return
-        self._limits.observe(self._server, report)
-        limit = self._limits.get(self._server)
-        if limit != previous:
-            emit(
-                Event.SERVER_LIMIT_CHANGED,
-                replica=self._server,
-                limit="none" if limit is None else f"{limit:g}",
-                previous="none" if previous is None else f"{previous:g}",
-                source="response",
-            )
-
-    def _log_malformed(self, text: str) -> None:
-        if text != self._malformed:
-            self._malformed = text
-            emit(
-                Event.SERVER_LIMIT_MALFORMED,
-                replica=self._server,
-                value=repr(text[:50]),
-            )
+        self._limits.read(self._server, text, sent_s, self.get_now_s())
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -15,7 +15,6 @@
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
 from chicoryplank_entry.forwarding.calls import Call, make_call
 from chicoryplank_entry.forwarding.fields import HeaderNames
-from chicoryplank_entry.forwarding.limit_reports import LimitReader
 from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.permits import Permits
@@ -68,7 +67,6 @@
         self._parameters = parameters or ExchangeParameters()
         self._admission = CallAdmission(state, self._parameters)
         self._log = AttemptLog(names, state.now_s)
-        self._limit_reader = LimitReader(names, state)
         self.in_progress = 0
         self.refuses_all = False
 
@@ -292,7 +290,7 @@
             await relay.wait_head(attempt)
             outcome = classify(self._names, attempt.response, call.request_id)
             if outcome not in (Outcome.UNPROVEN, Outcome.MISDIRECTED):
-                self._limit_reader.read(attempt)
+                self._read_limit(attempt)
             if outcome is Outcome.FINAL or (
                 outcome is Outcome.FAILURE
                 and not self._admission.is_worth_retrying(call)
@@ -316,6 +314,15 @@
             self._end_attempt(call, instance, succeeded)
         return False
 
+    def _read_limit(self, attempt: Attempt) -> None:
+        """Records the limit that the replica names for all entries."""
+        self._state.server_limits.read(
+            attempt.replica.instance,
+            attempt.response.get(self._names.server_limit),
+            attempt.started_s,
+            self._state.now_s(),
+        )
+
     def _handle_failure_response(
         self, call: Call, attempt: Attempt, outcome: Outcome
     ) -> bool | None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
@@ -13,10 +13,9 @@
 import itertools
 from collections.abc import Callable, Mapping
 
-from chicoryplank.admission import LimitReport, RateBucket
+from chicoryplank.admission import LimitReport, LimitSource, RateBucket
 from chicoryplank.ids import InstanceId
 from chicoryplank.rendezvous import rank_members
-from chicoryplank_entry.forwarding.limit_reports import record_report
 from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.state import EntryState
 
@@ -217,4 +216,8 @@
             report = LimitReport(
                 None if limit is None else float(limit), now_s - float(age_s)
             )
-            record_report(self._state, InstanceId(name), report, "peer")
+            instance = InstanceId(name)
+            if self._state.registry.get(instance) is not None:
+                self._state.server_limits.observe(
+                    instance, report, LimitSource.PEER
+                )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/limit_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/limit_model.py
@@ -1,9 +1,7 @@
 """Model of a replica that limits the requests of all entries of a fleet."""
 
-from chicoryplank.admission import LimitReport
 from chicoryplank.ids import InstanceId, ZoneId
 from chicoryplank.traffic import ReplicaRecord, ReplicaState
-from chicoryplank_entry.forwarding.limit_reports import record_report
 from chicoryplank_entry.forwarding.tests.retry_model import SERVICE, Fleet
 
 REPLICA = InstanceId("replica")
@@ -76,10 +74,8 @@
         known_s = self._known_since_s.get(name, float("inf"))
         if self.limit is not None and now_s - known_s >= _LEARNING_S:
             self.arrivals.append((now_s, self.limit))
-        knows = process.state.server_limits.get(REPLICA) is not None
-        report = LimitReport(self.limit, now_s)
-        if self.limit is not None or knows:
-            record_report(process.state, REPLICA, report, "response")
+        text = None if self.limit is None else str(self.limit)
+        process.state.server_limits.read(REPLICA, text, now_s, now_s)
         if process.state.server_limits.get(REPLICA) is None:
             self._known_since_s.pop(name, None)
         else:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_limit_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_limit_model.py
@@ -8,7 +8,7 @@
 
 import testtools
 
-from chicoryplank.admission import LimitReport
+from chicoryplank.admission import LimitReport, LimitSource
 from chicoryplank.ids import InstanceId
 from chicoryplank_entry.forwarding.tests.limit_model import LimitedFleet
 
@@ -88,6 +88,7 @@
             process.state.server_limits.observe(
                 InstanceId(f"replica-of-a-long-name-{number}"),
                 LimitReport(1.0, fleet.now_s + number),
+                LimitSource.RESPONSE,
             )
         reports = process.peers.permits.encode_reports()
         self.assertIn("replica-of-a-long-name-4999", reports)
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -13,6 +13,7 @@
 )
 from chicoryplank.admission._server_limits import (
     LimitReport,
+    LimitSource,
     MalformedLimitError,
     RateBucket,
     ServerLimits,
@@ -26,6 +27,7 @@
     "EntryCount",
     "Occupancy",
     "LimitReport",
+    "LimitSource",
     "MalformedLimitError",
     "RateBucket",
     "RetryAfterJitter",
--- a/packages/chicoryplank/src/chicoryplank/admission/_server_limits.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_server_limits.py
@@ -5,9 +5,11 @@
 """
 
 import dataclasses
+import enum
 import re
 from collections.abc import Iterable
 
+from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
 
 _DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
@@ -19,6 +21,10 @@
 # Time in seconds for which a withdrawn limit is reported to other entries, so
 # that older reports of that limit do not restore it.
 _WITHDRAWAL_MEMORY_S = 30.0
+# Number of malformed values that are logged, since a faulty server may name
+# another one in each response.
+_MAX_LOGGED_VALUES = 64
+_MAX_LOGGED_CHARACTERS = 50
 # Seconds of its rate that a bucket saves.
 _BURST_S = 0.25
 # A shorter wait is not worth a refusal; the bucket then has a debt.
@@ -102,15 +108,29 @@
     seen_s: float
 
 
+class LimitSource(enum.Enum):
+    """Where a report on a limit comes from.
+
+    Attributes:
+        RESPONSE: A response of the server.
+        PEER: Another process.
+        RESTART: The server has started again, which ends its limit.
+    """
+
+    RESPONSE = "response"
+    PEER = "peer"
+    RESTART = "restart"
+
+
 class ServerLimits:
-    """Limits of all servers, as known to one entry.
+    """Limits of all servers, as known to one process.
 
     The newest report on a server counts.
 
     Example:
         >>> limits = ServerLimits()
-        >>> limits.observe(InstanceId("a"), LimitReport(5.0, seen_s=1.5))
-        >>> limits.observe(InstanceId("a"), LimitReport(None, seen_s=1.2))
+        >>> limits.read(InstanceId("a"), "5", sent_s=1.0, now_s=1.5)
+        >>> limits.read(InstanceId("a"), None, sent_s=1.2, now_s=1.7)
         >>> limits.get(InstanceId("a"))
         5.0
     """
@@ -118,25 +138,79 @@
     def __init__(self) -> None:
         self._reports: dict[InstanceId, LimitReport] = {}
         self._held_until_s: dict[InstanceId, float] = {}
+        self._logged_values: set[tuple[InstanceId, str]] = set()
 
     def get(self, instance: InstanceId) -> float | None:
         """Returns the limit of a server in requests per second, if any."""
         report = self._reports.get(instance)
         return None if report is None else report.limit
 
-    def observe(self, instance: InstanceId, report: LimitReport) -> None:
-        """Records a report unless a newer one is known."""
+    def read(
+        self,
+        instance: InstanceId,
+        text: str | None,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Applies the limit that a server names in a response, or its lack.
+
+        A malformed limit changes nothing. A response without one may be older
+        than the limit, unless its request was sent after the limit was named.
+
+        Args:
+            instance: The server, from which the response must come.
+            text: Value of the header; None if there is none.
+            sent_s: Time at which the request was sent, in seconds.
+            now_s: Current time in seconds.
+        """
+        if text is None:
+            if self.get(instance) is not None:
+                report = LimitReport(None, sent_s)
+                self.observe(instance, report, LimitSource.RESPONSE)
+            return
+        try:
+            limit = parse_limit(text)
+        except MalformedLimitError:
+            self._log_malformed(instance, text[:_MAX_LOGGED_CHARACTERS])
+            return
+        report = LimitReport(limit, now_s)
+        self.observe(instance, report, LimitSource.RESPONSE)
+
+    def observe(
+        self, instance: InstanceId, report: LimitReport, source: LimitSource
+    ) -> None:
+        """Records a report unless a newer one is known; logs a change."""
         known = self._reports.get(instance)
         if known is not None and report.seen_s <= known.seen_s:
             return
+        previous = self.get(instance)
         self._reports[instance] = report
-        if known is None or report.limit != known.limit:
-            self._held_until_s.pop(instance, None)
+        if report.limit == previous:
+            return
+        self._held_until_s.pop(instance, None)
+        emit(
+            Event.SERVER_LIMIT_CHANGED,
+            replica=instance,
+            limit=_format_limit(report.limit),
+            previous=_format_limit(previous),
+            source=source.value,
+        )
+
+    def _log_malformed(self, instance: InstanceId, text: str) -> None:
+        key = (instance, text)
+        if key in self._logged_values:
+            return
+        if len(self._logged_values) < _MAX_LOGGED_VALUES:
+            self._logged_values.add(key)
+            emit(
+                Event.SERVER_LIMIT_MALFORMED, replica=instance, value=repr(text)
+            )
 
     def reset(self, instance: InstanceId, now_s: float) -> None:
         """Withdraws the limit of a server that has started again."""
         if instance in self._reports:
-            self.observe(instance, LimitReport(None, now_s))
+            report = LimitReport(None, now_s)
+            self.observe(instance, report, LimitSource.RESTART)
 
     def retain(self, instances: Iterable[InstanceId]) -> None:
         """Forgets all other servers."""
@@ -192,3 +266,7 @@
         if not total:
             return 0.0
         return max(first_s - now_s, queued / total)
+
+
+def _format_limit(limit: float | None) -> str:
+    return "none" if limit is None else f"{limit:g}"
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/test_server_limits.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/test_server_limits.py
@@ -7,6 +7,7 @@
 
 from chicoryplank.admission import (
     LimitReport,
+    LimitSource,
     MalformedLimitError,
     RateBucket,
     ServerLimits,
@@ -15,6 +16,7 @@
 from chicoryplank.ids import InstanceId
 
 _SERVER = InstanceId("server")
+_SOURCE = LimitSource.RESPONSE
 
 
 class TestParseLimit(testtools.TestCase):
@@ -87,24 +89,24 @@
     def setUp(self):
         super().setUp()
         self.limits = ServerLimits()
-        self.limits.observe(_SERVER, LimitReport(2.0, 10.0))
+        self.limits.observe(_SERVER, LimitReport(2.0, 10.0), _SOURCE)
 
     def test_late_response_does_not_withdraw(self):
         """Guards against a response of before that ends a limit."""
-        self.limits.observe(_SERVER, LimitReport(None, 9.9))
+        self.limits.observe(_SERVER, LimitReport(None, 9.9), _SOURCE)
         self.assertEqual(2.0, self.limits.get(_SERVER))
-        self.limits.observe(_SERVER, LimitReport(None, 10.1))
+        self.limits.observe(_SERVER, LimitReport(None, 10.1), _SOURCE)
         self.assertIsNone(self.limits.get(_SERVER))
 
     def test_old_report_does_not_restore(self):
         """Guards against peers that restore a limit that was withdrawn."""
-        self.limits.observe(_SERVER, LimitReport(None, 11.0))
-        self.limits.observe(_SERVER, LimitReport(2.0, 10.5))
+        self.limits.observe(_SERVER, LimitReport(None, 11.0), _SOURCE)
+        self.limits.observe(_SERVER, LimitReport(2.0, 10.5), _SOURCE)
         self.assertIsNone(self.limits.get(_SERVER))
 
     def test_withdrawal_is_reported_for_a_while(self):
         """Guards against entries that never learn of a withdrawal."""
-        self.limits.observe(_SERVER, LimitReport(None, 11.0))
+        self.limits.observe(_SERVER, LimitReport(None, 11.0), _SOURCE)
         self.assertIn(_SERVER, self.limits.list_reports(20.0))
         self.assertNotIn(_SERVER, self.limits.list_reports(60.0))
 
@@ -112,7 +114,7 @@
         """Guards against waiting for a limit that is no longer in force."""
         self.limits.hold(_SERVER, 20.0)
         self.assertEqual({_SERVER}, self.limits.list_held(10.5))
-        self.limits.observe(_SERVER, LimitReport(50.0, 10.6))
+        self.limits.observe(_SERVER, LimitReport(50.0, 10.6), _SOURCE)
         self.assertEqual(frozenset(), self.limits.list_held(10.7))
 
     def test_restarted_server_has_no_limit(self):
@@ -133,7 +135,7 @@
         servers = [_SERVER, other]
         self.limits.hold(_SERVER, 13.0)
         self.assertEqual(0.0, self.limits.estimate_wait_s(servers, 9, 10.0))
-        self.limits.observe(other, LimitReport(1.0, 10.0))
+        self.limits.observe(other, LimitReport(1.0, 10.0), _SOURCE)
         self.limits.hold(other, 14.0)
         self.assertEqual(3.0, self.limits.estimate_wait_s(servers, 0, 10.0))
         self.assertEqual(10.0, self.limits.estimate_wait_s(servers, 30, 10.0))
