--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/retry_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/retry_model.py
@@ -171,6 +171,22 @@
         self.registered.clear()
         self.store_away_until_s = self.now_s + duration_s
 
+    def disturb(self, kind, names):
+        """Applies a disturbance to some entries, with a random duration."""
+        for name in names:
+            if kind == "kill":
+                self.kill(name)
+            elif kind == "drain":
+                self.drain(name)
+            elif kind == "freeze":
+                self.freeze(name, self.rng.uniform(0.5, 4.0))
+            elif kind == "cut":
+                self.cut(
+                    name,
+                    self.rng.uniform(0.5, 6.0),
+                    from_store=self.rng.random() < 0.5,
+                )
+
     # Progress of time.
 
     def run(self, duration_s, rate_per_s):
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_limit_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_limit_model.py
@@ -101,14 +101,4 @@
         kind = rng.choice(("kill", "drain", "freeze", "cut", "limit", "calm"))
         if kind == "limit":
             fleet.name_limit(rng.choice((0.5, 1.0, 3.0, 10.0)))
-        for name in names:
-            if kind == "kill":
-                fleet.kill(name)
-            elif kind == "drain":
-                fleet.drain(name)
-            elif kind == "freeze":
-                fleet.freeze(name, rng.uniform(0.5, 4.0))
-            elif kind == "cut":
-                fleet.cut(
-                    name, rng.uniform(0.5, 6.0), from_store=rng.random() < 0.5
-                )
+        fleet.disturb(kind, names)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_retry_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_retry_model.py
@@ -72,14 +72,4 @@
         fleet.rejecting = rng.random() < 0.8
         if kind == "store":
             fleet.lose_store(rng.uniform(0.5, 4.0))
-        for name in names:
-            if kind == "kill":
-                fleet.kill(name)
-            elif kind == "drain":
-                fleet.drain(name)
-            elif kind == "freeze":
-                fleet.freeze(name, rng.uniform(0.5, 4.0))
-            elif kind == "cut":
-                fleet.cut(
-                    name, rng.uniform(0.5, 6.0), from_store=rng.random() < 0.5
-                )
+        fleet.disturb(kind, names)
--- a/tools/soak_forwarding_faults.py
+++ b/tools/soak_forwarding_faults.py
@@ -405,25 +405,25 @@
     await _spoil_replicas(context, [name], list(ReplicaFault)[1:])
 
 
-async def inject_false_rejections(context: FaultContext) -> None:
-    """Makes responses of all replicas of a service look like rejections."""
+def _choose_service_replicas(context: FaultContext) -> list[str]:
+    """Returns the names of all replicas of a random service."""
     service = context.rng.choice(list(context.replicas.values())).service
-    names = [
+    return [
         name
         for name, replica in context.replicas.items()
         if replica.service == service
     ]
+
+
+async def inject_false_rejections(context: FaultContext) -> None:
+    """Makes responses of all replicas of a service look like rejections."""
+    names = _choose_service_replicas(context)
     await _spoil_replicas(context, names, _FALSE_REJECTIONS)
 
 
 async def shed_requests(context: FaultContext) -> None:
     """Makes all replicas of a service reject most requests."""
-    service = context.rng.choice(list(context.replicas.values())).service
-    names = [
-        name
-        for name, replica in context.replicas.items()
-        if replica.service == service
-    ]
+    names = _choose_service_replicas(context)
     await _spoil_replicas(context, names, [ReplicaFault.SHEDS])
 
 
