--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -22,8 +22,9 @@
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_entry.forwarding.logs import LineWriter
 from chicoryplank_entry.forwarding.maps import MapController, RankPortFactory
+from chicoryplank_entry.forwarding.members import Member
 from chicoryplank_entry.forwarding.metrics import render_metrics
-from chicoryplank_entry.forwarding.peers import Member, Peers
+from chicoryplank_entry.forwarding.peers import Peers
 from chicoryplank_entry.forwarding.registration import Registration
 from chicoryplank_entry.forwarding.reload import SettingsReload
 from chicoryplank_entry.forwarding.state import EntryState
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -9,6 +9,7 @@
 
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
+from chicoryplank_entry.forwarding.members import Member
 from chicoryplank_entry.forwarding.permits import PERMIT_KINDS, Permits
 from chicoryplank_entry.forwarding.state import EntryState
 
@@ -43,46 +44,6 @@
 Counts = dict[InstanceId, int]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
-    """Registration of an entry.
-
-    Attributes:
-        instance: Id of the instance.
-        zone: Availability zone.
-        caller_address: Address for callers.
-        peer_address: Address for other entries, by UDP and by HTTP.
-    """
-
-    instance: InstanceId
-    zone: str
-    caller_address: str
-    peer_address: str
-
-    def encode(self) -> bytes:
-        """Returns the registration as JSON."""
-        return json.dumps(dataclasses.asdict(self)).encode()
-
-
-def decode_member(value: bytes) -> Member:
-    """Decodes a registration.
-
-    Raises:
-        ValueError: If the registration is malformed.
-    """
-    document = json.loads(value)
-    names = [field.name for field in dataclasses.fields(Member)]
-    if not isinstance(document, dict) or any(
-        not isinstance(document.get(name), str) for name in names
-    ):
-        raise ValueError("malformed registration of an entry")
-    for name in ("caller_address", "peer_address"):
-        host, _, port = document[name].rpartition(":")
-        if not host or not port.isdigit():
-            raise ValueError(f"{name} is not an address")
-    return Member(**{name: document[name] for name in names})
-
-
 def _decode_slow_report(
     report: list | None,
 ) -> tuple[frozenset[InstanceId], float] | None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/retry_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/retry_model.py
@@ -14,8 +14,9 @@
 from chicoryplank.errors import ChicoryplankError
 from chicoryplank.ids import InstanceId, ServiceId, ZoneId
 from chicoryplank_entry.forwarding.admission import CallAdmission
+from chicoryplank_entry.forwarding.members import Member
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
-from chicoryplank_entry.forwarding.peers import Member, Peers
+from chicoryplank_entry.forwarding.peers import Peers
 from chicoryplank_entry.forwarding.state import EntryState
 
 SERVICE = ServiceId("llm")
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
@@ -13,11 +13,8 @@
 from chicoryplank.admission import RetryBudgetParameters
 from chicoryplank.clock import ManualClock
 from chicoryplank.ids import InstanceId, ZoneId
-from chicoryplank_entry.forwarding.peers import (
-    Member,
-    Peers,
-    decode_member,
-)
+from chicoryplank_entry.forwarding.members import Member, decode_member
+from chicoryplank_entry.forwarding.peers import Peers
 from chicoryplank_entry.forwarding.state import EntryState
 
 _REPLICA = InstanceId("replica")
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_reload.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_reload.py
@@ -19,7 +19,7 @@
     ForwardingEntry,
     PlatformAdapter,
 )
-from chicoryplank_entry.forwarding.peers import Member
+from chicoryplank_entry.forwarding.members import Member
 from chicoryplank_entry.forwarding.reload import SettingsReload
 from chicoryplank_entry.forwarding.tests.harness import NAMES
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_views.py
@@ -24,7 +24,8 @@
 )
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry.forwarding.feed import FeedServer
-from chicoryplank_entry.forwarding.peers import Member, Peers, decode_member
+from chicoryplank_entry.forwarding.members import Member, decode_member
+from chicoryplank_entry.forwarding.peers import Peers
 from chicoryplank_entry.forwarding.state import EntryState
 from chicoryplank_entry.forwarding.views import (
     Change,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
@@ -12,7 +12,8 @@
 from chicoryplank.orders import get_lease_key, get_lease_owner
 from chicoryplank.store import StoreError
 from chicoryplank.traffic import ReplicaRecord, TrafficConfiguration
-from chicoryplank_entry.forwarding.peers import Member, Peers
+from chicoryplank_entry.forwarding.members import Member
+from chicoryplank_entry.forwarding.peers import Peers
 from chicoryplank_entry.forwarding.state import EntryState
 
 _MIN_BACKOFF_S = 0.1
