--- a/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
@@ -12,7 +12,8 @@
 from chicoryplank_wire.client_connection import set_socket_options
 
 # Number of pipelined requests that may be queued on one connection.
-_LINE_BYTES = 1_024
+# Bytes of a head beside target and headers: method, version, line ends.
+_REQUEST_LINE_BYTES = 1_024
 _MAX_PIPELINED = 16
 # Additional time before an idle connection is closed, so that a request sent
 # just before the idle timeout still arrives.
@@ -236,7 +237,9 @@
             self.reject(http.HTTPStatus.BAD_REQUEST)
         # The parser collects a header until its end, and bytes outside of the
         # body such as chunk extensions and trailers may come without end.
-        max_bytes = self._hooks.get_limits().max_head_bytes + _LINE_BYTES
+        max_bytes = (
+            self._hooks.get_limits().max_head_bytes + _REQUEST_LINE_BYTES
+        )
         if self._bytes_outside_body > max_bytes:
             self.reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
