Tell crashes of replicas from broken connections, and log them

After a connection broke under a request, the port of the replica is tried. If it refuses connections, or if the replica registers with a new start, line 1219 names the requests of this entry that were in progress there, with the shared parts of their prompts. Planned ends, cuts and resets don't count, and a response without length or chunks hides no crash. No request is treated differently.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -281,6 +281,7 @@
             server.close()
         for connection in [*self._connections, *self._auxiliary_connections]:
             connection.close_if_idle()
+        self.exchange.crashes.close()
         self._pool.close()
 
     @property
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -55,6 +55,8 @@
         has_carried_call: Whether the connection had carried an earlier attempt
             of the same request.
         earlier_verdict: Verdict on the attempts before this one.
+        first_output_s: Time when the replica began to respond with a success;
+            None before.
     """
 
     replica: ReplicaRecord
@@ -65,6 +67,7 @@
     is_connection_reused: bool
     has_carried_call: bool
     earlier_verdict: Verdict
+    first_output_s: float | None = None
 
 
 class EchoedId(enum.Enum):
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
@@ -27,6 +27,8 @@
 # stream is the most urgent, since its caller waits in the middle of a response.
 _MAX_URGENCY = 9
 _RESUME_URGENCY = 0
+_MAX_PROMPT_PARTS = 64
+_MAX_PART_ID_LENGTH = 64
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -58,6 +60,8 @@
             resumed stream; empty otherwise.
         sent_after_s: Time from the arrival of the request to the first attempt,
             in seconds.
+        prompt: Parts of the prompt, as the caller lists them; empty if the
+            request has no prompt.
     """
 
     request: ReceivedRequest
@@ -81,12 +85,25 @@
     verdict: Verdict = Verdict.NOT_RUN
     resume_after: str = ""
     sent_after_s: float = 0.0
+    prompt: str = ""
 
     @property
     def is_stream(self) -> bool:
         """Whether the response is a stream of events."""
         return self.route.kind is RequestKind.STREAMING
 
+    @property
+    def prompt_parts(self) -> tuple[str, ...]:
+        """Ids of the parts of the prompt that requests may share.
+
+        The last part, which belongs to the request or its session, is left out.
+        """
+        parts = self.prompt.split(",", _MAX_PROMPT_PARTS)[:-1]
+        return tuple(
+            part.partition(":")[0].strip().lower()[:_MAX_PART_ID_LENGTH]
+            for part in parts
+        )
+
     def encode(
         self, names: HeaderNames, expected: InstanceId, now_s: float
     ) -> bytes:
@@ -169,6 +186,7 @@
         priority,
         request.received_s + min(left_s, timeout_s),
         request.received_s + left_s,
+        prompt=request.get(names.prompt_parts) or "",
     )
 
 
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/crashes.py
@@ -0,0 +1,221 @@
+"""Detection of replicas that crash while they process requests.
+
+A broken connection alone does not show a crash: a link may be cut, a
+connection reset, and a rank of a stalled group drops its requests. A replica
+counts as crashed if its port refuses connections, or if it registers with a new
+start, shortly after a connection to it has broken. The end of a replica that
+was draining, or is no longer registered, is planned and does not count.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Sequence
+
+from chicoryplank.events import Event, emit
+from chicoryplank.traffic import ReplicaRecord, ReplicaState
+from chicoryplank_entry.forwarding.attempts import Attempt
+from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
+from chicoryplank_entry.forwarding.calls import Call
+from chicoryplank_entry.forwarding.metrics import METRICS
+from chicoryplank_entry.forwarding.state import EntryState
+from chicoryplank_wire.client_connection import (
+    BreakReason,
+    ConnectionBrokenError,
+)
+
+# Time in seconds after a break before the port of the replica is tried, since
+# a process that ends closes its sockets one after the other.
+_CHECK_DELAY_S = 0.02
+# Interval in seconds of further checks of a replica that does not respond, and
+# the time after which its state remains unknown.
+_CHECK_INTERVAL_S = 0.4
+_MAX_CHECK_S = 6.0
+# Time in seconds for which further breaks belong to a crash that is known.
+_CRASH_SPAN_S = 1.0
+_MAX_BROKEN_PER_REPLICA = 64
+_LOGGED_REQUESTS = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BrokenAttempt:
+    """An attempt whose connection ended while the request was in progress.
+
+    Attributes:
+        call: The request.
+        sent_s: Time when it was sent to the replica.
+        broken_s: Time when the connection ended.
+        first_output_s: Time of the first output; None if there was none.
+        is_complete: Whether the response had neither a length nor chunks and
+            ended with the connection, so that it may be complete.
+    """
+
+    call: Call
+    sent_s: float
+    broken_s: float
+    first_output_s: float | None
+    is_complete: bool
+
+
+class CrashDetector:
+    """Tells crashes of replicas from broken connections.
+
+    Args:
+        state: Shared state of this entry.
+        pool: Connections to replicas.
+    """
+
+    def __init__(self, state: EntryState, pool: BackendPool) -> None:
+        self._state = state
+        self._pool = pool
+        self._broken: dict[ReplicaRecord, list[BrokenAttempt]] = {}
+        self._checks: dict[ReplicaRecord, asyncio.Task] = {}
+        self._crashed_s: dict[ReplicaRecord, float] = {}
+
+    def observe_break(
+        self, call: Call, attempt: Attempt, error: ConnectionBrokenError | None
+    ) -> None:
+        """Records that the connection of an attempt has ended.
+
+        Args:
+            call: The request.
+            attempt: Its attempt.
+            error: Why the response is incomplete; None if it is complete but
+                ended with the connection.
+        """
+        if error is not None and error.reason not in (
+            BreakReason.CLOSED,
+            BreakReason.RESET,
+        ):
+            return
+        replica = attempt.replica
+        if not self._is_in_service(replica):
+            return
+        broken = BrokenAttempt(
+            call,
+            attempt.started_s,
+            self._state.now_s(),
+            attempt.first_output_s,
+            is_complete=error is None,
+        )
+        if self._is_known_crash(broken, replica):
+            self._report(replica, [broken], "known")
+            return
+        attempts = self._broken.setdefault(replica, [])
+        if len(attempts) < _MAX_BROKEN_PER_REPLICA:
+            attempts.append(broken)
+        if replica not in self._checks:
+            loop = asyncio.get_running_loop()
+            self._checks[replica] = loop.create_task(self._check(replica))
+
+    def observe_refusal(self, replica: ReplicaRecord) -> None:
+        """Records that the port of a replica refused a connection."""
+        if replica in self._broken:
+            self._confirm(replica, "refused")
+
+    def close(self) -> None:
+        """Ends all checks."""
+        for task in self._checks.values():
+            task.cancel()
+
+    def _is_in_service(self, replica: ReplicaRecord) -> bool:
+        current = self._state.registry.get(replica.instance)
+        return current is not None and current.state is ReplicaState.READY
+
+    def _is_known_crash(
+        self, broken: BrokenAttempt, replica: ReplicaRecord
+    ) -> bool:
+        """Returns whether the attempt was in progress at the last crash."""
+        crashed_s = self._crashed_s.get(replica, float("-inf"))
+        return broken.sent_s <= crashed_s > broken.broken_s - _CRASH_SPAN_S
+
+    async def _check(self, replica: ReplicaRecord) -> None:
+        """Finds out whether a replica has crashed."""
+        backend = BackendAddress(replica.instance, replica.address)
+        end_s = self._state.now_s() + _MAX_CHECK_S
+        try:
+            await asyncio.sleep(_CHECK_DELAY_S)
+            while True:
+                if replica not in self._broken:
+                    return
+                if self._has_restarted(replica):
+                    self._confirm(replica, "restarted")
+                    return
+                try:
+                    connection = await self._pool.open(backend)
+                except ConnectionBrokenError as error:
+                    if error.reason is BreakReason.REFUSED:
+                        self._confirm(replica, "refused")
+                        return
+                else:
+                    connection.abort()
+                    return
+                if self._state.now_s() > end_s:
+                    return
+                await asyncio.sleep(_CHECK_INTERVAL_S)
+        finally:
+            self._checks.pop(replica, None)
+            self._broken.pop(replica, None)
+
+    def _has_restarted(self, replica: ReplicaRecord) -> bool:
+        """Returns whether another process has registered at the address."""
+        return any(
+            record.address == replica.address
+            and record.start_order > replica.start_order
+            for record in self._state.registry.list_all()
+        )
+
+    def _confirm(self, replica: ReplicaRecord, evidence: str) -> None:
+        attempts = self._broken.pop(replica, [])
+        if not attempts or self._is_draining(replica):
+            return
+        now_s = self._state.now_s()
+        self._crashed_s = {
+            other: crashed_s
+            for other, crashed_s in self._crashed_s.items()
+            if now_s - crashed_s < _CRASH_SPAN_S
+        }
+        self._crashed_s[replica] = attempts[0].broken_s
+        self._report(replica, attempts, evidence)
+
+    def _is_draining(self, replica: ReplicaRecord) -> bool:
+        current = self._state.registry.get(replica.instance)
+        return current is not None and current.state is ReplicaState.DRAINING
+
+    def _report(
+        self,
+        replica: ReplicaRecord,
+        attempts: Sequence[BrokenAttempt],
+        evidence: str,
+    ) -> None:
+        METRICS.count_crash(evidence)
+        now_s = self._state.now_s()
+        emit(
+            Event.REPLICA_CRASHED,
+            replica=replica.instance,
+            address=replica.address,
+            service=replica.service,
+            evidence=evidence,
+            started_ms=replica.started_ms,
+            count=len(attempts),
+            broken_ms=round((now_s - attempts[0].broken_s) * 1000),
+            requests=[
+                _describe(attempt) for attempt in attempts[:_LOGGED_REQUESTS]
+            ],
+        )
+
+
+def _describe(attempt: BrokenAttempt) -> dict[str, object]:
+    """Returns what a log line tells of a request under a crash."""
+    output_ms = None
+    if attempt.first_output_s is not None:
+        output_ms = round((attempt.broken_s - attempt.first_output_s) * 1000)
+    return {
+        "request": attempt.call.request_id,
+        "sends": attempt.call.attempts,
+        "parts": list(attempt.call.prompt_parts),
+        "sent_ms": round((attempt.broken_s - attempt.sent_s) * 1000),
+        "output_ms": output_ms,
+    }
+
+
+__all__ = ["BrokenAttempt", "CrashDetector"]
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -14,6 +14,7 @@
 from chicoryplank_entry.forwarding.attempts import Attempt, Outcome, classify
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
 from chicoryplank_entry.forwarding.calls import Call, make_call
+from chicoryplank_entry.forwarding.crashes import CrashDetector
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
@@ -67,6 +68,7 @@
         self._parameters = parameters or ExchangeParameters()
         self._admission = CallAdmission(state, self._parameters)
         self._log = AttemptLog(names, state.now_s)
+        self.crashes = CrashDetector(state, pool)
         self.in_progress = 0
         self.refuses_all = False
 
@@ -225,6 +227,8 @@
                 self._end_attempt(call, replica.instance, False)
                 call.tried_replicas.add(replica.instance)
                 self._log.record_connection_failure(call, backend, error)
+                if error.reason is BreakReason.REFUSED:
+                    self.crashes.observe_refusal(replica)
                 continue
             except BaseException:
                 self._end_attempt(call, replica.instance, None)
@@ -296,7 +300,11 @@
                 and not self._admission.is_worth_retrying(call)
             ):
                 call.verdict = Verdict.RAN
+                if outcome is Outcome.FINAL:
+                    attempt.first_output_s = self._state.now_s()
                 await relay.relay_response(attempt, reply)
+                if attempt.response.ends_at_close:
+                    self.crashes.observe_break(call, attempt, None)
                 call.service_state.slot_queue.observe_duration(
                     self._state.now_s() - attempt.started_s
                 )
@@ -369,6 +377,7 @@
         call.verdict = Verdict.MAY_HAVE_RUN
         call.possible_runs += 1
         self._log.record_failure(call, attempt, "break", str(error))
+        self.crashes.observe_break(call, attempt, error)
         if (
             attempt.is_connection_reused
             and not attempt.response.status
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/fields.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/fields.py
@@ -20,6 +20,8 @@
             example of another one of its group.
         server_limit: Requests per second that a replica takes from all entries
             together; absent while it takes any number.
+        prompt_parts: Parts of the prompt of a request in order, as ID:TOKENS
+            separated by commas.
         last_event: Id of the last event that the receiver of a stream got.
     """
 
@@ -32,6 +34,7 @@
     urgency: str
     at_fault: str
     server_limit: str = "server-limit"
+    prompt_parts: str = "prompt-parts"
     last_event: str = "last-event-id"
 
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
@@ -47,6 +47,7 @@
             collections.Counter()
         )
         self._permits: collections.Counter[str] = collections.Counter()
+        self._crashes: collections.Counter[str] = collections.Counter()
         self._skipped_responses = 0
         self._first_output: dict[str, _Latencies] = {}
         self._total: dict[str, _Latencies] = {}
@@ -76,6 +77,10 @@
         """Counts a question for a permit: granted, denied or no_reply."""
         self._permits[result] += 1
 
+    def count_crash(self, evidence: str) -> None:
+        """Counts a crash of a replica: refused, restarted or known."""
+        self._crashes[evidence] += 1
+
     def count_skipped_response(self) -> None:
         """Counts a response of a replica to another request."""
         self._skipped_responses += 1
@@ -129,6 +134,15 @@
         )
         for result, count in self._permits.items():
             permits.add_metric([result], count)
+        crashes = CounterMetricFamily(
+            "chicoryplank_forwarding_crashes",
+            "Crashes of replicas with requests of this entry in progress, by "
+            "evidence.",
+            labels=["evidence"],
+        )
+        for evidence, count in self._crashes.items():
+            crashes.add_metric([evidence], count)
+        yield crashes
         yield permits
         yield refusals
         yield failures
--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_crashes.py
@@ -0,0 +1,154 @@
+"""Tests of the detection of crashes, with replicas on loopback."""
+
+import asyncio
+
+import testtools
+from logbook import TestHandler
+
+from chicoryplank.events import Event
+from chicoryplank.traffic import ReplicaState, RequestKind
+from chicoryplank_entry.forwarding.tests.crashing_replica import (
+    CrashingReplica,
+)
+from chicoryplank_entry.forwarding.tests.harness import (
+    EntryFixture,
+    Replica,
+    make_event,
+    make_head,
+    respond,
+)
+
+
+def end_with_connection(data, *, then=None):
+    """Returns a script whose stream ends with the connection.
+
+    Args:
+        data: Bytes of the stream.
+        then: Coroutine function that is called before the connection closes.
+    """
+
+    async def script(recorded, writer):
+        head = make_head(
+            recorded, extra=("Content-Type: text/event-stream", "", "")
+        )
+        writer.write("\r\n".join(head).encode() + data)
+        await writer.drain()
+        if then is not None:
+            await then()
+        return False
+
+    return script
+
+
+class CrashCase(testtools.TestCase):
+    """Sends one request and collects the crashes that were noticed."""
+
+    def find_crashes(self, *replicas, prepare=None, **request):
+        """Returns the response and the fields of all lines on crashes."""
+
+        async def run():
+            async with EntryFixture(
+                *replicas, kind=RequestKind.STREAMING
+            ) as fixture:
+                if prepare is not None:
+                    prepare(fixture)
+                response = await fixture.send_request(**request)
+                await asyncio.sleep(0.15)
+                fixture.exchange.crashes.close()
+                return response
+
+        with TestHandler() as handler:
+            response = asyncio.run(run())
+        return response, [
+            record.extra["fields"]
+            for record in handler.records
+            if record.extra["event"] == Event.REPLICA_CRASHED.number
+        ]
+
+
+class TestCrashDetector(CrashCase):
+    """Which ends of a connection count as the crash of a replica."""
+
+    def test_crash_names_the_shared_parts_of_the_prompt(self):
+        """Guards against a crash that no line connects with its requests."""
+        replica = CrashingReplica(lambda recorded: True, down_s=9)
+        _, crashes = self.find_crashes(
+            replica, **{"Prompt-Parts": "a1:40,B2:300,c3:90"}
+        )
+        self.assertEqual(["refused"], [crash["evidence"] for crash in crashes])
+        self.assertEqual(["a1", "b2"], crashes[0]["requests"][0]["parts"])
+
+    def test_crash_without_any_output(self):
+        """Guards against counting only crashes after the response began."""
+        replica = CrashingReplica(lambda recorded: True, down_s=9, begins=False)
+        _, crashes = self.find_crashes(replica)
+        self.assertEqual(1, len(crashes))
+
+    def test_broken_connection_of_a_live_replica(self):
+        """Guards against taking a cut or a dropped stream for a crash."""
+        replica = Replica(end_with_connection(b"id: 1\nda"), respond())
+        _, crashes = self.find_crashes(replica)
+        self.assertEqual([], crashes)
+
+    def test_end_of_a_draining_replica(self):
+        """Guards against taking a planned end for a crash."""
+        replica = CrashingReplica(lambda recorded: True, down_s=9)
+
+        def drain(fixture):
+            (record,) = fixture.state.registry.list_all()
+            fixture.state.registry.remove(record.instance, 0.0)
+            object.__setattr__(record, "state", ReplicaState.DRAINING)
+            fixture.state.registry.put(record)
+
+        _, crashes = self.find_crashes(replica, prepare=drain)
+        self.assertEqual([], crashes)
+
+    def test_silent_replica_that_registers_again(self):
+        """Guards against missing a crash whose machine does not respond."""
+        replica = Replica(end_with_connection(b"id: 1\nda"))
+
+        def hide(fixture):
+            (record,) = fixture.state.registry.list_all()
+            restarted = type(record)(
+                "replica-1",
+                record.service,
+                record.address,
+                record.zone,
+                record.slots,
+                record.state,
+                started_ms=record.started_ms + 1,
+            )
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.01, fixture.state.registry.put, restarted)
+
+        _, crashes = self.find_crashes(replica, prepare=hide)
+        self.assertEqual(
+            ["restarted"], [crash["evidence"] for crash in crashes]
+        )
+
+
+class TestEndsWithoutLength(CrashCase):
+    """Streams with neither a length nor chunks, which end with a connection."""
+
+    def test_end_after_an_event_is_complete(self):
+        """Guards against losing a stream that ends as the protocol allows."""
+        data = make_event(1) + make_event(2)
+        replica = Replica(end_with_connection(data))
+        (status, _, body), crashes = self.find_crashes(replica)
+        self.assertEqual((200, data), (status, body))
+        self.assertEqual([], crashes)
+
+    def test_end_inside_an_event_is_broken(self):
+        """Guards against a truncated stream that looks complete."""
+        replica = Replica(end_with_connection(make_event(1) + b"id: 2\nda"))
+        (status, _, body), crashes = self.find_crashes(replica)
+        self.assertEqual((200, None), (status, body))
+        self.assertEqual([], crashes)
+
+    def test_ends_with_a_crash(self):
+        """Guards against a crash that hides behind a complete stream."""
+        for data in (make_event(1), make_event(1) + b"id: 2\nda"):
+            replica = CrashingReplica(lambda recorded: True, down_s=9)
+            replica.scripts = [end_with_connection(data, then=replica.crash)]
+            _, crashes = self.find_crashes(replica)
+            self.assertEqual(1, len(crashes), data)
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
@@ -44,6 +44,7 @@
     Attributes:
         CLOSED: The connection was closed without a transport error.
         RESET: The connection could not be opened or was reset.
+        REFUSED: No process listens at the address.
         MALFORMED: The response violates HTTP or the expected format.
         TIMED_OUT: No response arrived in time.
         MISMATCHED: Too many responses to other requests arrived.
@@ -51,6 +52,7 @@
 
     CLOSED = "closed"
     RESET = "reset"
+    REFUSED = "refused"
     MALFORMED = "malformed"
     TIMED_OUT = "timed out"
     MISMATCHED = "responses belong to other requests"
@@ -93,6 +95,8 @@
         headers: Header names in lower case and values, in received order.
         content_length: Body length from the headers, or None.
         complete: Whether the complete response has arrived.
+        ends_at_close: Whether the end of the connection ends the body, since it
+            has neither a length nor chunks.
         error: Error that ended the response early, or None.
         skipped: Responses to other requests that arrived before this one.
     """
@@ -102,6 +106,7 @@
         self.headers: list[tuple[str, str]] = []
         self.content_length: int | None = None
         self.complete = False
+        self.ends_at_close = False
         self.error: ConnectionBrokenError | None = None
         self.skipped: list[SkippedResponse] = []
         self._connection = connection
@@ -375,6 +380,7 @@
         elif not chunked and status not in _STATUSES_WITHOUT_BODY:
             self._ends_at_close = True
             self._keep_alive = False
+            response.ends_at_close = True
         response.headers = self._headers
         response.status = status
         response.wake()
@@ -448,6 +454,8 @@
             )
     except TimeoutError as error:
         raise ConnectionBrokenError(BreakReason.TIMED_OUT, address) from error
+    except ConnectionRefusedError as error:
+        raise ConnectionBrokenError(BreakReason.REFUSED, address) from error
     except (OSError, ValueError) as error:
         raise ConnectionBrokenError(BreakReason.RESET, repr(error)) from error
     return connection
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -210,6 +210,12 @@
         logbook.WARNING,
         "replica {replica} names a malformed limit: {value}",
     )
+    REPLICA_CRASHED = (
+        1219,
+        logbook.WARNING,
+        "replica {replica} of {service} crashed ({evidence}) with {count} "
+        "requests of this entry in progress",
+    )
     STORE_LOST = (
         1304,
         logbook.WARNING,
