--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
@@ -5,7 +5,11 @@
 
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.ids import AccountId, InstanceId, ServiceId
-from chicoryplank.quarantine import FeatureId, make_part_feature
+from chicoryplank.quarantine import (
+    FeatureId,
+    make_part_feature,
+    make_request_feature,
+)
 from chicoryplank.traffic import RequestKind, Route, choose_service
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry.forwarding.fields import (
@@ -108,6 +112,18 @@
             for part in parts
         )
 
+    @property
+    def request_feature(self) -> FeatureId:
+        """Identifies the request among repetitions of it."""
+        request = self.request
+        return make_request_feature(
+            self.service,
+            self.account or "",
+            request.method,
+            request.target,
+            request.body,
+        )
+
     @property
     def features(self) -> tuple[FeatureId, ...]:
         """What a crash of a replica under this request may be due to."""
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/crashes.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/crashes.py
@@ -302,6 +302,7 @@
     return {
         "request": attempt.call.request_id,
         "sends": attempt.call.attempts,
+        "feature": attempt.call.request_feature,
         "parts": list(attempt.call.prompt_parts),
         "sent_ms": round((attempt.broken_s - attempt.sent_s) * 1000),
         "output_ms": output_ms,
--- a/packages/chicoryplank/src/chicoryplank/quarantine/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/__init__.py
@@ -8,6 +8,7 @@
 from chicoryplank.quarantine._features import (
     FeatureId,
     make_part_feature,
+    make_request_feature,
 )
 from chicoryplank.quarantine._ledger import (
     CrashLedger,
@@ -28,4 +29,5 @@
     "QuarantineVerdict",
     "SuspectAttempt",
     "make_part_feature",
+    "make_request_feature",
 ]
