Count crashes and survivals of all entries before blaming a feature

Each entry compared the crashes of all entries with what went well at itself, and needed both requests that speak for a part at one entry.

Change: crashes of others are counted over all entries, what went well is scaled by the entries that report, requests that speak for a part add up over entries, and the chance below which a feature is blamed is 0.00001.

Ruled out: a fixed number of crashes alone, which blames what is popular while nothing is completed.

--- a/packages/chicoryplank/src/chicoryplank/quarantine/_ledger.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_ledger.py
@@ -18,6 +18,7 @@
 # Time in seconds after which a crash is no longer evidence.
 _MAX_AGE_S = 600.0
 _MAX_REPORTERS = 64
+_WITNESSES_TO_CLEAR = 2
 _MAX_COUNT = 100_000
 _MAX_TEXT_LENGTH = 300
 
@@ -40,6 +41,8 @@
             last send of such a request to the crash, in seconds.
         cleared: Suspects that a later request has cleared of this crash.
         requests: Number of requests in progress, by the entry that sent them.
+        witnesses: Later requests that their replicas outlived, for suspects
+            which too few of them clear so far.
     """
 
     crash: str
@@ -50,6 +53,9 @@
     suspects: dict[FeatureId, float] = dataclasses.field(default_factory=dict)
     cleared: set[FeatureId] = dataclasses.field(default_factory=set)
     requests: dict[str, int] = dataclasses.field(default_factory=dict)
+    witnesses: dict[FeatureId, set[str]] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def open_suspects(self) -> set[FeatureId]:
@@ -81,6 +87,24 @@
         self.cleared |= cleared
         return bool(cleared)
 
+    def add_witnesses(self, feature: FeatureId, names: Iterable[str]) -> bool:
+        """Adds requests that speak for a suspect; returns whether any is new.
+
+        One request may have been held back just before it crashed its replica,
+        so that only several clear the suspect.
+        """
+        if feature not in self.open_suspects:
+            return False
+        known = self.witnesses.setdefault(feature, set())
+        new = set(names) - known
+        if not new:
+            return False
+        known |= new
+        if len(known) >= _WITNESSES_TO_CLEAR:
+            self.cleared.add(feature)
+            del self.witnesses[feature]
+        return True
+
     def encode(self, now_s: float) -> dict[str, object]:
         """Returns the record as a JSON document, with ages for times."""
         return {
@@ -94,7 +118,11 @@
                 for feature, lead_s in self.suspects.items()
             },
             "cleared": sorted(self.cleared),
-            "requests": self.requests,
+            "requests": dict(self.requests),
+            "witnesses": {
+                feature: sorted(names)
+                for feature, names in self.witnesses.items()
+            },
         }
 
 
@@ -123,6 +151,13 @@
                 read_text(entry): _read_count(count)
                 for entry, count in document["requests"].items()
             },
+            {
+                FeatureId(read_text(feature)): {
+                    read_text(name) for name in names[:_WITNESSES_TO_CLEAR]
+                }
+                for feature, names in document["witnesses"].items()
+                if feature in suspects
+            },
         )
     except (
         TypeError,
@@ -216,6 +251,10 @@
             known.add_requests(entry, count)
             for entry, count in report.requests.items()
         )
+        changed.extend(
+            known.add_witnesses(feature, names)
+            for feature, names in report.witnesses.items()
+        )
         changed.append(known.clear(report.cleared))
         if any(changed):
             self._index()
@@ -228,6 +267,17 @@
             self._index()
         return changed
 
+    def add_witness(
+        self, record: CrashRecord, features: Iterable[FeatureId], name: str
+    ) -> bool:
+        """Adds a request that speaks for suspects of a crash."""
+        changed = [
+            record.add_witnesses(feature, [name]) for feature in features
+        ]
+        if any(changed):
+            self._index()
+        return any(changed)
+
     def _expire(self, now_s: float) -> None:
         """Drops the oldest records beyond the bounds."""
         newest = self.list_records()[-_MAX_CRASHES:]
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_outcomes.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_outcomes.py
@@ -37,23 +37,16 @@
         )
         outcomes.append(_Outcome(ended_s, has_crashed, frozenset(features)))
 
-    def count_others(
+    def count_survived(
         self, service: ServiceId, feature: FeatureId, since_s: float
-    ) -> tuple[int, int]:
-        """Counts the attempts without a feature.
-
-        Returns:
-            How many of them ended with a crash, and how many did not.
-        """
-        crashed = survived = 0
-        for outcome in self._outcomes.get(service, ()):
-            if outcome.ended_s < since_s or feature in outcome.features:
-                continue
-            if outcome.has_crashed:
-                crashed += 1
-            else:
-                survived += 1
-        return crashed, survived
+    ) -> int:
+        """Counts the attempts without a feature that went well."""
+        return sum(
+            not outcome.has_crashed
+            and outcome.ended_s >= since_s
+            and feature not in outcome.features
+            for outcome in self._outcomes.get(service, ())
+        )
 
     def estimate_share(self, service: ServiceId, feature: FeatureId) -> float:
         """Returns the fraction of attempts with a feature, from above."""
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
@@ -15,9 +15,9 @@
 quarantine explains is not held against the others.
 """
 
-import collections
 import dataclasses
 import math
+import uuid
 from collections.abc import Collection, Mapping, Sequence
 
 from chicoryplank.events import Event, emit
@@ -40,7 +40,7 @@
 # request is compared with the crash before it.
 _ORDER_TOLERANCE_S = 0.05
 # Probability below which the crashes under a feature are no coincidence.
-_MAX_CHANCE = 1e-4
+_MAX_CHANCE = 1e-5
 # Number of attempts as which the assumption counts that a crash hits one of the
 # replicas at random.
 _PRIOR_ATTEMPTS = 10
@@ -49,10 +49,6 @@
 # presence at so many crashes is unlikely.
 _MIN_CONTRAST = 3
 _MAX_PRESENCE_CHANCE = 1e-3
-# Number of requests that outlived their first output by a while which clear a
-# feature. One of them may have been held back just before a crash.
-_SURVIVALS_TO_CLEAR = 2
-_MAX_SURVIVAL_COUNTS = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,9 +77,6 @@
         self._ledger = CrashLedger()
         self._verdicts = VerdictTable()
         self._outcomes = Outcomes()
-        self._survivals: collections.Counter[tuple[str, FeatureId]] = (
-            collections.Counter()
-        )
         self._changed: dict[str, CrashRecord | QuarantineVerdict] = {}
         self._undecided: set[ServiceId] = set()
 
@@ -191,32 +184,17 @@
         is_complete: bool,
     ) -> None:
         """Clears features of the crashes before a request was sent."""
+        witness = uuid.uuid4().hex[:8]
         for record in self._ledger.list_records(service):
             if record.seen_s + _ORDER_TOLERANCE_S > sent_s:
                 continue
-            cleared = self._list_cleared(record, features, is_complete)
-            if self._ledger.clear(record, cleared):
+            if is_complete:
+                changed = self._ledger.clear(record, features)
+            else:
+                changed = self._ledger.add_witness(record, features, witness)
+            if changed:
                 self._note_change(record)
 
-    def _list_cleared(
-        self,
-        record: CrashRecord,
-        features: Collection[FeatureId],
-        is_complete: bool,
-    ) -> Collection[FeatureId]:
-        if is_complete:
-            return features
-        suspects = record.open_suspects.intersection(features)
-        if len(self._survivals) > _MAX_SURVIVAL_COUNTS:
-            self._survivals.clear()
-        for feature in suspects:
-            self._survivals[record.crash, feature] += 1
-        return [
-            feature
-            for feature in suspects
-            if self._survivals[record.crash, feature] >= _SURVIVALS_TO_CLEAR
-        ]
-
     def _lift(
         self, features: Collection[FeatureId], sent_s: float, now_s: float
     ) -> None:
@@ -308,15 +286,13 @@
         """
         if len(chain) < _MIN_CRASHES:
             return False
-        crashed, survived = self._outcomes.count_others(
-            service, feature, chain[0].seen_s
-        )
-        prior = _PRIOR_ATTEMPTS / (chain[-1].replica_count + 1)
-        rate = (crashed + prior) / (crashed + survived + _PRIOR_ATTEMPTS)
-        share = self._outcomes.estimate_share(service, feature)
         recent = [
             record for record in records if record.seen_s >= chain[0].seen_s
         ]
+        crashed, survived = self._count_others(service, feature, recent)
+        prior = _PRIOR_ATTEMPTS / (chain[-1].replica_count + 1)
+        rate = (crashed + prior) / (crashed + survived + _PRIOR_ATTEMPTS)
+        share = self._outcomes.estimate_share(service, feature)
         chance = compute_presence_chance(recent, feature, share)
         if (
             is_widespread(feature)
@@ -326,6 +302,29 @@
             return False
         return rate ** _count_moments(recent, feature) * chance <= _MAX_CHANCE
 
+    def _count_others(
+        self,
+        service: ServiceId,
+        feature: FeatureId,
+        records: Sequence[CrashRecord],
+    ) -> tuple[int, int]:
+        """Estimates the outcomes of requests of all entries without a feature.
+
+        Crashes of all entries are known. Of what went well this entry knows its
+        own part, and assumes that each other one that has reported a crash saw
+        as much.
+
+        Returns:
+            How many requests ended with a crash, and how many did not.
+        """
+        crashed = sum(sum(record.requests.values()) for record in records)
+        crashed -= sum(feature in record.open_suspects for record in records)
+        entries = {entry for record in records for entry in record.requests}
+        survived = self._outcomes.count_survived(
+            service, feature, records[0].seen_s
+        )
+        return max(0, crashed), survived * max(1, len(entries))
+
     def _condemn(
         self,
         service: ServiceId,
@@ -343,9 +342,7 @@
         )
         self._verdicts.merge(verdict)
         self._note_change(verdict)
-        crashed, survived = self._outcomes.count_others(
-            service, feature, chain[0].seen_s
-        )
+        crashed, survived = self._count_others(service, feature, chain)
         emit(
             Event.QUARANTINE_BEGUN,
             feature=feature,
