Quarantine a request that crashes replicas and comes again

What callers saw: one request, with the same path, account and body each time, crashed the replicas of a plain service again and again.

Cause: the same as that of the prompt parts; nothing connected a crash with what the request was. Each arrival looked new to the entry that got it.

Change: the digest of account, method, path and body is a feature of a request beside the parts of its prompt, in the same mechanism.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
@@ -127,9 +127,10 @@
     @property
     def features(self) -> tuple[FeatureId, ...]:
         """What a crash of a replica under this request may be due to."""
-        return tuple(
+        parts = [
             make_part_feature(self.service, part) for part in self.prompt_parts
-        )
+        ]
+        return (self.request_feature, *parts)
 
     def encode(
         self, names: HeaderNames, expected: InstanceId, now_s: float
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/crash_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/crash_model.py
@@ -13,6 +13,7 @@
     FeatureId,
     SuspectAttempt,
     make_part_feature,
+    make_request_feature,
 )
 from chicoryplank.store import Record, StoreError, SwapOutcome
 from chicoryplank.verdict import Verdict
@@ -101,6 +102,8 @@
         is_lockstep: Whether the replicas are ranks of one group, which stalls
             when one of them crashes.
         is_mechanism_on: Whether crashes are reported to the quarantine.
+        is_repeated: Whether the harmful requests are one that comes again;
+            otherwise they share a part of the prompt.
 
     Attributes:
         crash_times: Times of the crashes under harmful requests.
@@ -116,6 +119,7 @@
         *,
         is_lockstep,
         is_mechanism_on=True,
+        is_repeated=False,
     ):
         self.model_store = ModelStore(self)
         self.untouched_since_s = {}
@@ -132,6 +136,9 @@
         self._group_opens_s = float("-inf")
         self.harmful_share = 0.0
         self.harmful_feature = make_part_feature(SERVICE, "harmful")
+        if is_repeated:
+            self.harmful_feature = self._make_request_feature("harmful")
+        self._is_repeated = is_repeated
         self.crash_times = []
         self.harmful_arrivals = []
         self.sound = []
@@ -217,11 +224,7 @@
         process = self.processes[name]
         if not process.has_read_store:
             return
-        part = f"part-{self.rng.randrange(_PARTS)}"
-        features = [_SHARED, make_part_feature(SERVICE, part)]
-        if is_harmful:
-            features.append(self.harmful_feature)
-        features = tuple(features)
+        features = self._draw_features(is_harmful)
         in_touch = self._is_in_touch(name)
         verdict = process.state.quarantine.find_verdict(features)
         sent = False
@@ -232,6 +235,27 @@
         if in_touch and not is_harmful:
             self.sound.append(Sound(self.now_s, sent, verdict is not None))
 
+    def _draw_features(self, is_harmful):
+        """Returns the features of a request; some sound ones come again too."""
+        if self._is_repeated:
+            if is_harmful:
+                return (self.harmful_feature,)
+            number = self.rng.randrange(4 * _PARTS)
+            return (self._make_request_feature(number),)
+        part = f"part-{self.rng.randrange(_PARTS)}"
+        number = self.rng.random()
+        features = [
+            self._make_request_feature(number),
+            _SHARED,
+            make_part_feature(SERVICE, part),
+        ]
+        if is_harmful:
+            features.append(self.harmful_feature)
+        return tuple(features)
+
+    def _make_request_feature(self, number):
+        return make_request_feature(SERVICE, "shop", "GET", f"/{number}", b"")
+
     def _send_attempt(self, name, process, features, is_harmful):
         now_s = self.now_s
         up = [
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_crash_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_crash_model.py
@@ -15,7 +15,9 @@
 
 _RATE_PER_S = 40.0
 _SLOW_RATE_PER_S = 10.0
+# Number of crashes after which a part of a prompt, or a request, is known.
 _CRASHES = 5
+_CRASHES_OF_REQUEST = 3
 
 
 def make_fleet(seed, entries=8, replicas=16, *, is_lockstep=True, **options):
@@ -113,3 +115,38 @@
                 disturb(fleet)
                 fleet.run(fleet.rng.uniform(0.3, 3.0), rate)
             self.check(fleet, f"seed {seed}")
+
+
+class TestQuarantineOfRepeatedRequest(testtools.TestCase):
+    """One request that comes again is stopped at a plain service."""
+
+    def check(self, fleet, detail=""):
+        late = fleet.count_late_arrivals(_CRASHES_OF_REQUEST)
+        self.assertLessEqual(late, MAX_LATE_ARRIVALS, detail)
+        refused, total = fleet.count_refused_sound(_CRASHES_OF_REQUEST)
+        self.assertLessEqual(2 * refused, total, detail)
+
+    def make_fleet(self, seed, **options):
+        fleet = CrashFleet(
+            seed, 8, 3, is_lockstep=False, is_repeated=True, **options
+        )
+        fleet.run(12, _SLOW_RATE_PER_S)
+        return fleet
+
+    def test_load_without_the_mechanism(self):
+        """Guards against a model that finds no fault."""
+        fleet = self.make_fleet(1, is_mechanism_on=False)
+        fleet.harmful_share = 0.1
+        fleet.run(40, _SLOW_RATE_PER_S)
+        late = fleet.count_late_arrivals(_CRASHES_OF_REQUEST)
+        self.assertGreater(late, MAX_LATE_ARRIVALS)
+
+    def test_random_disturbances(self):
+        """Guards against orders of events that no other test has."""
+        for seed in range(1, 9):
+            fleet = self.make_fleet(seed)
+            fleet.harmful_share = fleet.rng.choice((0.0, 0.05, 0.1, 0.2))
+            for _ in range(20):
+                disturb(fleet)
+                fleet.run(fleet.rng.uniform(0.3, 3.0), _SLOW_RATE_PER_S)
+            self.check(fleet, f"seed {seed}")
