Read bodies without framing in agents, and report crashes of backend servers

A backend server may answer, also with a stream, with neither a length nor chunks and end with the connection. Agents rejected such bodies, since the HTTP client can't read them, and they reported a crashed backend server like a broken connection, so that the own front can't attribute crashes.

Bodies without framing are passed to the HTTP client as chunks.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -19,6 +19,9 @@
 
 EVENT_STREAM = "text/event-stream"
 _CONNECT_TIMEOUT_S = 1.0
+# Time in seconds before a connection is tried after a break, since a process
+# that ends closes its sockets one after the other.
+_CRASH_CHECK_DELAY_S = 0.02
 _HTTP_OK = 200
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _EVENT_ID = re.compile(rb"^id: ?(\S+)", re.MULTILINE)
@@ -90,8 +93,11 @@
         self, address: str, max_connections: int, clock: Clock
     ) -> None:
         self.limit = BackendLimit(address, clock)
+        self._address = address
         self._url = f"http://{address}"
-        self._client = make_client(max_connections, max_requests=0)
+        self._client = make_client(
+            max_connections, max_requests=0, reads_unframed=True
+        )
 
     async def close(self) -> None:
         """Closes all connections to the backend server."""
@@ -118,11 +124,12 @@
         )
         content_type = dict(response_headers).get("content-type", "")
         if not _has_body(request.method, response):
+            await response.aclose()
             body = _read_empty_body()
         elif content_type.startswith(EVENT_STREAM):
             body = self._read_events(request.request_id, response)
         else:
-            body = _read_body(response)
+            body = self._read_body(response)
         return BackendResponse(response.status_code, response_headers, body)
 
     async def cancel(self, request_id: str) -> None:
@@ -198,7 +205,7 @@
                 Verdict.NOT_RUN,
             ) from error
         except HTTP_FAILURES as error:
-            raise _make_response_error(error) from error
+            raise await self._make_break_error(error) from error
         self.limit.observe(response.headers, sent_s)
         return response
 
@@ -230,14 +237,17 @@
             if ended:
                 return
             if not last_event_id:
-                raise _make_response_error(failure)
+                raise await self._make_break_error(failure)
             await self.limit.wait()
-            response = await self._send_request(
-                "GET",
-                f"/v1/streams/{request_id}",
-                {"Last-Event-ID": last_event_id.decode()},
-                b"",
-            )
+            try:
+                response = await self._send_request(
+                    "GET",
+                    f"/v1/streams/{request_id}",
+                    {"Last-Event-ID": last_event_id.decode()},
+                    b"",
+                )
+            except ChicoryplankError as error:
+                raise await self._make_break_error(error) from error
             if response.status_code != _HTTP_OK or not _has_body(
                 "GET", response
             ):
@@ -245,29 +255,61 @@
                 raise _make_response_error(failure)
         raise _make_response_error(failure)
 
+    async def _read_body(
+        self, response: aiosonic.HttpResponse
+    ) -> AsyncIterator[bytes]:
+        try:
+            async for data in response.read_chunks():
+                yield data
+        except HTTP_FAILURES as error:
+            raise await self._make_break_error(error) from error
+        finally:
+            await response.aclose()
+
+    async def _make_break_error(
+        self, error: BaseException | None
+    ) -> ChicoryplankError:
+        """Returns the error of a response that is missing or incomplete.
+
+        A backend server that refuses connections right after one has broken
+        has crashed; a broken connection alone does not show that.
+        """
+        if await self._refuses_connections():
+            return ChicoryplankError(
+                ErrorCode.BACKEND_CRASHED,
+                "the backend server crashed while it processed the request",
+                Verdict.MAY_HAVE_RUN,
+            )
+        return _make_response_error(error)
+
+    async def _refuses_connections(self) -> bool:
+        await asyncio.sleep(_CRASH_CHECK_DELAY_S)
+        host, _, port = self._address.rpartition(":")
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(
+                    host.strip("[]"), int(port)
+                )
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
 
 def _has_body(method: str, response: aiosonic.HttpResponse) -> bool:
     """Tells whether a response has a body.
 
     The HTTP client returns the connection of a response without a body to its
     pool, but would still wait for a chunk on it if the body were read.
-
-    Raises:
-        ChicoryplankError: If the body ends only when the connection closes; the
-            HTTP client cannot read such a body.
     """
     if method == "HEAD" or response.status_code in _STATUSES_WITHOUT_BODY:
         return False
     if response.chunked:
         return True
     length = response.headers.get("content-length")
-    if length is None:
-        raise ChicoryplankError(
-            ErrorCode.BACKEND_FAILED,
-            "the response has neither Content-Length nor chunked encoding",
-            Verdict.MAY_HAVE_RUN,
-        )
-    return int(length) > 0
+    return length is None or int(length) > 0
 
 
 async def _read_empty_body() -> AsyncIterator[bytes]:
@@ -297,15 +339,3 @@
         f"incomplete response of the backend server: {reason}",
         Verdict.MAY_HAVE_RUN,
     )
-
-
-async def _read_body(
-    response: aiosonic.HttpResponse,
-) -> AsyncIterator[bytes]:
-    try:
-        async for data in response.read_chunks():
-            yield data
-    except HTTP_FAILURES as error:
-        raise _make_response_error(error) from error
-    finally:
-        await response.aclose()
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/relay.py
@@ -467,7 +467,7 @@
             outbox.add_end(record)
 
     def _fail(self, record: AttemptRecord, error: ChicoryplankError) -> None:
-        if error.code is ErrorCode.BACKEND_FAILED:
+        if error.code in (ErrorCode.BACKEND_FAILED, ErrorCode.BACKEND_CRASHED):
             emit(Event.ENGINE_FAILED, error=error.message)
         if record.status and error.verdict is Verdict.NOT_RUN:
             error.verdict = Verdict.MAY_HAVE_RUN
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/exchange.py
@@ -24,7 +24,11 @@
 _UNAVAILABLE = 503
 _SERVER_ERRORS = frozenset({502, _UNAVAILABLE, 504})
 _REPLICA_FAILURES = frozenset(
-    {ErrorCode.BACKEND_FAILED, ErrorCode.OUTCOME_UNKNOWN}
+    {
+        ErrorCode.BACKEND_CRASHED,
+        ErrorCode.BACKEND_FAILED,
+        ErrorCode.OUTCOME_UNKNOWN,
+    }
 )
 
 
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/http.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/http.py
@@ -10,6 +10,8 @@
 # Number of bytes in which a head must end, or a part of a body must arrive.
 _MAX_HEAD_BYTES = 65_536
 _MAX_CHUNK_BYTES = 8 * 1024 * 1024
+_UNFRAMED_READ_BYTES = 65_536
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # Exceptions that a call raises if no complete response arrived.
 HTTP_FAILURES = (OSError, EOFError, ValueError, TimeoutError, AiosonicError)
 
@@ -95,8 +97,49 @@
         await super().__aexit__(exc_type, exc, tb)
 
 
+class _UnframedConnection(_ClosingConnection):
+    """Connection that also reads bodies which end with the connection.
+
+    aiosonic 1.3.3 reads bodies with a length or in chunks only. A body with
+    neither is passed to it as chunks.
+    """
+
+    _reads_head = False
+    _is_framed = True
+    _data = b""
+
+    async def readuntil(self, separator: bytes = b"\n") -> bytes:
+        """Reads a status line, with which a new response begins."""
+        self._reads_head = True
+        self._is_framed = False
+        return await super().readuntil(separator)
+
+    async def readline(self) -> bytes:
+        """Reads a line of a head, or of the chunks that a body is passed as."""
+        if not self._reads_head and not self._is_framed:
+            self._data = await self.read(_UNFRAMED_READ_BYTES)
+            return b"%x\r\n" % len(self._data)
+        line = await super().readline()
+        if self._reads_head:
+            name, separator, _ = line.partition(b":")
+            self._is_framed |= name.strip().lower() in _FRAMING_HEADERS
+            self._reads_head = bool(separator)
+            if not separator and not self._is_framed:
+                self.block_until_read_chunks()
+        return line
+
+    async def readexactly(self, size: int) -> bytes:
+        """Reads a chunk and its end."""
+        if self._is_framed:
+            return await super().readexactly(size)
+        return self._data + b"\r\n"
+
+
 def make_client(
-    max_connections: int, max_requests: int | None = None
+    max_connections: int,
+    max_requests: int | None = None,
+    *,
+    reads_unframed: bool = False,
 ) -> aiosonic.HTTPClient:
     """Returns an HTTP client that never returns the response to another call.
 
@@ -104,10 +147,15 @@
         max_connections: Maximum number of concurrent connections per address.
         max_requests: Maximum number of requests per connection; None for no
             limit.
+        reads_unframed: Whether `read_chunks` also reads bodies with neither a
+            length nor chunks. The caller must read or close each response.
     """
     pool = PoolConfig(size=max_connections, max_conn_requests=max_requests)
     connector = aiosonic.TCPConnector(
-        pool_configs={":default": pool}, connection_cls=_ClosingConnection
+        pool_configs={":default": pool},
+        connection_cls=(
+            _UnframedConnection if reads_unframed else _ClosingConnection
+        ),
     )
     return aiosonic.HTTPClient(connector)
 
--- a/packages/chicoryplank/src/chicoryplank/retry/_policy.py
+++ b/packages/chicoryplank/src/chicoryplank/retry/_policy.py
@@ -23,6 +23,7 @@
     {
         ErrorCode.ANSWER_TRUNCATED,
         ErrorCode.ATTEMPT_ABANDONED,
+        ErrorCode.BACKEND_CRASHED,
         ErrorCode.BACKEND_FAILED,
         ErrorCode.MEMBER_UNREACHABLE,
         ErrorCode.OUTCOME_UNKNOWN,
