Move the quarantine checks and records out of the forwarding front

The product's own front needs the same refusals, trials and records in the store. They move to chicoryplank_entry/quarantine.py, with the differences between the fronts passed in. No change of behaviour; their tests pass.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
@@ -14,6 +14,8 @@
 _MAX_ATTEMPTS = 6
 # Time to the deadline, in seconds, below which another attempt cannot complete.
 _MIN_TIME_LEFT_S = 0.02
+# A request in quarantine is not worth repeating while its caller waits.
+_QUARANTINE_RETRY_AFTER = timedelta(seconds=60)
 
 
 class CallAdmission:
@@ -159,6 +161,15 @@
             )
         return ChicoryplankError(code, message, call.verdict, retry_after)
 
+    def make_quarantine_refusal(
+        self, call: Call, message: str
+    ) -> ChicoryplankError:
+        """Returns the error of a request in quarantine."""
+        error = self.make_refusal(call, ErrorCode.QUARANTINED, message)
+        if error.retry_after is not None:
+            error.retry_after = _QUARANTINE_RETRY_AFTER
+        return error
+
     def is_worth_retrying(self, call: Call) -> bool:
         """Returns whether a failed request may be retried elsewhere."""
         now_s = self._state.now_s()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -25,10 +25,6 @@
 from chicoryplank_entry.forwarding.members import Member
 from chicoryplank_entry.forwarding.metrics import render_metrics
 from chicoryplank_entry.forwarding.peers import Peers
-from chicoryplank_entry.forwarding.quarantine import Trials
-from chicoryplank_entry.forwarding.quarantine_exchange import (
-    QuarantineRecords,
-)
 from chicoryplank_entry.forwarding.registration import Registration
 from chicoryplank_entry.forwarding.reload import SettingsReload
 from chicoryplank_entry.forwarding.state import EntryState
@@ -37,6 +33,7 @@
     Decoder,
     StoreView,
 )
+from chicoryplank_entry.quarantine import QuarantineRecords, Trials
 from chicoryplank_wire.listeners import BACKLOG, open_listener
 from chicoryplank_wire.server_connection import (
     CallerConnection,
@@ -168,7 +165,8 @@
         )
         self.quarantine = QuarantineRecords(
             adapter.store,
-            self.state,
+            self.state.quarantine,
+            self.state.now_s,
             own.instance,
             self.peers.list_live_members,
         )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -19,12 +19,9 @@
 from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.permits import Permits
-from chicoryplank_entry.forwarding.quarantine import (
-    QuarantineCheck,
-    Trials,
-)
 from chicoryplank_entry.forwarding.refusals import send_error
 from chicoryplank_entry.forwarding.state import EntryState
+from chicoryplank_entry.quarantine import QuarantineCheck, Trials
 from chicoryplank_wire.client_connection import (
     BreakReason,
     ClientConnection,
@@ -77,7 +74,14 @@
         self._parameters = parameters or ExchangeParameters()
         self._admission = CallAdmission(state, self._parameters)
         self._log = AttemptLog(names, state.now_s)
-        self._quarantine = QuarantineCheck(state, self._admission, trials)
+        self._quarantine = QuarantineCheck(
+            state.quarantine,
+            trials,
+            now_s=state.now_s,
+            list_versions=state.list_versions,
+            make_refusal=self._admission.make_quarantine_refusal,
+            count=METRICS.count_quarantined,
+        )
         self.crashes = CrashDetector(state, pool)
         self.in_progress = 0
         self.refuses_all = False
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -309,6 +309,12 @@
             self.server_limits.list_held(now_s) & state.slots.keys(),
         )
 
+    def list_versions(self, service: ServiceId) -> set[str]:
+        """Returns the software versions of the replicas of a service."""
+        return {
+            record.version for record in self.registry.list_service(service)
+        }
+
     def choose_replica(
         self,
         state: ServiceState,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/crash_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/crash_model.py
@@ -17,14 +17,12 @@
 )
 from chicoryplank.store import Record, StoreError, SwapOutcome
 from chicoryplank.verdict import Verdict
-from chicoryplank_entry.forwarding.quarantine_exchange import (
-    QuarantineRecords,
-)
 from chicoryplank_entry.forwarding.tests.retry_model import (
     SERVICE,
     EntryProcess,
     Fleet,
 )
+from chicoryplank_entry.quarantine import QuarantineRecords
 
 CONTACT_S = 3.0
 MAX_LATE_ARRIVALS = 3
@@ -152,7 +150,8 @@
         self._seen_revisions[name] = -1
         self._records[name] = QuarantineRecords(
             self.model_store,
-            process.state,
+            process.state.quarantine,
+            process.state.now_s,
             name,
             process.peers.list_live_members,
         )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
@@ -14,8 +14,8 @@
 from chicoryplank.traffic import ReplicaRecord, TrafficConfiguration
 from chicoryplank_entry.forwarding.members import Member
 from chicoryplank_entry.forwarding.peers import Peers
-from chicoryplank_entry.forwarding.quarantine_exchange import QUARANTINE_KEY
 from chicoryplank_entry.forwarding.state import EntryState
+from chicoryplank_entry.quarantine import QUARANTINE_KEY
 
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.8
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_quarantine.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_quarantine.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-from types import SimpleNamespace
 
 import testtools
 
@@ -12,10 +11,10 @@
 from chicoryplank.quarantine import Quarantine
 from chicoryplank.store import StoreError
 from chicoryplank.verdict import Verdict
-from chicoryplank_entry.forwarding.quarantine import Trials
-from chicoryplank_entry.forwarding.quarantine_exchange import (
+from chicoryplank_entry.quarantine import (
     QUARANTINE_KEY,
     QuarantineRecords,
+    Trials,
 )
 
 _FEATURE = "llm/part/bad"
@@ -67,20 +66,24 @@
 
     def make_records(self, store):
         clock = ManualClock()
-        state = SimpleNamespace(
-            quarantine=Quarantine(),
-            now_s=lambda: clock.elapsed().total_seconds(),
-        )
+        quarantine = Quarantine()
         own = InstanceId("entry")
-        return state, QuarantineRecords(store, state, own, lambda: [own])
+        records = QuarantineRecords(
+            store,
+            quarantine,
+            lambda: clock.elapsed().total_seconds(),
+            own,
+            lambda: [own],
+        )
+        return quarantine, records
 
     def test_malformed_document_is_replaced(self):
         """Guards against a document that blocks all later ones."""
         store = MemoryStore(ManualClock())
-        state, records = self.make_records(store)
+        quarantine, records = self.make_records(store)
         for value in (b"{", b"{}", b"[1]", b'[{"crash":1}]', b"\xff"):
             records.observe(value, 5)
-        self.assertEqual([], state.quarantine.list_verdicts())
+        self.assertEqual([], quarantine.list_verdicts())
 
     def test_document_without_changes_is_not_written(self):
         """Guards against calls to the store on calm days."""
@@ -95,7 +98,7 @@
 
     def test_verdict_is_read_from_the_store(self):
         """Guards against a process that starts without the verdicts."""
-        state, records = self.make_records(MemoryStore(ManualClock()))
+        quarantine, records = self.make_records(MemoryStore(ManualClock()))
         item = {
             "feature": _FEATURE,
             "service": "llm",
@@ -104,4 +107,4 @@
             "versions": ["v1"],
         }
         records.observe(json.dumps([item]).encode(), 7)
-        self.assertIsNotNone(state.quarantine.find_verdict([_FEATURE]))
+        self.assertIsNotNone(quarantine.find_verdict([_FEATURE]))
