Quarantine harmful requests on the product's own front

Cause: as on the users' platform, nothing connected a crash with what its requests held; entries retried a request at the next backend server while callers sent it again.

Features are the request itself and the messages of a prompt but the last. Heartbeats carry crashes and verdicts if the digests of two entries differ, and the root of the tree stores them, so that the load on the store does not grow with the number of entries.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/control.py
@@ -28,6 +28,7 @@
     PEER_FAILURES,
     ConfigurationHolder,
 )
+from chicoryplank_entry.crash_reports import CrashReports
 from chicoryplank_wire import control_pb2
 from chicoryplank_wire.control_grpc import ControlBase, ControlStub
 from chicoryplank_wire.peers import attach_secret, is_valid_name
@@ -206,6 +207,7 @@
         process_state: Source of the instance list and of the draining state.
         holder: Configuration of this entry.
         demand: Exchange of the demand of the accounts.
+        crashes: Crashes and verdicts, exchanged with heartbeats.
         secret: Shared secret sent with each call; empty for none.
     """
 
@@ -218,6 +220,7 @@
         process_state: ProcessState,
         holder: ConfigurationHolder,
         demand: DemandExchange,
+        crashes: CrashReports,
         secret: str = "",
     ) -> None:
         self._own = own
@@ -226,6 +229,7 @@
         self._process_state = process_state
         self._holder = holder
         self._demand = demand
+        self._crashes = crashes
         self._secret = secret
         self.membership = Membership(own, parameters)
         self._channels: collections.OrderedDict[str, Channel] = (
@@ -248,13 +252,19 @@
             peer, request.requests, request.tokens, self._clock.elapsed()
         )
         self._holder.observe_contact()
+        self._crashes.apply_update(
+            peer, request.quarantine, request.quarantine_digest
+        )
         requests, tokens = self._demand.make_updates(peer)
+        quarantine, digest = self._crashes.make_update(peer)
         await stream.send_message(
             control_pb2.HeartbeatReply(
                 config_version=self._holder.version,
                 leaving=self._process_state.leaving.value,
                 requests=requests,
                 tokens=tokens,
+                quarantine=quarantine,
+                quarantine_digest=digest,
             )
         )
         await self._holder.observe_version(
@@ -309,6 +319,11 @@
             await self._clock.sleep(_COLLECTION_INTERVAL)
             await self.collect_garbage_as_root()
 
+    @property
+    def is_root(self) -> bool:
+        """Whether this entry is the root of the dissemination tree."""
+        return self._parent is None
+
     async def collect_garbage_as_root(self) -> None:
         """Deletes unused configuration parts if this entry is the root."""
         if self._parent is None and self._holder.version:
@@ -341,6 +356,7 @@
         )
         channel = self._open_channel(address)
         requests, tokens = self._demand.make_updates(parent)
+        quarantine, digest = self._crashes.make_update(parent)
         own = self._own
         try:
             reply = await ControlStub(channel).Heartbeat(
@@ -355,6 +371,8 @@
                     config_version=self._holder.version,
                     requests=requests,
                     tokens=tokens,
+                    quarantine=quarantine,
+                    quarantine_digest=digest,
                 ),
                 timeout=self._parameters.heartbeat_timeout.total_seconds(),
             )
@@ -365,6 +383,9 @@
         self._parent_contact_at = self._clock.elapsed()
         self._holder.observe_contact()
         self.membership.observe(MessageReceived(parent, now, reply.leaving))
+        self._crashes.apply_update(
+            parent, reply.quarantine, reply.quarantine_digest
+        )
         self._demand.observe_parent(
             parent, reply.requests, reply.tokens, self._clock.elapsed()
         )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -6,17 +6,22 @@
 import random
 import signal
 import uuid
+from datetime import timedelta
 
 from chicoryplank.attempts import EntryAttemptTable
 from chicoryplank.clock import Clock, SystemClock
 from chicoryplank.configuration import EntrySettings
+from chicoryplank.events import Event, emit
 from chicoryplank.ids import Incarnation, ModelGroupId
 from chicoryplank.lifecycle import Application
 from chicoryplank.limits import Limiter
 from chicoryplank.logs import configure_logging
 from chicoryplank.membership import MembershipParameters
 from chicoryplank.process_state import Instance, ProcessState
+from chicoryplank.quarantine import Quarantine
 from chicoryplank.retry import RetryPolicy
+from chicoryplank.store import StoreError
+from chicoryplank_entry import metrics
 from chicoryplank_entry.admission import AdmissionGate
 from chicoryplank_entry.caller_server import CallerServer, make_server
 from chicoryplank_entry.configuration import ConfigurationHolder
@@ -33,7 +38,8 @@
     poll_instance_list,
     update_relays,
 )
-from chicoryplank_entry.dispatch import Dispatcher
+from chicoryplank_entry.crash_reports import CrashReports
+from chicoryplank_entry.dispatch import Dispatcher, make_quarantine_refusal
 from chicoryplank_entry.exchange import AttemptRunner
 from chicoryplank_entry.group_controller import (
     GroupController,
@@ -41,12 +47,20 @@
 )
 from chicoryplank_entry.http import CallerInterface
 from chicoryplank_entry.pacing import OutputPacer
+from chicoryplank_entry.quarantine import (
+    QuarantineCheck,
+    QuarantineRecords,
+    Trials,
+)
 from chicoryplank_entry.relays import Relay, RelayPool
 from chicoryplank_entry.selection import RelaySelector
 from chicoryplank_wire.http import make_client
 from chicoryplank_wire.peers import make_server as make_peer_server
 from chicoryplank_wire.store import EtcdStore
 
+# Interval at which the root entry checks whether crashes must be stored.
+_SAVE_INTERVAL = timedelta(seconds=0.5)
+
 
 class Entry:
     """Components of the entry daemon, with their startup and shutdown order.
@@ -93,20 +107,22 @@
         )
         self.pool = RelayPool(self._make_relay)
         self.gate = AdmissionGate(Limiter(clock.now()), clock)
+        self.quarantine = Quarantine()
+        self.crashes = CrashReports(
+            self.quarantine, clock, self._identity[1], self._count_replicas
+        )
+        self._store = EtcdStore(settings.store.address, settings.store.timeout)
+        self._records = QuarantineRecords(
+            self._store,
+            self.quarantine,
+            self.crashes.now_s,
+            settings.instance,
+            lambda: [settings.instance],
+        )
         self._selector = RelaySelector(
             settings.zone, clock, rng, self.count_entries
         )
-        self.dispatcher = Dispatcher(
-            settings,
-            clock,
-            self.process_state,
-            runner=AttemptRunner(
-                settings, clock, self.attempt_table, self.pool, self._selector
-            ),
-            gate=self.gate,
-            retries=RetryPolicy(rng),
-        )
-        self._store = EtcdStore(settings.store.address, settings.store.timeout)
+        self.dispatcher = self._make_dispatcher()
         self._client = make_client(1)
         self._tasks: list[asyncio.Task] = []
         self.control = self._make_control()
@@ -117,9 +133,41 @@
         self.application = Application(f"entry {settings.instance}")
         self._add_hooks()
 
+    def _make_dispatcher(self) -> Dispatcher:
+        runner = AttemptRunner(
+            self._settings,
+            self._clock,
+            self.attempt_table,
+            self.pool,
+            self._selector,
+        )
+        runner.on_end = self.crashes.observe_end
+        check = QuarantineCheck(
+            self.quarantine,
+            Trials(self._store),
+            now_s=self.crashes.now_s,
+            # The instance list has no software versions.
+            list_versions=lambda service: ("",),
+            make_refusal=make_quarantine_refusal,
+            count=lambda result: metrics.QUARANTINED.labels(result).inc(),
+        )
+        return Dispatcher(
+            self._settings,
+            self._clock,
+            self.process_state,
+            runner=runner,
+            gate=self.gate,
+            retries=RetryPolicy(self._rng),
+            quarantine=check,
+        )
+
+    def _count_replicas(self, deployment: str) -> int:
+        return len(self.pool.get_relays(deployment))
+
     def _add_hooks(self) -> None:
         add_hooks = self.application.add_hooks
         add_hooks("store", stop=self._store.close)
+        add_hooks("quarantine", start=self._records.load)
         add_hooks("client", stop=self._client.aclose)
         add_hooks("relays", stop=self.pool.close)
         add_hooks("control", start=self._start_control, stop=self._stop_control)
@@ -158,6 +206,7 @@
             process_state=self.process_state,
             holder=holder,
             demand=DemandExchange(self.gate.limiter, parameters),
+            crashes=self.crashes,
             secret=settings.shared_secret,
         )
 
@@ -224,6 +273,7 @@
                 self.control.run_garbage_collection(),
                 detect_stalled_agents(self.pool, self._clock),
                 self.gate.run_ticks(),
+                self._save_quarantine(),
                 configure_limits(
                     self.gate.limiter, self.process_state, self._clock
                 ),
@@ -233,6 +283,21 @@
             )
         ]
 
+    async def _save_quarantine(self) -> None:
+        """Stores crashes and verdicts if this entry is the root of the tree.
+
+        The other entries exchange them with heartbeats only, so that the load
+        on the store does not grow with the number of entries.
+        """
+        while True:
+            await self._clock.sleep(_SAVE_INTERVAL)
+            if not self.control.is_root:
+                continue
+            try:
+                await self._records.save_if_due()
+            except StoreError as error:
+                emit(Event.QUARANTINE_NOT_STORED, error=error.message)
+
     async def _stop_controllers(self) -> None:
         for task in self._tasks:
             task.cancel()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/dispatch.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/dispatch.py
@@ -23,10 +23,13 @@
 from chicoryplank_entry import metrics
 from chicoryplank_entry.admission import AdmissionGate
 from chicoryplank_entry.exchange import AttemptRunner, SentAttempt
+from chicoryplank_entry.quarantine import QuarantineCheck
 from chicoryplank_entry.requests import Call, CallerRequest, choose_route
 from chicoryplank_entry.responses import CallerResponse, ResponseStream
 
 _RETRY_AFTER = timedelta(seconds=1)
+# A request in quarantine is not worth repeating while its caller waits.
+_QUARANTINE_RETRY_AFTER = timedelta(seconds=60)
 # Time in which the error event of an expired stream can be sent before the
 # connection of a caller that does not read is aborted.
 _ABORT_DELAY_S = 1.0
@@ -44,6 +47,7 @@
         runner: Sends single attempts to agents.
         gate: Admission control.
         retries: Decides on retries and hedged attempts.
+        quarantine: Refuses requests that crash backend servers.
 
     Attributes:
         in_progress: Number of requests in progress, including queued ones.
@@ -58,6 +62,7 @@
         runner: AttemptRunner,
         gate: AdmissionGate,
         retries: RetryPolicy,
+        quarantine: QuarantineCheck,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -65,6 +70,7 @@
         self._runner = runner
         self._gate = gate
         self._retries = retries
+        self._quarantine = quarantine
         self._call_numbers = itertools.count(1)
         self.in_progress = 0
 
@@ -118,6 +124,7 @@
             started_at + request.timeout,
             self._clock.now() + request.timeout,
         )
+        self._quarantine.check(call)
         self.in_progress += 1
         metrics.IN_PROGRESS.inc()
         try:
@@ -128,6 +135,7 @@
         streaming = False
         succeeded = False
         try:
+            await self._quarantine.acquire_trial(call)
             response = await self._run_with_retries(call)
             streaming = isinstance(response.body, ResponseStream)
             succeeded = True
@@ -201,6 +209,8 @@
             ChicoryplankError: The error to return to the caller, if the policy
                 denies a retry.
         """
+        if call.is_trial:
+            raise error
         decision = self._retries.admit(
             Failure(
                 call.route.account,
@@ -226,6 +236,7 @@
         raise final_error
 
     async def _run_once(self, call: Call) -> CallerResponse:
+        self._quarantine.check(call)
         sent_attempt = await self._start_attempt(call)
         handed_over = False
         try:
@@ -266,7 +277,7 @@
         return await self._run_hedged(call, sent_attempt, delay)
 
     def _get_hedge_delay(self, call: Call) -> timedelta | None:
-        if not call.route.repeatable:
+        if not call.route.repeatable or call.is_trial:
             return None
         return self._retries.get_hedge_delay(_get_latency_key(call))
 
@@ -325,6 +336,7 @@
         if not decision.allowed:
             return
         with contextlib.suppress(ChicoryplankError):
+            self._quarantine.check(call)
             hedge = self._runner.launch(call)
             task = asyncio.create_task(
                 self._runner.await_first_output(call, hedge)
@@ -384,6 +396,16 @@
         return stream
 
 
+def make_quarantine_refusal(call: Call, message: str) -> ChicoryplankError:
+    """Returns the error of a request in quarantine."""
+    return ChicoryplankError(
+        ErrorCode.QUARANTINED,
+        message,
+        call.earlier_verdict,
+        retry_after=_QUARANTINE_RETRY_AFTER,
+    )
+
+
 def _get_latency_key(call: Call) -> str:
     """Returns the key under which the first-output latency is recorded.
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import hashlib
+from collections.abc import Callable
 from datetime import timedelta
 
 from chicoryplank.attempts import Attempt, AttemptState, EntryAttemptTable
@@ -40,12 +41,14 @@
         relay: Connection to the agent.
         attempt: Entry of the attempt table.
         sent_at: Boot time at which the attempt was sent.
+        call: The request.
         first_output: First output; empty until it has arrived.
     """
 
     relay: Relay
     attempt: Attempt
     sent_at: timedelta
+    call: Call
     first_output: bytes = b""
 
 
@@ -58,6 +61,9 @@
         attempt_table: Attempts that this entry has in progress.
         pool: Connections to the agents.
         selector: Chooses the agent of an attempt.
+
+    Attributes:
+        on_end: Called with each attempt at its end.
     """
 
     def __init__(
@@ -73,6 +79,7 @@
         self._attempt_table = attempt_table
         self._pool = pool
         self._selector = selector
+        self.on_end: Callable[[SentAttempt], None] = lambda sent_attempt: None
 
     def get_remaining_s(self, call: Call) -> float:
         """Returns the time until the deadline, in seconds."""
@@ -100,7 +107,7 @@
         relay.in_flight += 1
         self._selector.begin_attempt(relay)
         metrics.ATTEMPTS.labels(call.route.deployment).inc()
-        return SentAttempt(relay, attempt, self._clock.elapsed())
+        return SentAttempt(relay, attempt, self._clock.elapsed(), call)
 
     async def await_first_output(
         self, call: Call, sent_attempt: SentAttempt
@@ -152,6 +159,7 @@
     def release(self, sent_attempt: SentAttempt) -> None:
         """Removes an attempt; cancels it at the agent if it has not ended."""
         sent_attempt.relay.in_flight -= 1
+        self.on_end(sent_attempt)
         error = sent_attempt.attempt.error
         if error is not None and error.code is ErrorCode.REPLICA_LIMITED:
             self._selector.hold(sent_attempt.relay, error.retry_after)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/metrics.py
@@ -53,6 +53,11 @@
     "Attempts by target.",
     ["target"],
 )
+QUARANTINED = prometheus_client.Counter(
+    "chicoryplank_quarantined_total",
+    "Requests with a feature in quarantine, by result.",
+    ["result"],
+)
 IN_PROGRESS = prometheus_client.Gauge(
     "chicoryplank_requests_in_progress",
     "Requests in progress.",
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
@@ -235,6 +235,20 @@
         """Starts to write in the background."""
         self._task = asyncio.get_running_loop().create_task(self._run())
 
+    async def load(self) -> None:
+        """Reads the document once; without the store, others tell it."""
+        try:
+            await self._read()
+        except StoreError as error:
+            emit(Event.QUARANTINE_NOT_STORED, error=error.message)
+
+    async def _read(self) -> None:
+        record = await self._store.read(QUARANTINE_KEY)
+        if record is None:
+            self.observe(None, 0)
+        else:
+            self.observe(record.value, record.revision)
+
     async def stop(self) -> None:
         """Stops to write."""
         if self._task is not None:
@@ -299,11 +313,7 @@
             self._revision = revision
             self._saved = _index(items)
             return
-        record = await self._store.read(QUARANTINE_KEY)
-        if record is None:
-            self.observe(None, 0)
-        else:
-            self.observe(record.value, record.revision)
+        await self._read()
 
     def _get_delay_s(self) -> float:
         members = self._list_live_members()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/requests.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/requests.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import hashlib
+import json
 from datetime import datetime, timedelta
 
 from chicoryplank.configuration import (
@@ -18,8 +19,17 @@
     ModelGroupId,
     ServiceId,
 )
+from chicoryplank.quarantine import (
+    FeatureId,
+    make_part_feature,
+    make_request_feature,
+)
 from chicoryplank.verdict import Verdict
 
+# Bounds on the messages of a prompt to which a crash may be attributed.
+_MAX_PARTS = 32
+_PART_DIGEST_BYTES = 12
+
 
 class RequestKind(enum.Enum):
     """Kind of the target of a request: a model or a plain service."""
@@ -97,6 +107,7 @@
         tried_instances: Instances of the agents of these attempts.
         earlier_verdict: MAY_HAVE_RUN if an earlier attempt may have run.
         tokens: Number of tokens generated so far, as far as known.
+        is_trial: Whether the request is sent once although it is in quarantine.
     """
 
     number: int
@@ -109,6 +120,30 @@
     tried_instances: set[InstanceId] = dataclasses.field(default_factory=set)
     earlier_verdict: Verdict = Verdict.NOT_RUN
     tokens: int = 0
+    is_trial: bool = False
+    _features: tuple[FeatureId, ...] | None = None
+
+    @property
+    def request_id(self) -> str:
+        """Number of the request, for logs."""
+        return str(self.number)
+
+    @property
+    def service(self) -> ServiceId:
+        """Deployment that serves the request."""
+        return ServiceId(self.route.deployment)
+
+    @property
+    def attempts(self) -> int:
+        """Number of attempts sent so far."""
+        return self.attempt_count
+
+    @property
+    def features(self) -> tuple[FeatureId, ...]:
+        """What a crash of a backend server under the request may be due to."""
+        if self._features is None:
+            self._features = _make_features(self.route, self.request)
+        return self._features
 
     @property
     def admission_id(self) -> AttemptId:
@@ -116,6 +151,26 @@
         return AttemptId(str(self.number))
 
 
+def _make_features(
+    route: Route, request: CallerRequest
+) -> tuple[FeatureId, ...]:
+    """Returns the request itself, and the messages but the last as parts."""
+    service = ServiceId(route.deployment)
+    features = [
+        make_request_feature(
+            service, route.account, request.method, request.path, request.body
+        )
+    ]
+    if request.kind is RequestKind.MODEL:
+        messages = json.loads(request.body).get("messages")
+        shared = messages[:-1] if isinstance(messages, list) else []
+        for message in shared[:_MAX_PARTS]:
+            text = json.dumps(message, sort_keys=True).encode()
+            digest = hashlib.blake2b(text, digest_size=_PART_DIGEST_BYTES)
+            features.append(make_part_feature(service, digest.hexdigest()))
+    return tuple(features)
+
+
 def find_account(
     snapshot: Snapshot, token: str
 ) -> tuple[AccountId, AccountConfiguration]:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_control.py
@@ -17,12 +17,14 @@
     parse_intent,
 )
 from chicoryplank.fakes import MemoryStore
-from chicoryplank.ids import InstanceId, OperationId, ZoneId
+from chicoryplank.ids import Incarnation, InstanceId, OperationId, ZoneId
 from chicoryplank.limits import Limiter
 from chicoryplank.membership import MembershipParameters
 from chicoryplank.process_state import Instance, ProcessState
+from chicoryplank.quarantine import Quarantine
 from chicoryplank_entry.configuration import ConfigurationHolder
 from chicoryplank_entry.control import ControlService, DemandExchange
+from chicoryplank_entry.crash_reports import CrashReports
 from chicoryplank_wire import control_pb2
 from chicoryplank_wire.control_grpc import ControlStub
 
@@ -71,6 +73,9 @@
             process_state=self.process_state,
             holder=holder,
             demand=self.demand,
+            crashes=CrashReports(
+                Quarantine(), self.clock, Incarnation(self.name), lambda name: 3
+            ),
         )
         self.server = Server([self.service])
         await self.server.start("127.0.0.1", port)
