--- a/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
@@ -226,25 +226,22 @@
             records = self._list_unexplained(service)
             if len(records) < _MIN_CRASHES:
                 return
-            chains = _find_chains(records)
-            likely = {
+            chains = {
                 feature: chain
+                for feature, chain in _find_chains(records).items()
+                if len(chain) >= _MIN_CRASHES
+            }
+            if not chains:
+                return
+            chances = {
+                feature: self._compute_chance(service, feature, chain, records)
                 for feature, chain in chains.items()
-                if self._is_cause(service, feature, chain, records)
             }
-            if not likely:
-                if max(map(len, chains.values())) >= _MIN_CRASHES:
-                    self._undecided.add(service)
+            feature = min(chances, key=lambda name: (chances[name], name))
+            if chances[feature] > _MAX_CHANCE:
+                self._undecided.add(service)
                 return
-            feature = min(
-                likely,
-                key=lambda name: (
-                    -len(likely[name]),
-                    self._outcomes.count_with(service, name),
-                    name,
-                ),
-            )
-            self._condemn(service, feature, likely[feature], now_s)
+            self._condemn(service, feature, chains[feature], now_s)
 
     def _list_unexplained(self, service: ServiceId) -> list[CrashRecord]:
         unexplained = []
@@ -271,21 +268,19 @@
             if self._verdicts.merge(report):
                 self._note_change(verdict)
 
-    def _is_cause(
+    def _compute_chance(
         self,
         service: ServiceId,
         feature: FeatureId,
         chain: Sequence[CrashRecord],
         records: Sequence[CrashRecord],
-    ) -> bool:
-        """Returns whether chance does not explain the crashes.
+    ) -> float:
+        """Returns the probability that crashes under a feature are chance.
 
         Two observations speak against chance: the replicas of all requests with
         the feature crashed while those of others did not, and such a request
         was in progress at most of the replicas that crashed.
         """
-        if len(chain) < _MIN_CRASHES:
-            return False
         recent = [
             record for record in records if record.seen_s >= chain[0].seen_s
         ]
@@ -299,8 +294,8 @@
             and survived < _MIN_CONTRAST
             and chance > _MAX_PRESENCE_CHANCE
         ):
-            return False
-        return rate ** _count_moments(recent, feature) * chance <= _MAX_CHANCE
+            return 1.0
+        return rate ** _count_moments(recent, feature) * chance
 
     def _count_others(
         self,
