Check that a replica lives before an unframed response counts as complete

At such an end the entry connects to the replica. If the port refuses, or if nothing is known and the request may run again, the response counts as broken off and a stream is resumed. A stream without any event is broken off. A connection that is accepted and closed again says nothing, and requests that were sent after the first break are no suspects. test_ends_with_a_crash asserts now that the caller gets no complete response.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
@@ -1,6 +1,7 @@
 """Relays the response of a replica to the caller, with the body unchanged."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from chicoryplank.ids import InstanceId
 from chicoryplank_entry.forwarding.attempts import Attempt
@@ -43,6 +44,8 @@
         names: Header names.
         parameters: Time limits.
         call: The request.
+        check_unframed_end: Called at the end of a response with neither a
+            length nor chunks; raises ConnectionBrokenError if it is incomplete.
 
     Attributes:
         replica: Replica whose status and headers were sent to the caller.
@@ -58,7 +61,9 @@
         names: HeaderNames,
         parameters: ExchangeParameters,
         call: Call,
+        check_unframed_end: Callable[[Call, Attempt], Awaitable[None]],
     ) -> None:
+        self._check_unframed_end = check_unframed_end
         self._state = state
         self._names = names
         self._parameters = parameters
@@ -201,6 +206,8 @@
                 self._start_reply(attempt, reply, response.content_length)
                 reply.write(b"".join(buffered))
                 buffered.clear()
+        if response.ends_at_close:
+            await self._check_unframed_end(self._call, attempt)
         now_s = self._state.now_s()
         self._state.observe_progress(
             self._call.service_state, attempt.replica.instance, now_s
@@ -246,6 +253,12 @@
             raise ConnectionBrokenError(
                 BreakReason.CLOSED, "stream ended in the middle of an event"
             )
+        if attempt.response.ends_at_close:
+            if not reply.started:
+                raise ConnectionBrokenError(
+                    BreakReason.CLOSED, "stream ended before its first event"
+                )
+            await self._check_unframed_end(self._call, attempt)
         if not reply.started:
             self._start_reply(attempt, reply, None)
         reply.end()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/crashes.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/crashes.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 import itertools
 import uuid
 from collections.abc import Collection, Sequence
@@ -30,6 +31,10 @@
 # Time in seconds after a break before the port of the replica is tried, since
 # a process that ends closes its sockets one after the other.
 _CHECK_DELAY_S = 0.02
+# Time in seconds for which a connection to a live replica stays open.
+_STAYS_OPEN_S = 0.05
+# Shorter delays in seconds while a caller waits for the result of a check.
+_QUICK_CHECK_S = 0.005
 # Interval in seconds of further checks of a replica that does not respond, and
 # the time after which its state remains unknown.
 _CHECK_INTERVAL_S = 0.4
@@ -43,6 +48,20 @@
 _LOGGED_REQUESTS = 8
 
 
+class Condition(enum.Enum):
+    """What a new connection tells of a replica.
+
+    Attributes:
+        ALIVE: It accepts connections.
+        CRASHED: Its port refuses connections.
+        UNKNOWN: It can't be reached, or the connection closes again.
+    """
+
+    ALIVE = "alive"
+    CRASHED = "crashed"
+    UNKNOWN = "unknown"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BrokenAttempt:
     """An attempt whose connection ended while the request was in progress.
@@ -113,6 +132,8 @@
             self._report(replica, [broken], "known")
             return
         attempts = self._broken.setdefault(replica, [])
+        if attempts and broken.sent_s > attempts[0].broken_s:
+            return  # It was sent after the crash, if there was one.
         if len(attempts) < _MAX_BROKEN_PER_REPLICA:
             attempts.append(broken)
         if replica not in self._checks:
@@ -142,7 +163,6 @@
 
     async def _check(self, replica: ReplicaRecord) -> None:
         """Finds out whether a replica has crashed."""
-        backend = BackendAddress(replica.instance, replica.address)
         end_s = self._state.now_s() + _MAX_CHECK_S
         try:
             await asyncio.sleep(_CHECK_DELAY_S)
@@ -152,14 +172,11 @@
                 if self._has_restarted(replica):
                     self._confirm(replica, "restarted")
                     return
-                try:
-                    connection = await self._pool.open(backend)
-                except ConnectionBrokenError as error:
-                    if error.reason is BreakReason.REFUSED:
-                        self._confirm(replica, "refused")
-                        return
-                else:
-                    connection.abort()
+                condition = await self._probe(replica, _STAYS_OPEN_S)
+                if condition is Condition.CRASHED:
+                    self._confirm(replica, "refused")
+                    return
+                if condition is Condition.ALIVE:
                     self._settle_alive(replica, is_first_check=number == 0)
                     return
                 if self._state.now_s() > end_s:
@@ -169,6 +186,32 @@
             self._checks.pop(replica, None)
             self._broken.pop(replica, None)
 
+    async def probe(self, replica: ReplicaRecord) -> Condition:
+        """Finds out quickly whether a replica that has just responded lives."""
+        await asyncio.sleep(_QUICK_CHECK_S)
+        return await self._probe(replica, _QUICK_CHECK_S)
+
+    async def _probe(self, replica: ReplicaRecord, open_s: float) -> Condition:
+        """Connects to a replica.
+
+        Args:
+            replica: The replica.
+            open_s: Time in seconds for which the connection must stay open. A
+                proxy, or a replica with too many connections, accepts and
+                closes it, which says nothing.
+        """
+        backend = BackendAddress(replica.instance, replica.address)
+        try:
+            connection = await self._pool.open(backend)
+        except ConnectionBrokenError as error:
+            if error.reason is BreakReason.REFUSED:
+                return Condition.CRASHED
+            return Condition.UNKNOWN
+        await asyncio.sleep(open_s)
+        is_open = not connection.is_closed
+        connection.abort()
+        return Condition.ALIVE if is_open else Condition.UNKNOWN
+
     def _has_restarted(self, replica: ReplicaRecord) -> bool:
         """Returns whether another process has registered at the address."""
         return any(
@@ -309,4 +352,4 @@
     }
 
 
-__all__ = ["BrokenAttempt", "CrashDetector"]
+__all__ = ["BrokenAttempt", "Condition", "CrashDetector"]
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -14,7 +14,7 @@
 from chicoryplank_entry.forwarding.attempts import Attempt, Outcome, classify
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
 from chicoryplank_entry.forwarding.calls import Call, make_call
-from chicoryplank_entry.forwarding.crashes import CrashDetector
+from chicoryplank_entry.forwarding.crashes import Condition, CrashDetector
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
@@ -167,7 +167,13 @@
         Raises:
             ChicoryplankError: If no attempt yields a complete response.
         """
-        relay = ResponseRelay(self._state, self._names, self._parameters, call)
+        relay = ResponseRelay(
+            self._state,
+            self._names,
+            self._parameters,
+            call,
+            self._check_unframed_end,
+        )
         loop = asyncio.get_running_loop()
         left_s = call.deadline_s - self._state.now_s()
         try:
@@ -343,6 +349,23 @@
             self._end_attempt(call, instance, succeeded)
         return False
 
+    async def _check_unframed_end(self, call: Call, attempt: Attempt) -> None:
+        """Checks that a response which ended with its connection is complete.
+
+        Raises:
+            ConnectionBrokenError: If the replica has crashed; or if that is
+                unknown and the request may run again.
+        """
+        condition = await self.crashes.probe(attempt.replica)
+        if condition is Condition.CRASHED or (
+            condition is Condition.UNKNOWN and call.route.repeatable
+        ):
+            raise ConnectionBrokenError(
+                BreakReason.CLOSED,
+                f"the response has no length and its replica is "
+                f"{condition.value}",
+            )
+
     def _read_limit(self, attempt: Attempt) -> None:
         """Records the limit that the replica names for all entries."""
         self._state.server_limits.read(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_crashes.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_crashes.py
@@ -150,5 +150,13 @@
         for data in (make_event(1), make_event(1) + b"id: 2\nda"):
             replica = CrashingReplica(lambda recorded: True, down_s=9)
             replica.scripts = [end_with_connection(data, then=replica.crash)]
-            _, crashes = self.find_crashes(replica)
+            (_, _, body), crashes = self.find_crashes(replica)
+            self.assertIsNone(body, data)
             self.assertEqual(1, len(crashes), data)
+
+    def test_end_before_the_first_event_is_broken(self):
+        """Guards against an empty stream that looks complete."""
+        replica = Replica(end_with_connection(b""))
+        (status, _, _), crashes = self.find_crashes(replica)
+        self.assertEqual(502, status)
+        self.assertEqual([], crashes)
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
@@ -240,6 +240,11 @@
             and not self._transport.get_write_buffer_size()
         )
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether either side has closed the connection."""
+        return self._closed or self._transport.is_closing()
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport and sets the socket options."""
         self._transport = transport
