Let replicas of the soak crash under harmful requests

The fault harm lets callers send requests with one part in their prompts, or one request again and again, for 4 to 10 s; each crashes the replica that runs it, whose port refuses connections until it is back. Checked are the arrivals later than 3 s after the fifth or third crash (3 allowed, through entries without a fault) and that sound requests of the kind are still sent. Streams of harmful requests come with chunks and without.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -257,6 +257,11 @@
             self._forward, HOST, self._port
         )
 
+    def refuse(self) -> None:
+        """Closes the port and breaks all connections, until `start`."""
+        self._server.close()
+        self.cut()
+
     async def close(self) -> None:
         """Stops listening and breaks all connections."""
         self._is_closed = True
--- a/tools/soak_forwarding.py
+++ b/tools/soak_forwarding.py
@@ -27,6 +27,7 @@
     FaultContext,
     run_faults,
 )
+from soak_forwarding_harm import HarmfulTraffic
 from soak_forwarding_judge import (
     CONFIG_APPLY_BOUND_S,
     DRAIN_BOUND_S,
@@ -70,6 +71,8 @@
 ANY_CONNECTION_PROBABILITY = 0.3
 CHANGING_ROUTE_PROBABILITY = 0.05
 ADDRESS_LIFETIME_S = 2.0
+# Number of prompt parts that streams share.
+SHARED_PARTS = 5
 # Choices for the time between two changes of the routes.
 ROUTE_CHANGE_INTERVALS_S = (0.03, 0.3, 2.5, 2.5)
 # Pause after the last fault and duration of the traffic after it.
@@ -231,6 +234,17 @@
         await asyncio.gather(*self._tasks)
         self._tasks.clear()
 
+    def make_sound_request(self, kind: Kind) -> Request:
+        """Returns a request on a route that exists throughout the run."""
+        while True:
+            request, expectation = self._make_request(kind)
+            if expectation is Expectation.SERVED:
+                return request
+
+    async def send_served(self, request: Request) -> SentRequest | None:
+        """Sends a request on a route that exists throughout the run."""
+        return await self._send_request(request, Expectation.SERVED)
+
     def _make_request(self, kind: Kind) -> tuple[Request, Expectation]:
         self._request_count += 1
         request_id = f"{self._request_count:016x}"
@@ -256,6 +270,7 @@
             body,
             self._rng.choice(list(self._operator.keys)),
             DEADLINES_MS[kind],
+            part=f"part-{self._request_count % SHARED_PARTS}",
         )
         return request, expectation
 
@@ -352,6 +367,8 @@
         self._operator = RouteOperator(
             self._store, self._checker, random.Random(f"{seed}/operator")
         )
+        self._harmful: HarmfulTraffic | None = None
+        self._context: FaultContext | None = None
 
     async def run(self) -> dict[str, Any]:
         """Runs the entries under traffic and faults and returns the summary."""
@@ -372,6 +389,7 @@
                 5 if is_stream else 6,
                 observe=self._checker.observe_arrival,
                 observe_end=self._checker.observe_execution_end,
+                crash_under=self._crash_under,
             )
             await replica.start()
             stack.push_async_callback(replica.crash)
@@ -449,6 +467,9 @@
             store_link,
         )
 
+    async def _crash_under(self, replica: SimulatedReplica, mark: str) -> None:
+        await self._harmful.crash(self._context, replica, mark)
+
     def _record_drain(self, replica: SimulatedReplica) -> None:
         lifetime = f"{replica.name}/{replica.started_ms}"
         self._checker.draining_since[lifetime] = time.time()
@@ -470,6 +491,14 @@
             self._record_drain,
             self._checker.record_limit,
         )
+        harmful = HarmfulTraffic(
+            self._checker,
+            random.Random(f"{options.seed}/harm"),
+            callers.make_sound_request,
+            callers.send_served,
+        )
+        self._harmful, self._context = harmful, context
+        context.run_harm = harmful.run_harm
         concurrency = context.rng.choice(FAULT_CONCURRENCY_CHOICES)
         background_tasks = [
             asyncio.create_task(callers.refresh()),
@@ -508,6 +537,7 @@
         checker.check_retry_budget()
         checker.check_server_limits()
         checker.check_recovery(recovery_start_s)
+        harm = self._harmful.check()
         for name in self._fleet.list_ended():
             checker.add("process_ended", name)
         for name in self._entry_processes:
@@ -525,6 +555,7 @@
             "statuses": dict(sorted(statuses.items())),
             "repeats": sum(max(0, len(item.arrivals) - 1) for item in sent),
             "faults": self._timeline.count(),
+            "harm": harm,
             "allowed": {
                 key: count
                 for key, count in checker.counts.items()
--- a/tools/soak_forwarding_faults.py
+++ b/tools/soak_forwarding_faults.py
@@ -90,6 +90,7 @@
         reserved: Names of the entries and replicas that a fault restarts or
             pauses, so that no other such fault uses them.
         link_faults: Interval of the current fault of each replica link.
+        run_harm: Sends requests that crash replicas for a while.
     """
 
     fleet: Fleet
@@ -105,6 +106,7 @@
     link_faults: dict[TcpProxy, Interval] = dataclasses.field(
         default_factory=dict
     )
+    run_harm: Callable[["FaultContext"], Awaitable[None]] | None = None
 
     def choose_unreserved(self, items: dict[str, object]) -> str | None:
         """Returns a random name that is not in `reserved`, or None."""
@@ -446,6 +448,11 @@
         replica.server_limit = ""
 
 
+async def send_harmful_requests(context: FaultContext) -> None:
+    """Lets callers send requests that crash replicas."""
+    await context.run_harm(context)
+
+
 async def _spoil_replicas(
     context: FaultContext, names: list[str], faults: Sequence[ReplicaFault]
 ) -> None:
@@ -482,6 +489,7 @@
     "disturbed_stop": disturb_stop,
     "shed": shed_requests,
     "limit": limit_replica,
+    "harm": send_harmful_requests,
 }
 
 
