Pause before unreachable replicas are tried again for one request

A request whose replicas all refuse connections tried them in turn without a pause, until one came back or its deadline passed.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -37,6 +37,9 @@
 _CONFIGURATION_TIMEOUT_S = 0.8
 # Retry-After delay of an entry that shuts down; other entries are available.
 _DRAINING_RETRY_AFTER = timedelta(milliseconds=30)
+# Delay before a replica that can't be reached is tried again, if no other one
+# is left, in seconds.
+_CONNECTION_RETRY_DELAY_S = 0.05
 _SUCCESS = range(200, 300)
 
 
@@ -214,6 +217,7 @@
             ChicoryplankError: If the request is refused.
         """
         must_wait = False
+        connection_failed = False
         while True:
             self._admission.check_retry(call)
             self._quarantine.check(call)
@@ -230,6 +234,11 @@
             replica = self._state.choose_replica(
                 call.service_state, full | call.tried_replicas, now_s
             )
+            if replica is None and connection_failed:
+                # All replicas were tried, and the last one can't be reached.
+                await asyncio.sleep(_CONNECTION_RETRY_DELAY_S)
+                connection_failed = False
+                continue
             if replica is None:
                 replica = self._state.choose_replica(
                     call.service_state, full, now_s
@@ -250,6 +259,7 @@
                 self._end_attempt(call, replica.instance, False)
                 call.tried_replicas.add(replica.instance)
                 self._log.record_connection_failure(call, backend, error)
+                connection_failed = True
                 if error.reason is BreakReason.REFUSED:
                     self.crashes.observe_refusal(replica)
                 continue
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_crashes.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_crashes.py
@@ -160,3 +160,27 @@
         (status, _, _), crashes = self.find_crashes(replica)
         self.assertEqual(502, status)
         self.assertEqual([], crashes)
+
+
+class TestRefusedConnections(testtools.TestCase):
+    """A request while no replica accepts connections."""
+
+    def test_ports_are_not_tried_without_pause(self):
+        """Guards against thousands of attempts to connect in one request."""
+        replicas = [CrashingReplica(lambda recorded: False) for _ in range(2)]
+
+        async def run():
+            async with EntryFixture(
+                *replicas, kind=RequestKind.IDEMPOTENT
+            ) as fixture:
+                for replica in replicas:
+                    await replica.crash()
+                return await fixture.send_request(left_ms=800)
+
+        with TestHandler() as handler:
+            asyncio.run(run())
+        attempts = sum(
+            record.extra["event"] == Event.ATTEMPT_FAILED.number
+            for record in handler.records
+        )
+        self.assertLessEqual(attempts, 20)
