Let services of the own front's soak crash under a call that is repeated

The fault harmful_call repeats a call for 14 s under which plain services end, and restarts them. Checked are the crashes later than 3 s after the third one (3 allowed).

--- a/packages/chicoryplank-standins/src/chicoryplank_standins/service.py
+++ b/packages/chicoryplank-standins/src/chicoryplank_standins/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import os
 import time
 
 import click
@@ -18,6 +19,10 @@
     serve,
 )
 
+# Part of the path of calls under which the service crashes.
+HARMFUL_MARK = "harmful-"
+_CRASH_CODE = 86
+
 
 class Service:
     """Execution records and injected faults of a service.
@@ -51,6 +56,9 @@
     async def handle(request: Request) -> Response:
         body = await request.body()
         await service.wait_for_stall()
+        if HARMFUL_MARK in request.url.path:
+            await service.work()
+            os._exit(_CRASH_CODE)
         if service.faults.consume_failure():
             return make_error_response(
                 500, "service_error", "failure injected through /faults"
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -19,7 +19,14 @@
 from soak_operators import Operators
 from soak_records import Timeline
 
-from chicoryplank_standins.calls import Call, CallKind, Target, make_calls
+from chicoryplank_standins.calls import (
+    Call,
+    CallKind,
+    Target,
+    make_calls,
+    make_client,
+)
+from chicoryplank_standins.service import HARMFUL_MARK
 
 START_TIMEOUT_S = 20
 # A request may fail because of a fault up to this time after its end.
@@ -34,6 +41,15 @@
 _LIMIT_EXTRA = 5
 _LIMIT_WINDOW_S = 4.0
 _LIMIT_NOTICE_S = 1.0
+# Bounds on the crashes under one call: the crashes after which all entries must
+# know it, the time in seconds until they do, and the later ones that are
+# allowed.
+_HARMFUL_CRASHES = 3
+_HARMFUL_NOTICE_S = 3.0
+_MAX_LATE_CRASHES = 3
+_HARMFUL_DURATION_S = 14.0
+_HARMFUL_RATE_PER_S = 1.5
+_MAX_DOWN_S = 1.5
 
 
 class FaultContext:
@@ -332,6 +348,93 @@
             return
 
 
+async def send_harmful_call(context: FaultContext, rng: random.Random) -> None:
+    """Repeats a call under which services crash, and checks that it ends.
+
+    Nothing else disturbs the services meanwhile, so that each arrival at a
+    service is a crash.
+    """
+    services = [
+        name for name in context.site.addresses if name.startswith("service-")
+    ]
+    names = [*services, *(f"agent-{name}" for name in services)]
+    if not all(map(context.is_free, names)):
+        return
+    with context.reserve(names):
+        async with context.record_fault("harmful_call", *names):
+            crash_times: list[float] = []
+            restarts = [
+                asyncio.create_task(
+                    _restart_after_crashes(context, name, rng, crash_times)
+                )
+                for name in services
+            ]
+            try:
+                await _repeat_harmful_call(context, rng)
+                await asyncio.sleep(_MAX_DOWN_S)
+            finally:
+                for task in restarts:
+                    task.cancel()
+                await asyncio.gather(*restarts, return_exceptions=True)
+            for name in services:
+                if not context.fleet.members[name].is_running:
+                    await context.restart(name)
+    crash_times.sort()
+    known_s = [*crash_times, *[float("inf")] * _HARMFUL_CRASHES][
+        _HARMFUL_CRASHES - 1
+    ] + _HARMFUL_NOTICE_S
+    late = [at_s - known_s for at_s in crash_times if at_s > known_s]
+    if len(late) > _MAX_LATE_CRASHES:
+        context.errors.append(f"harmful call sent after its crashes: {late}")
+
+
+async def _restart_after_crashes(
+    context: FaultContext,
+    name: str,
+    rng: random.Random,
+    crash_times: list[float],
+) -> None:
+    """Restarts a service some time after each crash, until cancelled."""
+    while True:
+        await asyncio.sleep(0.02)
+        if context.fleet.members[name].is_running:
+            continue
+        crash_times.append(time.monotonic())
+        await asyncio.sleep(rng.uniform(0.3, _MAX_DOWN_S))
+        await context.restart(name)
+
+
+async def _repeat_harmful_call(
+    context: FaultContext, rng: random.Random
+) -> None:
+    calls = make_calls(context.target, 1, 1e9, rng)
+    call = next(call for call in calls if call.kind is CallKind.READ)
+    path = call.path.rpartition("/")[0] + f"/{HARMFUL_MARK}{rng.random()}"
+    entries = [
+        address
+        for name, address in context.site.addresses.items()
+        if name.startswith("entry-")
+    ]
+
+    async def send(client) -> None:
+        # A failure is the expected end of such a call.
+        with contextlib.suppress(TimeoutError, OSError, EOFError):
+            async with asyncio.timeout(3):
+                response = await client.get(
+                    f"http://{rng.choice(entries)}{path}", headers=call.headers
+                )
+                await response.content()
+
+    end_s = time.monotonic() + _HARMFUL_DURATION_S
+    client = make_client(64)
+    tasks = []
+    while time.monotonic() < end_s:
+        tasks.append(asyncio.create_task(send(client)))
+        await asyncio.sleep(rng.expovariate(_HARMFUL_RATE_PER_S))
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await client.aclose()
+
+
 def _make_write(context: FaultContext, rng: random.Random) -> Call:
     calls = make_calls(context.target, 1, 1e9, rng)
     return next(call for call in calls if call.kind is CallKind.WRITE)
@@ -437,6 +540,7 @@
     "mark_leaving": mark_leaving,
     "drain": drain,
     "limit_service": limit_service,
+    "harmful_call": send_harmful_call,
     "stop_entry": _make_stop("stop_entry", "entry-", 1),
     "stop_agent": _make_stop("stop_agent", "agent-", 1),
     "replace_entries": _make_stop("replace_entries", "entry-", 2),
