Split the statistics of crashes off, and drop old crashes without a new one

The quarantine compared its whole state with the document in the store every 0.1 s once a crash was known, and forgot crashes only when another one came. A counter of changes skips the comparison, and crashes end after ten minutes.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
@@ -229,6 +229,8 @@
         self._revision = 0
         self._saved: dict[str, Document] = {}
         self._differs_since_s: float | None = None
+        # Revision of the quarantine that equals the document.
+        self._compared_revision = -1
         self._task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -263,6 +265,7 @@
         """
         self._revision = revision
         self._saved = {}
+        self._compared_revision = -1
         if value is None:
             return
         try:
@@ -296,9 +299,13 @@
             StoreError: If the store does not respond.
         """
         now_s = self._now_s()
+        self._quarantine.expire(now_s)
+        if self._quarantine.revision == self._compared_revision:
+            return
         items = self._quarantine.encode_all(now_s)
         if _index(items) == self._saved:
             self._differs_since_s = None
+            self._compared_revision = self._quarantine.revision
             return
         if self._differs_since_s is None:
             self._differs_since_s = now_s
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_ledger.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_ledger.py
@@ -238,7 +238,7 @@
         known = self._records.get(report.crash)
         if known is None:
             self._records[report.crash] = report
-            self._expire(now_s)
+            self.expire(now_s)
             self._index()
             return report.crash in self._records
         # Both times of the crash are estimates; the first one stays, so that
@@ -278,14 +278,19 @@
             self._index()
         return any(changed)
 
-    def _expire(self, now_s: float) -> None:
-        """Drops the oldest records beyond the bounds."""
+    def expire(self, now_s: float) -> bool:
+        """Drops the oldest records beyond the bounds; returns whether any."""
         newest = self.list_records()[-_MAX_CRASHES:]
-        self._records = {
+        kept = {
             record.crash: record
             for record in newest
             if now_s - record.seen_s <= _MAX_AGE_S
         }
+        if len(kept) == len(self._records):
+            return False
+        self._records = kept
+        self._index()
+        return True
 
     def _index(self) -> None:
         self._open = {}
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
@@ -16,12 +16,17 @@
 """
 
 import dataclasses
-import math
 import uuid
 from collections.abc import Collection, Mapping, Sequence
 
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import ServiceId
+from chicoryplank.quarantine._chances import (
+    ORDER_TOLERANCE_S,
+    compute_presence_chance,
+    count_moments,
+    find_chains,
+)
 from chicoryplank.quarantine._features import FeatureId, is_widespread
 from chicoryplank.quarantine._ledger import (
     CrashLedger,
@@ -36,9 +41,6 @@
 )
 
 _MIN_CRASHES = 3
-# Tolerance in seconds for the clocks and messages of entries when the send of a
-# request is compared with the crash before it.
-_ORDER_TOLERANCE_S = 0.05
 # Probability below which the crashes under a feature are no coincidence.
 _MAX_CHANCE = 1e-5
 # Number of attempts as which the assumption counts that a crash hits one of the
@@ -67,6 +69,9 @@
 class Quarantine:
     """Crashes, verdicts and recent outcomes as known to one entry.
 
+    Attributes:
+        revision: Number of changes of crashes and verdicts so far.
+
     Example:
         >>> quarantine = Quarantine()
         >>> quarantine.find_verdict([FeatureId("llm/part/a1")]) is None
@@ -79,6 +84,7 @@
         self._outcomes = Outcomes()
         self._changed: dict[str, CrashRecord | QuarantineVerdict] = {}
         self._undecided: set[ServiceId] = set()
+        self.revision = 0
 
     def is_watching(self, service: ServiceId) -> bool:
         """Returns whether the outcomes of requests to a service matter."""
@@ -186,7 +192,7 @@
         """Clears features of the crashes before a request was sent."""
         witness = uuid.uuid4().hex[:8]
         for record in self._ledger.list_records(service):
-            if record.seen_s + _ORDER_TOLERANCE_S > sent_s:
+            if record.seen_s + ORDER_TOLERANCE_S > sent_s:
                 continue
             if is_complete:
                 changed = self._ledger.clear(record, features)
@@ -216,6 +222,7 @@
     def _note_change(self, item: CrashRecord | QuarantineVerdict) -> None:
         key = item.crash if isinstance(item, CrashRecord) else item.feature
         self._changed[key] = item
+        self.revision += 1
 
     # Verdicts.
 
@@ -228,7 +235,7 @@
                 return
             chains = {
                 feature: chain
-                for feature, chain in _find_chains(records).items()
+                for feature, chain in find_chains(records).items()
                 if len(chain) >= _MIN_CRASHES
             }
             if not chains:
@@ -295,7 +302,7 @@
             and chance > _MAX_PRESENCE_CHANCE
         ):
             return 1.0
-        return rate ** _count_moments(recent, feature) * chance
+        return rate ** count_moments(recent, feature) * chance
 
     def _count_others(
         self,
@@ -351,6 +358,11 @@
             generation=verdict.generation,
         )
 
+    def expire(self, now_s: float) -> None:
+        """Drops crashes that are too old to be evidence."""
+        if self._ledger.expire(now_s):
+            self.revision += 1
+
     # Exchange with other entries and the store.
 
     def take_changes(self, now_s: float) -> list[dict[str, object]]:
@@ -392,6 +404,7 @@
             record = decode_record(document, now_s)
             if self._ledger.merge(record, now_s):
                 services.add(record.service)
+                self.revision += 1
         for service in services:
             self._judge(service, now_s)
 
@@ -399,6 +412,7 @@
         was_active = self._verdicts.get_active(verdict.feature) is not None
         if not self._verdicts.merge(verdict):
             return
+        self.revision += 1
         if verdict.is_active and not was_active:
             emit(
                 Event.QUARANTINE_BEGUN,
@@ -414,61 +428,3 @@
                 generation=verdict.generation,
                 source=source,
             )
-
-
-def compute_presence_chance(
-    records: Sequence[CrashRecord], feature: FeatureId, share: float
-) -> float:
-    """Returns the chance that a feature is present in so many crashes.
-
-    Args:
-        records: Crashes.
-        feature: A suspect of some of them.
-        share: Fraction of the requests that have the feature.
-    """
-    present = sum(feature in record.open_suspects for record in records)
-    mean_requests = sum(
-        max(1, sum(record.requests.values())) for record in records
-    ) / len(records)
-    chance = 1.0 - (1.0 - share) ** mean_requests
-    total = len(records)
-    return sum(
-        math.comb(total, count)
-        * chance**count
-        * (1.0 - chance) ** (total - count)
-        for count in range(present, total + 1)
-    )
-
-
-def _count_moments(records: Sequence[CrashRecord], feature: FeatureId) -> int:
-    """Counts crashes under a feature; those at the same moment count once."""
-    count = 0
-    last_s = float("-inf")
-    for record in records:
-        if feature in record.open_suspects and (
-            record.seen_s >= last_s + _ORDER_TOLERANCE_S
-        ):
-            count += 1
-            last_s = record.seen_s
-    return count
-
-
-def _find_chains(
-    records: Sequence[CrashRecord],
-) -> dict[FeatureId, list[CrashRecord]]:
-    """Returns the crashes under each feature that follow one another.
-
-    A crash follows the one before it if the request with the feature was sent
-    after that one, so that replicas which fail together count once.
-
-    Args:
-        records: Crashes in order of time.
-    """
-    chains: dict[FeatureId, list[CrashRecord]] = {}
-    for record in records:
-        for feature in record.open_suspects:
-            chain = chains.setdefault(feature, [])
-            sent_s = record.seen_s - record.suspects[feature]
-            if not chain or sent_s >= chain[-1].seen_s + _ORDER_TOLERANCE_S:
-                chain.append(record)
-    return chains
--- a/packages/chicoryplank/src/chicoryplank/quarantine/tests/test_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/tests/test_quarantine.py
@@ -191,6 +191,13 @@
                     except MalformedReportError:
                         continue
 
+    def test_old_crashes_are_dropped(self):
+        """Guards against the cost of a crash for the life of a process."""
+        trouble = Trouble()
+        trouble.crash((_SHARED, _BAD))
+        trouble.quarantine.expire(trouble.now_s + 601.0)
+        self.assertFalse(trouble.quarantine.is_watching(_SERVICE))
+
     def test_memory_is_bounded(self):
         """Guards against memory that grows with the parts callers invent."""
         trouble = Trouble()
