Test when a request in quarantine is sent as a trial

One trial 30 s after the last crash and one for a new software version, over all entries, and the end of the quarantine by a trial that succeeds. The document in the store is compared every 0.2 s instead of 0.1 s.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
@@ -28,7 +28,7 @@
 _MAX_TRIALS = 2
 _TIMED_TRIAL_S = 30.0
 _TIMED_TOKEN = "time"
-_SAVE_INTERVAL_S = 0.1
+_SAVE_INTERVAL_S = 0.2
 # Delay in seconds before an entry writes what the store lacks, and additional
 # delay for each entry before it in order, so that usually one entry writes.
 _SAVE_DELAY_S = 0.2
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_quarantine.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_quarantine.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import json
+from types import SimpleNamespace
 
 import testtools
 
 from chicoryplank.clock import ManualClock
+from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.fakes import MemoryStore
 from chicoryplank.ids import InstanceId
 from chicoryplank.quarantine import Quarantine
@@ -13,6 +15,7 @@
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry.quarantine import (
     QUARANTINE_KEY,
+    QuarantineCheck,
     QuarantineRecords,
     Trials,
 )
@@ -61,6 +64,87 @@
         self.assertFalse(trials.is_taken(_FEATURE, "time"))
 
 
+class TestQuarantineCheck(testtools.TestCase):
+    """Which requests are refused, and when one of them is a trial."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = MemoryStore(ManualClock())
+        self.now_s = 100.0
+        self.versions = {"v1"}
+
+    def make_check(self):
+        quarantine = Quarantine()
+        item = {
+            "feature": _FEATURE,
+            "service": "llm",
+            "generation": 1,
+            "age_s": 0.0,
+            "versions": ["v1"],
+        }
+        quarantine.merge([item], 100.0, "peer")
+        check = QuarantineCheck(
+            quarantine,
+            Trials(self.store),
+            now_s=lambda: self.now_s,
+            list_versions=lambda service: self.versions,
+            make_refusal=lambda call, message: ChicoryplankError(
+                ErrorCode.QUARANTINED, message
+            ),
+            count=lambda result: None,
+        )
+        return quarantine, check
+
+    def send(self, check, feature=_FEATURE):
+        """Returns whether a request is sent, and whether it is a trial."""
+        call = SimpleNamespace(
+            request_id="1", features=(feature,), attempts=0, is_trial=False
+        )
+
+        async def run():
+            try:
+                check.check(call)
+                await check.acquire_trial(call)
+                check.check(call)
+            except ChicoryplankError:
+                return False, False
+            return True, call.is_trial
+
+        return asyncio.run(run())
+
+    def test_requests_with_the_feature_are_refused(self):
+        """Guards against a verdict without effect, or with too much."""
+        _, check = self.make_check()
+        self.assertEqual((False, False), self.send(check))
+        self.assertEqual((True, False), self.send(check, "llm/part/other"))
+
+    def test_one_trial_is_due_after_a_while(self):
+        """Guards against a quarantine that a mended engine does not end."""
+        self.now_s += 31.0
+        checks = [self.make_check()[1] for _ in range(3)]
+        results = [self.send(check) for check in checks * 2]
+        self.assertEqual([(True, True)] + [(False, False)] * 5, results)
+
+    def test_one_trial_is_due_for_a_new_version(self):
+        """Guards against a quarantine that outlives the faulty version."""
+        self.versions = {"v1", "v2"}
+        _, check = self.make_check()
+        self.assertEqual((False, False), self.send(check))
+        self.versions = {"v2"}
+        results = [self.send(check) for _ in range(3)]
+        self.assertEqual([(True, True)] + [(False, False)] * 2, results)
+
+    def test_successful_trial_ends_the_quarantine(self):
+        """Guards against refusing what a trial has shown to be sound."""
+        self.now_s += 31.0
+        quarantine, check = self.make_check()
+        self.send(check)
+        quarantine.observe_success(
+            "llm", (_FEATURE,), self.now_s, self.now_s + 1.0, is_complete=True
+        )
+        self.assertEqual([(True, False)] * 2, [self.send(check)] * 2)
+
+
 class TestQuarantineRecords(testtools.TestCase):
     """The document in the store."""
 
