Refuse only requests with all that harmful ones have in common

- If all harmful requests carry a second part that no other request carried meanwhile, either part explains the crashes, and the one of another account could be blamed.
The verdict names such companions now and refuses only requests with all of them; successes and later crashes narrow it.
A single request is blamed at a chance of 0.0001 now, a part of a prompt at 0.00001 as before, since a wrong refusal of one request costs less.

The document in the store is limited to 900 KB.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
@@ -34,6 +34,8 @@
 _SAVE_DELAY_S = 0.2
 _SAVE_DELAY_PER_RANK_S = 0.4
 _RETRY_DELAY_S = 0.5
+# Slightly less than the maximum of a value in the store.
+_MAX_DOCUMENT_BYTES = 900_000
 
 Document = Mapping[str, object]
 
@@ -302,7 +304,7 @@
         self._quarantine.expire(now_s)
         if self._quarantine.revision == self._compared_revision:
             return
-        items = self._quarantine.encode_all(now_s)
+        items = _limit_size(self._quarantine.encode_all(now_s))
         if _index(items) == self._saved:
             self._differs_since_s = None
             self._compared_revision = self._quarantine.revision
@@ -328,6 +330,20 @@
         return _SAVE_DELAY_S + rank * _SAVE_DELAY_PER_RANK_S
 
 
+def _limit_size(items: Sequence[Document]) -> list[Document]:
+    """Returns the items that fit into the store; the oldest crashes do not."""
+    kept: list[Document] = []
+    size = 0
+    verdicts = [item for item in items if "feature" in item]
+    crashes = [item for item in items if "feature" not in item]
+    for item in [*verdicts, *reversed(crashes)]:
+        size += len(json.dumps(item))
+        if size > _MAX_DOCUMENT_BYTES:
+            break
+        kept.append(item)
+    return kept
+
+
 def _index(items: Sequence[Document]) -> dict[str, Document]:
     """Returns the items by crash or feature, without their ages."""
     indexed = {}
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_quarantine.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_quarantine.py
@@ -10,7 +10,7 @@
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.fakes import MemoryStore
 from chicoryplank.ids import InstanceId
-from chicoryplank.quarantine import Quarantine
+from chicoryplank.quarantine import Quarantine, SuspectAttempt
 from chicoryplank.store import StoreError
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry.quarantine import (
@@ -81,6 +81,7 @@
             "generation": 1,
             "age_s": 0.0,
             "versions": ["v1"],
+            "companions": [],
         }
         quarantine.merge([item], 100.0, "peer")
         check = QuarantineCheck(
@@ -169,6 +170,32 @@
             records.observe(value, 5)
         self.assertEqual([], quarantine.list_verdicts())
 
+    def test_document_fits_into_the_store(self):
+        """Guards against writes that the store rejects for their size."""
+        store = MemoryStore(ManualClock())
+        quarantine, records = self.make_records(store)
+        for number in range(64):
+            features = [
+                f"llm/part/{number}-{part}-{'x' * 250}" for part in range(60)
+            ]
+            quarantine.observe_crash(
+                f"replica-{number}",
+                "llm",
+                "v1",
+                [SuspectAttempt(0.0, features)],
+                entry="entry",
+                replica_count=16,
+                seen_s=0.0,
+                now_s=0.0,
+            )
+        records._get_delay_s = lambda: 0.0
+
+        async def save():
+            await records.save_if_due()
+            return await store.read(QUARANTINE_KEY)
+
+        self.assertLess(len(asyncio.run(save()).value), 1_000_000)
+
     def test_document_without_changes_is_not_written(self):
         """Guards against calls to the store on calm days."""
         store = MemoryStore(ManualClock())
@@ -189,6 +216,7 @@
             "generation": 1,
             "age_s": 3.0,
             "versions": ["v1"],
+            "companions": [],
         }
         records.observe(json.dumps([item]).encode(), 7)
         self.assertIsNotNone(quarantine.find_verdict([_FEATURE]))
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_ledger.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_ledger.py
@@ -18,6 +18,7 @@
 # Time in seconds after which a crash is no longer evidence.
 _MAX_AGE_S = 600.0
 _MAX_REPORTERS = 64
+MAX_COMPANIONS = 4
 _WITNESSES_TO_CLEAR = 2
 _MAX_COUNT = 100_000
 _MAX_TEXT_LENGTH = 300
@@ -41,6 +42,8 @@
             last send of such a request to the crash, in seconds.
         cleared: Suspects that a later request has cleared of this crash.
         requests: Number of requests in progress, by the entry that sent them.
+        companions: For each suspect, the other features that all requests with
+            it had too.
         witnesses: Later requests that their replicas outlived, for suspects
             which too few of them clear so far.
     """
@@ -53,6 +56,9 @@
     suspects: dict[FeatureId, float] = dataclasses.field(default_factory=dict)
     cleared: set[FeatureId] = dataclasses.field(default_factory=set)
     requests: dict[str, int] = dataclasses.field(default_factory=dict)
+    companions: dict[FeatureId, frozenset[FeatureId]] = dataclasses.field(
+        default_factory=dict
+    )
     witnesses: dict[FeatureId, set[str]] = dataclasses.field(
         default_factory=dict
     )
@@ -62,16 +68,38 @@
         """Suspects that have not been cleared."""
         return self.suspects.keys() - self.cleared
 
-    def add_suspect(self, feature: FeatureId, lead_s: float) -> bool:
-        """Adds a suspect; returns whether the record has changed."""
+    def add_suspect(
+        self,
+        feature: FeatureId,
+        lead_s: float,
+        companions: Iterable[FeatureId],
+    ) -> bool:
+        """Adds a suspect; returns whether the record has changed.
+
+        Args:
+            feature: The suspect.
+            lead_s: Time from the send of a request with it to the crash.
+            companions: Other features of that request.
+        """
         known_s = self.suspects.get(feature)
-        if known_s is None and len(self.suspects) >= _MAX_SUSPECTS:
-            return False
-        if known_s is not None and known_s <= lead_s:
+        if known_s is None:
+            if len(self.suspects) >= _MAX_SUSPECTS:
+                return False
+            self.suspects[feature] = lead_s
+            first = sorted(set(companions) - {feature})[:MAX_COMPANIONS]
+            self.companions[feature] = frozenset(first)
+            return True
+        common = self.companions[feature].intersection(companions)
+        if known_s <= lead_s and common == self.companions[feature]:
             return False
-        self.suspects[feature] = lead_s
+        self.suspects[feature] = min(known_s, lead_s)
+        self.companions[feature] = common
         return True
 
+    def list_companions(self, feature: FeatureId) -> set[FeatureId]:
+        """Returns the companions of a suspect that have not been cleared."""
+        return set(self.companions.get(feature, ())) - self.cleared
+
     def add_requests(self, entry: str, count: int) -> bool:
         """Sets the requests of an entry; returns whether that is new."""
         if self.requests.get(entry, 0) >= count:
@@ -119,6 +147,10 @@
             },
             "cleared": sorted(self.cleared),
             "requests": dict(self.requests),
+            "companions": {
+                feature: sorted(names)
+                for feature, names in self.companions.items()
+            },
             "witnesses": {
                 feature: sorted(names)
                 for feature, names in self.witnesses.items()
@@ -151,6 +183,13 @@
                 read_text(entry): _read_count(count)
                 for entry, count in document["requests"].items()
             },
+            {
+                feature: frozenset(
+                    FeatureId(read_text(name))
+                    for name in document["companions"][feature][:MAX_COMPANIONS]
+                )
+                for feature in suspects
+            },
             {
                 FeatureId(read_text(feature)): {
                     read_text(name) for name in names[:_WITNESSES_TO_CLEAR]
@@ -244,7 +283,7 @@
         # Both times of the crash are estimates; the first one stays, so that
         # the ledger changes only with new facts.
         changed = [
-            known.add_suspect(feature, lead_s)
+            known.add_suspect(feature, lead_s, report.companions[feature])
             for feature, lead_s in report.suspects.items()
         ]
         changed.extend(
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
@@ -41,8 +41,10 @@
 )
 
 _MIN_CRASHES = 3
-# Probability below which the crashes under a feature are no coincidence.
-_MAX_CHANCE = 1e-5
+# Probabilities below which the crashes under a feature are no coincidence. A
+# wrong verdict on a widespread feature refuses many requests.
+_MAX_CHANCE = 1e-4
+_MAX_WIDESPREAD_CHANCE = 1e-5
 # Number of attempts as which the assumption counts that a crash hits one of the
 # replicas at random.
 _PRIOR_ATTEMPTS = 10
@@ -98,7 +100,7 @@
             return None
         for feature in features:
             verdict = self._verdicts.get_active(feature)
-            if verdict is not None:
+            if verdict is not None and verdict.applies_to(features):
                 return verdict
         return None
 
@@ -147,7 +149,11 @@
         report.add_requests(entry, earlier + len(attempts))
         for attempt in attempts:
             for feature in attempt.features:
-                report.add_suspect(feature, max(0.0, seen_s - attempt.sent_s))
+                report.add_suspect(
+                    feature,
+                    max(0.0, seen_s - attempt.sent_s),
+                    attempt.features,
+                )
             self._outcomes.observe(
                 service, attempt.features, seen_s, has_crashed=True
             )
@@ -204,20 +210,42 @@
     def _lift(
         self, features: Collection[FeatureId], sent_s: float, now_s: float
     ) -> None:
-        """Lifts the verdicts that a complete response refutes."""
-        for feature in features:
-            verdict = self._verdicts.get_active(feature)
-            if verdict is None or sent_s < verdict.since_s:
+        """Lifts or narrows the verdicts that a complete response refutes."""
+        for verdict in self.list_verdicts():
+            if sent_s < verdict.since_s:
                 continue
-            verdict.generation += 1
-            verdict.since_s = now_s
-            self._note_change(verdict)
-            emit(
-                Event.QUARANTINE_LIFTED,
-                feature=feature,
-                generation=verdict.generation,
-                source="own",
-            )
+            suspects = {verdict.feature, *verdict.companions}
+            remaining = suspects.difference(features)
+            if remaining == suspects:
+                continue
+            if verdict.feature in remaining:
+                verdict.companions = remaining - {verdict.feature}
+                self._note_change(verdict)
+                continue
+            self._end(verdict, now_s)
+            if remaining:
+                # The response clears this feature, but not its companions.
+                feature = min(remaining)
+                self._begin(
+                    dataclasses.replace(
+                        verdict,
+                        feature=feature,
+                        companions=remaining - {feature},
+                        versions=set(verdict.versions),
+                    ),
+                    crashes=(),
+                )
+
+    def _end(self, verdict: QuarantineVerdict, now_s: float) -> None:
+        verdict.generation += 1
+        verdict.since_s = now_s
+        self._note_change(verdict)
+        emit(
+            Event.QUARANTINE_LIFTED,
+            feature=verdict.feature,
+            generation=verdict.generation,
+            source="own",
+        )
 
     def _note_change(self, item: CrashRecord | QuarantineVerdict) -> None:
         key = item.crash if isinstance(item, CrashRecord) else item.feature
@@ -244,28 +272,41 @@
                 feature: self._compute_chance(service, feature, chain, records)
                 for feature, chain in chains.items()
             }
-            feature = min(chances, key=lambda name: (chances[name], name))
-            if chances[feature] > _MAX_CHANCE:
+            likely = [
+                (chance, feature)
+                for feature, chance in chances.items()
+                if chance <= _get_max_chance(feature)
+            ]
+            if not likely:
                 self._undecided.add(service)
                 return
+            _, feature = min(likely)
             self._condemn(service, feature, chains[feature], now_s)
 
     def _list_unexplained(self, service: ServiceId) -> list[CrashRecord]:
         unexplained = []
         for record in self._ledger.list_records(service):
-            causes = [
-                verdict
-                for verdict in map(
-                    self._verdicts.get_active, record.open_suspects
-                )
-                if verdict is not None
-            ]
+            causes = []
+            for verdict in map(self._verdicts.get_active, record.open_suspects):
+                if verdict is not None:
+                    self._narrow(verdict, record)
+                    if verdict.applies_to(record.companions[verdict.feature]):
+                        causes.append(verdict)
             for verdict in causes:
                 self._add_version(verdict, record)
             if not causes:
                 unexplained.append(record)
         return unexplained
 
+    def _narrow(self, verdict: QuarantineVerdict, record: CrashRecord) -> None:
+        """Drops companions that a later crash under the feature lacks."""
+        if record.seen_s <= verdict.since_s + ORDER_TOLERANCE_S:
+            return
+        companions = record.companions[verdict.feature]
+        if not verdict.applies_to(companions):
+            verdict.companions &= companions
+            self._note_change(verdict)
+
     def _add_version(
         self, verdict: QuarantineVerdict, record: CrashRecord
     ) -> None:
@@ -334,28 +375,42 @@
         chain: Sequence[CrashRecord],
         now_s: float,
     ) -> None:
-        known = self._verdicts.get(feature)
-        verdict = QuarantineVerdict(
-            feature,
-            service,
-            1 if known is None else known.generation + 1,
-            chain[-1].seen_s,
-            {record.version for record in chain},
+        companions = set.intersection(
+            *(record.list_companions(feature) for record in chain)
         )
-        self._verdicts.merge(verdict)
-        self._note_change(verdict)
         crashed, survived = self._count_others(service, feature, chain)
-        emit(
-            Event.QUARANTINE_BEGUN,
-            feature=feature,
-            service=service,
-            source="own",
+        self._begin(
+            QuarantineVerdict(
+                feature,
+                service,
+                0,
+                chain[-1].seen_s,
+                {record.version for record in chain},
+                companions,
+            ),
             crashes=[record.crash for record in chain],
             span_ms=round((chain[-1].seen_s - chain[0].seen_s) * 1000),
             age_ms=round((now_s - chain[-1].seen_s) * 1000),
             others_crashed=crashed,
             others_survived=survived,
+        )
+
+    def _begin(self, verdict: QuarantineVerdict, **evidence: object) -> None:
+        """Puts a feature into quarantine, with the next generation."""
+        known = self._verdicts.get(verdict.feature)
+        verdict.generation = 1 if known is None else known.generation + 1
+        if not verdict.is_active:
+            return  # Already in quarantine.
+        self._verdicts.merge(verdict)
+        self._note_change(verdict)
+        emit(
+            Event.QUARANTINE_BEGUN,
+            feature=verdict.feature,
+            companions=sorted(verdict.companions),
+            service=verdict.service,
+            source="own",
             generation=verdict.generation,
+            **evidence,
         )
 
     def expire(self, now_s: float) -> None:
@@ -417,6 +472,7 @@
             emit(
                 Event.QUARANTINE_BEGUN,
                 feature=verdict.feature,
+                companions=sorted(verdict.companions),
                 service=verdict.service,
                 source=source,
                 generation=verdict.generation,
@@ -428,3 +484,9 @@
                 generation=verdict.generation,
                 source=source,
             )
+
+
+def _get_max_chance(feature: FeatureId) -> float:
+    if is_widespread(feature):
+        return _MAX_WIDESPREAD_CHANCE
+    return _MAX_CHANCE
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_verdicts.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_verdicts.py
@@ -1,11 +1,15 @@
 """Verdicts that requests with a feature crash replicas."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from chicoryplank.ids import ServiceId
 from chicoryplank.quarantine._features import FeatureId
-from chicoryplank.quarantine._ledger import MalformedReportError, read_text
+from chicoryplank.quarantine._ledger import (
+    MAX_COMPANIONS,
+    MalformedReportError,
+    read_text,
+)
 
 _MAX_VERDICTS = 256
 _MAX_VERSIONS = 16
@@ -22,6 +26,8 @@
             quarantine, even once that is lifted. The highest one holds.
         since_s: Time of the last crash that the verdict rests on.
         versions: Software versions of the replicas that crashed.
+        companions: Other features that all these crashes have in common, so
+            that only requests with all of them are known to be harmful.
     """
 
     feature: FeatureId
@@ -29,12 +35,17 @@
     generation: int
     since_s: float
     versions: set[str]
+    companions: set[FeatureId] = dataclasses.field(default_factory=set)
 
     @property
     def is_active(self) -> bool:
         """Whether requests with the feature are refused."""
         return self.generation % 2 == 1
 
+    def applies_to(self, features: Collection[FeatureId]) -> bool:
+        """Returns whether a request with the feature is refused."""
+        return self.is_active and self.companions.issubset(features)
+
     def encode(self, now_s: float) -> dict[str, object]:
         """Returns the verdict as a JSON document, with an age for its time."""
         return {
@@ -43,6 +54,7 @@
             "generation": self.generation,
             "age_s": round(max(0.0, now_s - self.since_s), 3),
             "versions": sorted(self.versions),
+            "companions": sorted(self.companions),
         }
 
 
@@ -62,16 +74,31 @@
             generation,
             now_s - age_s,
             versions,
+            {FeatureId(read_text(name)) for name in document["companions"]},
         )
     except (TypeError, KeyError, ValueError, OverflowError) as error:
         raise MalformedReportError(f"verdict: {error!r}") from error
     if generation < 1 or not 0 <= age_s < float("inf"):
         raise MalformedReportError("verdict: generation or age out of range")
-    if len(versions) > _MAX_VERSIONS:
-        raise MalformedReportError(f"verdict: {len(versions)} versions")
+    if len(versions) > _MAX_VERSIONS or (
+        len(verdict.companions) > MAX_COMPANIONS
+    ):
+        raise MalformedReportError("verdict: too many versions or companions")
     return verdict
 
 
+def _combine(known: QuarantineVerdict, report: QuarantineVerdict) -> bool:
+    """Combines two reports on one decision; returns whether that is new."""
+    versions = known.versions | report.versions
+    if len(versions) > _MAX_VERSIONS:
+        versions = known.versions
+    companions = known.companions & report.companions
+    if (versions, companions) == (known.versions, known.companions):
+        return False
+    known.versions, known.companions = versions, companions
+    return True
+
+
 class VerdictTable:
     """The verdicts that this entry knows."""
 
@@ -100,11 +127,7 @@
         if known is not None and known.generation > report.generation:
             return False
         if known is not None and known.generation == report.generation:
-            new = report.versions - known.versions
-            if not new or len(known.versions | new) > _MAX_VERSIONS:
-                return False
-            known.versions |= new
-            return True
+            return _combine(known, report)
         self._verdicts[report.feature] = report
         self._expire()
         return True
--- a/packages/chicoryplank/src/chicoryplank/quarantine/tests/test_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/tests/test_quarantine.py
@@ -12,6 +12,7 @@
 
 _SERVICE = ServiceId("llm")
 _SHARED = make_part_feature(_SERVICE, "shared")
+_RARE = make_part_feature(_SERVICE, "rare")
 _BAD = make_part_feature(_SERVICE, "bad")
 
 
@@ -122,6 +123,54 @@
         self.assertTrue(trouble.is_refused(_BAD))
 
 
+class TestCompanions(testtools.TestCase):
+    """Features that harmful requests always have together."""
+
+    def setUp(self):
+        super().setUp()
+        self.trouble = Trouble()
+        for _ in range(4):
+            self.trouble.crash((_SHARED, _RARE, _BAD))
+            self.trouble.succeed(_SHARED, make_part(9), count=5)
+
+    def test_either_feature_alone_is_sent(self):
+        """Guards against refusing another account's part that came along."""
+        trouble = self.trouble
+        self.assertTrue(trouble.is_refused(_SHARED, _RARE, _BAD))
+        self.assertFalse(trouble.is_refused(_SHARED, _RARE, make_part(1)))
+        self.assertFalse(trouble.is_refused(_SHARED, make_part(1)))
+
+    def test_features_of_other_requests_are_no_companions(self):
+        """Guards against a verdict that waits for what ran beside it."""
+        trouble = Trouble()
+        for _ in range(4):
+            trouble.crash((_SHARED, _BAD), (_SHARED, _RARE))
+            trouble.succeed(_SHARED, make_part(9), count=5)
+        self.assertTrue(trouble.is_refused(_SHARED, _BAD))
+
+    def test_success_of_one_leaves_the_other(self):
+        """Guards against a harmful part that a sound companion protects."""
+        self.trouble.succeed(_SHARED, _RARE, make_part(1))
+        self.assertTrue(self.trouble.is_refused(_SHARED, _BAD))
+        self.assertFalse(self.trouble.is_refused(_SHARED, _RARE))
+
+    def test_crash_without_the_companion_narrows_the_verdict(self):
+        """Guards against a row of crashes for each companion."""
+        self.trouble.crash((_SHARED, make_part(1), _BAD))
+        self.assertTrue(self.trouble.is_refused(_SHARED, make_part(2), _BAD))
+        self.assertFalse(self.trouble.is_refused(_SHARED, _RARE))
+
+    def test_other_entry_narrows_too(self):
+        """Guards against entries that disagree on what is refused."""
+        other = Quarantine()
+        for _ in range(2):
+            items = self.trouble.quarantine.encode_all(self.trouble.now_s)
+            other.merge(items, self.trouble.now_s, "peer")
+            self.trouble.succeed(_SHARED, _RARE, make_part(1))
+        self.assertIsNotNone(other.find_verdict((_SHARED, _BAD)))
+        self.assertIsNone(other.find_verdict((_SHARED, _RARE)))
+
+
 class TestLifting(testtools.TestCase):
     """What ends a quarantine."""
 
