--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/crashes.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/crashes.py
@@ -119,7 +119,7 @@
         ):
             return
         replica = attempt.replica
-        if not self._is_in_service(replica):
+        if not self.is_in_service(replica):
             return
         broken = BrokenAttempt(
             call,
@@ -150,7 +150,8 @@
         for task in self._checks.values():
             task.cancel()
 
-    def _is_in_service(self, replica: ReplicaRecord) -> bool:
+    def is_in_service(self, replica: ReplicaRecord) -> bool:
+        """Returns whether the end of a replica would not be a planned one."""
         current = self._state.registry.get(replica.instance)
         return current is not None and current.state is ReplicaState.READY
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -366,6 +366,8 @@
             ConnectionBrokenError: If the replica has crashed; or if that is
                 unknown and the request may run again.
         """
+        if not self.crashes.is_in_service(attempt.replica):
+            return  # It may end as planned right after its last response.
         condition = await self.crashes.probe(attempt.replica)
         if condition is Condition.CRASHED or (
             condition is Condition.UNKNOWN and call.route.repeatable
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_crashes.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_crashes.py
@@ -1,6 +1,7 @@
 """Tests of the detection of crashes, with replicas on loopback."""
 
 import asyncio
+import dataclasses
 
 import testtools
 from logbook import TestHandler
@@ -40,6 +41,18 @@
     return script
 
 
+# Less than a replica takes for a request.
+_DRAIN_DELAY_S = 0.01
+
+
+def drain_replica(fixture):
+    """Drains the only replica of an entry soon after it got a request."""
+    (record,) = fixture.state.registry.list_all()
+    draining = dataclasses.replace(record, state=ReplicaState.DRAINING)
+    loop = asyncio.get_running_loop()
+    loop.call_later(_DRAIN_DELAY_S, fixture.state.registry.put, draining)
+
+
 class CrashCase(testtools.TestCase):
     """Sends one request and collects the crashes that were noticed."""
 
@@ -94,13 +107,8 @@
         """Guards against taking a planned end for a crash."""
         replica = CrashingReplica(lambda recorded: True, down_s=9)
 
-        def drain(fixture):
-            (record,) = fixture.state.registry.list_all()
-            fixture.state.registry.remove(record.instance, 0.0)
-            object.__setattr__(record, "state", ReplicaState.DRAINING)
-            fixture.state.registry.put(record)
-
-        _, crashes = self.find_crashes(replica, prepare=drain)
+        _, crashes = self.find_crashes(replica, prepare=drain_replica)
+        self.assertEqual(1, len(replica.crashes))
         self.assertEqual([], crashes)
 
     def test_silent_replica_that_registers_again(self):
@@ -154,6 +162,22 @@
             self.assertIsNone(body, data)
             self.assertEqual(1, len(crashes), data)
 
+    def test_end_of_a_draining_replica(self):
+        """Guards against losing the last response before a planned end."""
+        data = make_event(1) + make_event(2)
+        replica = CrashingReplica(lambda recorded: True, down_s=9)
+
+        async def end():
+            await asyncio.sleep(3 * _DRAIN_DELAY_S)
+            await replica.crash()
+
+        replica.scripts = [end_with_connection(data, then=end)]
+        (status, _, body), crashes = self.find_crashes(
+            replica, prepare=drain_replica
+        )
+        self.assertEqual((200, data), (status, body))
+        self.assertEqual([], crashes)
+
     def test_end_before_the_first_event_is_broken(self):
         """Guards against an empty stream that looks complete."""
         replica = Replica(end_with_connection(b""))
