--- a/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
@@ -10,9 +10,10 @@
 - requests without it fared so much better in the same time that chance does
   not explain the crashes.
 
-What all requests share can't be told from the cause of another fault by the
-second condition, so it is never put into quarantine. A crash that a feature in
-quarantine explains is not held against the others.
+What all requests share is present at every crash, whatever its cause, so it is
+never put into quarantine. A crash that a feature in quarantine explains is not
+held against the others. Features that all these crashes have in common too are
+companions: only requests with all of them are refused.
 """
 
 import dataclasses
@@ -45,8 +46,7 @@
 # wrong verdict on a widespread feature refuses many requests.
 _MAX_CHANCE = 1e-4
 _MAX_WIDESPREAD_CHANCE = 1e-5
-# Number of attempts as which the assumption counts that a crash hits one of the
-# replicas at random.
+# Weight, in attempts, of the prior assumption that a crash hits a random replica.
 _PRIOR_ATTEMPTS = 10
 # What all requests share is present whenever a replica crashes, so a widespread
 # feature must differ from it: a number of attempts without it went well, or its
