--- a/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
@@ -46,7 +46,7 @@
 # wrong verdict on a widespread feature refuses many requests.
 _MAX_CHANCE = 1e-4
 _MAX_WIDESPREAD_CHANCE = 1e-5
-# Weight, in attempts, of the prior assumption that a crash hits a random replica.
+# Weight, in attempts, of the prior that a crash hits a random replica.
 _PRIOR_ATTEMPTS = 10
 # What all requests share is present whenever a replica crashes, so a widespread
 # feature must differ from it: a number of attempts without it went well, or its
