Let shared pieces serve what the quarantine had written again

Found when reading the change once more; requests are treated as before.

- Quarantine.merge checks that what it gets is a list of objects.
The store, the datagrams and the heartbeats each had a check of their own.
- QuarantineRecords writes on both fronts.
The own front had a second loop; its entries that don't write forgot no old crashes, and do now.
- The agent calls connect of the wire package, which accepts IPv6 hosts in brackets now, instead of a connection of its own, and checks a failed resume once instead of twice.
- Features of a request are computed once on the users' platform too.
- One range of success statuses in the forwarding package, one Document.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -15,6 +15,11 @@
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.verdict import Verdict
 from chicoryplank_agent.backend_limit import BackendLimit
+from chicoryplank_wire.client_connection import (
+    BreakReason,
+    ConnectionBrokenError,
+    connect,
+)
 from chicoryplank_wire.http import HTTP_FAILURES, make_client, read_content
 
 EVENT_STREAM = "text/event-stream"
@@ -247,6 +252,8 @@
                     b"",
                 )
             except ChicoryplankError as error:
+                if error.verdict is not Verdict.NOT_RUN:
+                    raise
                 raise await self._make_break_error(error) from error
             if response.status_code != _HTTP_OK or not _has_body(
                 "GET", response
@@ -284,17 +291,11 @@
 
     async def _refuses_connections(self) -> bool:
         await asyncio.sleep(_CRASH_CHECK_DELAY_S)
-        host, _, port = self._address.rpartition(":")
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(
-                    host.strip("[]"), int(port)
-                )
-        except ConnectionRefusedError:
-            return True
-        except (OSError, TimeoutError):
-            return False
-        writer.close()
+            connection = await connect(self._address, _CONNECT_TIMEOUT_S)
+        except ConnectionBrokenError as error:
+            return error.reason is BreakReason.REFUSED
+        connection.abort()
         return False
 
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/control.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/control.py
@@ -326,7 +326,7 @@
 
     async def collect_garbage_as_root(self) -> None:
         """Deletes unused configuration parts if this entry is the root."""
-        if self._parent is None and self._holder.version:
+        if self.is_root and self._holder.version:
             await self._holder.collect_garbage()
 
     async def send_heartbeats(self) -> None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/crash_reports.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/crash_reports.py
@@ -9,11 +9,7 @@
 from chicoryplank.errors import ErrorCode
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import Incarnation, InstanceId
-from chicoryplank.quarantine import (
-    MalformedReportError,
-    Quarantine,
-    SuspectAttempt,
-)
+from chicoryplank.quarantine import Quarantine, SuspectAttempt
 from chicoryplank_entry.exchange import SentAttempt
 
 # Time in seconds in which the failures of attempts that were sent before a
@@ -122,11 +118,8 @@
         if not update:
             return
         try:
-            items = json.loads(update)
-            if not isinstance(items, list):
-                raise MalformedReportError("the update is not a list")
-            self._quarantine.merge(items, self.now_s(), peer)
-        except (ValueError, TypeError, KeyError) as error:
+            self._quarantine.merge(json.loads(update), self.now_s(), peer)
+        except ValueError as error:
             emit(Event.BATCH_REJECTED, peer=peer, error=repr(error))
 
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -6,12 +6,10 @@
 import random
 import signal
 import uuid
-from datetime import timedelta
 
 from chicoryplank.attempts import EntryAttemptTable
 from chicoryplank.clock import Clock, SystemClock
 from chicoryplank.configuration import EntrySettings
-from chicoryplank.events import Event, emit
 from chicoryplank.ids import Incarnation, ModelGroupId
 from chicoryplank.lifecycle import Application
 from chicoryplank.limits import Limiter
@@ -20,7 +18,6 @@
 from chicoryplank.process_state import Instance, ProcessState
 from chicoryplank.quarantine import Quarantine
 from chicoryplank.retry import RetryPolicy
-from chicoryplank.store import StoreError
 from chicoryplank_entry import metrics
 from chicoryplank_entry.admission import AdmissionGate
 from chicoryplank_entry.caller_server import CallerServer, make_server
@@ -58,9 +55,6 @@
 from chicoryplank_wire.peers import make_server as make_peer_server
 from chicoryplank_wire.store import EtcdStore
 
-# Interval at which the root entry checks whether crashes must be stored.
-_SAVE_INTERVAL = timedelta(seconds=0.5)
-
 
 class Entry:
     """Components of the entry daemon, with their startup and shutdown order.
@@ -118,6 +112,9 @@
             self.crashes.now_s,
             settings.instance,
             lambda: [settings.instance],
+            # The others exchange crashes with heartbeats only, so that the load
+            # on the store does not grow with the number of entries.
+            is_writer=lambda: self.control.is_root,
         )
         self._selector = RelaySelector(
             settings.zone, clock, rng, self.count_entries
@@ -273,7 +270,7 @@
                 self.control.run_garbage_collection(),
                 detect_stalled_agents(self.pool, self._clock),
                 self.gate.run_ticks(),
-                self._save_quarantine(),
+                self._records.run(),
                 configure_limits(
                     self.gate.limiter, self.process_state, self._clock
                 ),
@@ -283,21 +280,6 @@
             )
         ]
 
-    async def _save_quarantine(self) -> None:
-        """Stores crashes and verdicts if this entry is the root of the tree.
-
-        The other entries exchange them with heartbeats only, so that the load
-        on the store does not grow with the number of entries.
-        """
-        while True:
-            await self._clock.sleep(_SAVE_INTERVAL)
-            if not self.control.is_root:
-                continue
-            try:
-                await self._records.save_if_due()
-            except StoreError as error:
-                emit(Event.QUARANTINE_NOT_STORED, error=error.message)
-
     async def _stop_controllers(self) -> None:
         for task in self._tasks:
             task.cancel()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from chicoryplank.ids import InstanceId
-from chicoryplank_entry.forwarding.attempts import Attempt
+from chicoryplank_entry.forwarding.attempts import SUCCESS, Attempt
 from chicoryplank_entry.forwarding.calls import Call
 from chicoryplank_entry.forwarding.events_stream import (
     EventSplitter,
@@ -30,7 +30,6 @@
 # the caller, so that the request can be retried if the response is incomplete.
 _MAX_BUFFERED_BYTES = 262_144
 _EVENT_STREAM = "text/event-stream"
-_SUCCESS = range(200, 300)
 # Maximum time in seconds since the last output of any replica. If the service
 # made no progress within it, the silence of one replica is not its own fault.
 _MAX_PROGRESS_AGE_S = 0.4
@@ -163,12 +162,12 @@
         response = attempt.response
         kind = response.get("content-type") or ""
         is_events = kind.startswith(_EVENT_STREAM)
-        if reply.started and response.status not in _SUCCESS:
+        if reply.started and response.status not in SUCCESS:
             raise ConnectionBrokenError(
                 BreakReason.MALFORMED,
                 f"replica resumed a stream with status {response.status}",
             )
-        if is_events and response.status in _SUCCESS:
+        if is_events and response.status in SUCCESS:
             await self._relay_events(attempt, reply)
         else:
             await self._relay_body(attempt, reply)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -11,7 +11,7 @@
 
 _MISDIRECTED = 421
 _FIRST_SERVER_ERROR = 500
-_SUCCESS = range(200, 300)
+SUCCESS = range(200, 300)
 
 
 class Outcome(enum.Enum):
@@ -102,7 +102,7 @@
     states_not_run = response.get(names.not_run) is not None
     if get_echoed_id(names, response, request_id) is not EchoedId.OWN:
         return Outcome.UNPROVEN
-    if status in _SUCCESS:
+    if status in SUCCESS:
         has_proof = response.get(names.proof) is not None
         is_proven = has_proof and not states_not_run
         return Outcome.FINAL if is_proven else Outcome.UNPROVEN
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
@@ -94,6 +94,7 @@
     sent_after_s: float = 0.0
     is_trial: bool = False
     prompt: str = ""
+    _features: tuple[FeatureId, ...] | None = None
 
     @property
     def is_stream(self) -> bool:
@@ -127,10 +128,13 @@
     @property
     def features(self) -> tuple[FeatureId, ...]:
         """What a crash of a replica under this request may be due to."""
-        parts = [
-            make_part_feature(self.service, part) for part in self.prompt_parts
-        ]
-        return (self.request_feature, *parts)
+        if self._features is None:
+            parts = [
+                make_part_feature(self.service, part)
+                for part in self.prompt_parts
+            ]
+            self._features = (self.request_feature, *parts)
+        return self._features
 
     def encode(
         self, names: HeaderNames, expected: InstanceId, now_s: float
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -11,7 +11,12 @@
 from chicoryplank_entry.forwarding.admission import CallAdmission
 from chicoryplank_entry.forwarding.answers import ResponseRelay
 from chicoryplank_entry.forwarding.attempt_log import AttemptLog
-from chicoryplank_entry.forwarding.attempts import Attempt, Outcome, classify
+from chicoryplank_entry.forwarding.attempts import (
+    SUCCESS,
+    Attempt,
+    Outcome,
+    classify,
+)
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
 from chicoryplank_entry.forwarding.calls import Call, make_call
 from chicoryplank_entry.forwarding.crashes import Condition, CrashDetector
@@ -40,7 +45,6 @@
 # Delay before a replica that can't be reached is tried again, if no other one
 # is left, in seconds.
 _CONNECTION_RETRY_DELAY_S = 0.05
-_SUCCESS = range(200, 300)
 
 
 class Exchange:
@@ -333,7 +337,7 @@
                 and not self._admission.is_worth_retrying(call)
             ):
                 call.verdict = Verdict.RAN
-                if attempt.response.status in _SUCCESS:
+                if attempt.response.status in SUCCESS:
                     attempt.first_output_s = self._state.now_s()
                 await relay.relay_response(attempt, reply)
                 if attempt.response.ends_at_close:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/quarantine_exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/quarantine_exchange.py
@@ -7,11 +7,11 @@
 
 import json
 import random
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 from chicoryplank.ids import InstanceId
-from chicoryplank.quarantine import MalformedReportError
 from chicoryplank_entry.forwarding.state import EntryState
+from chicoryplank_entry.quarantine import Document
 
 QUARANTINE_KIND = "quarantine"
 # Size of the items in one datagram, well below the maximum of UDP.
@@ -19,8 +19,6 @@
 # Rounds of updates, 0.1 s each, after which all items go to a random entry.
 _ROUNDS_PER_REPEAT = 5
 
-Document = Mapping[str, object]
-
 
 class QuarantineGossip:
     """Sends crashes and verdicts to the other entries, and receives theirs.
@@ -78,13 +76,10 @@
         """Applies a message of another entry.
 
         Raises:
-            ValueError, TypeError, KeyError: If it is malformed.
+            ValueError, KeyError: If it is malformed.
         """
-        items = document["items"]
-        if not isinstance(items, list):
-            raise MalformedReportError("items are not a list")
         self._state.quarantine.merge(
-            items, self._state.now_s(), str(document["member"])
+            document["items"], self._state.now_s(), str(document["member"])
         )
 
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
@@ -14,7 +14,6 @@
 from chicoryplank.ids import InstanceId, ServiceId
 from chicoryplank.quarantine import (
     FeatureId,
-    MalformedReportError,
     Quarantine,
     QuarantineVerdict,
 )
@@ -80,7 +79,7 @@
             feature: Feature in quarantine.
             token: Reason of the trial; each is granted once.
         """
-        if (feature, token) in self._taken:
+        if self.is_taken(feature, token):
             return False
         # Also while the store responds, so that one request asks at a time.
         self._taken.add((feature, token))
@@ -213,6 +212,7 @@
         now_s: Returns the current time in seconds.
         own: This entry.
         list_live_members: Returns all live entries, with this one.
+        is_writer: Returns whether this entry may write the document.
     """
 
     def __init__(
@@ -222,12 +222,15 @@
         now_s: Callable[[], float],
         own: InstanceId,
         list_live_members: Callable[[], list[InstanceId]],
+        *,
+        is_writer: Callable[[], bool] = lambda: True,
     ) -> None:
         self._store = store
         self._quarantine = quarantine
         self._now_s = now_s
         self._own = own
         self._list_live_members = list_live_members
+        self._is_writer = is_writer
         self._revision = 0
         self._saved: dict[str, Document] = {}
         self._differs_since_s: float | None = None
@@ -237,7 +240,7 @@
 
     async def start(self) -> None:
         """Starts to write in the background."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = asyncio.get_running_loop().create_task(self.run())
 
     async def load(self) -> None:
         """Reads the document once; without the store, others tell it."""
@@ -272,11 +275,9 @@
             return
         try:
             items = json.loads(value)
-            if not isinstance(items, list):
-                raise MalformedReportError("the document is not a list")
             self._quarantine.merge(items, self._now_s(), "store")
             self._saved = _index(items)
-        except (ValueError, TypeError, KeyError) as error:
+        except ValueError as error:
             emit(
                 Event.ITEM_REJECTED,
                 key=QUARANTINE_KEY,
@@ -284,7 +285,8 @@
                 error=repr(error),
             )
 
-    async def _run(self) -> None:
+    async def run(self) -> None:
+        """Writes the document whenever it is due, until cancelled."""
         while True:
             delay_s = _SAVE_INTERVAL_S
             try:
@@ -302,7 +304,10 @@
         """
         now_s = self._now_s()
         self._quarantine.expire(now_s)
-        if self._quarantine.revision == self._compared_revision:
+        if (
+            self._quarantine.revision == self._compared_revision
+            or not self._is_writer()
+        ):
             return
         items = _limit_size(self._quarantine.encode_all(now_s))
         if _index(items) == self._saved:
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
@@ -455,7 +455,9 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: ClientConnection(match_header), host, int(port)
+                lambda: ClientConnection(match_header),
+                host.strip("[]"),
+                int(port),
             )
     except TimeoutError as error:
         raise ConnectionBrokenError(BreakReason.TIMED_OUT, address) from error
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
@@ -32,6 +32,7 @@
 from chicoryplank.quarantine._ledger import (
     CrashLedger,
     CrashRecord,
+    MalformedReportError,
     decode_record,
 )
 from chicoryplank.quarantine._outcomes import Outcomes
@@ -96,8 +97,6 @@
         self, features: Collection[FeatureId]
     ) -> QuarantineVerdict | None:
         """Returns the verdict because of which a request must not be sent."""
-        if not len(self._verdicts):
-            return None
         for feature in features:
             verdict = self._verdicts.get_active(feature)
             if verdict is not None and verdict.applies_to(features):
@@ -437,13 +436,11 @@
             for item in (*self._verdicts.list_all(), *records)
         ]
 
-    def merge(
-        self, documents: Sequence[Mapping], now_s: float, source: str
-    ) -> None:
+    def merge(self, documents: object, now_s: float, source: str) -> None:
         """Merges documents of another entry or of the store.
 
         Args:
-            documents: Crashes and verdicts.
+            documents: List of crashes and verdicts, as parsed from JSON.
             now_s: Current time in seconds.
             source: Where they come from, for the log.
 
@@ -451,8 +448,12 @@
             MalformedReportError: If one is malformed; those before it are
                 merged.
         """
+        if not isinstance(documents, list):
+            raise MalformedReportError("crashes and verdicts are not a list")
         services = set()
         for document in documents:
+            if not isinstance(document, Mapping):
+                raise MalformedReportError(f"{document!r:.50} is not an object")
             if "feature" in document:
                 self._merge_verdict(decode_verdict(document, now_s), source)
                 continue
