Share the times of crashes between both fronts, and digest them once

Both fronts kept the time and the number of the last crash of a replica and the span in which its other requests end. CrashTimes in the quarantine holds them now. The digest of crashes and verdicts is computed once for each change instead of at each heartbeat. The scripted replica that crashes waits until its port is free again.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/crash_reports.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/crash_reports.py
@@ -9,16 +9,24 @@
 from chicoryplank.errors import ErrorCode
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import Incarnation, InstanceId
-from chicoryplank.quarantine import Quarantine, SuspectAttempt
+from chicoryplank.quarantine import CrashTimes, Quarantine, SuspectAttempt
 from chicoryplank_entry.exchange import SentAttempt
 
-# Time in seconds in which the failures of attempts that were sent before a
-# crash are reported.
-_CRASH_SPAN_S = 1.0
 _SUCCESS = range(200, 300)
 _MAX_PEERS = 1_000
 
 
+def _digest(items: list[dict[str, object]]) -> bytes:
+    """Returns a digest of crashes and verdicts without their ages."""
+    content = sorted(
+        json.dumps({**item, "age_s": 0}, sort_keys=True) for item in items
+    )
+    return hashlib.blake2b("\n".join(content).encode(), digest_size=8).digest()
+
+
+_EMPTY_DIGEST = _digest([])
+
+
 class CrashReports:
     """Records the ends of attempts for the quarantine, and exchanges them.
 
@@ -43,8 +51,11 @@
         self._clock = clock
         self._entry = entry
         self._count_replicas = count_replicas
-        self._crashes: dict[InstanceId, tuple[float, int]] = {}
+        self._times: CrashTimes[InstanceId] = CrashTimes()
         self._peer_digests: dict[InstanceId, bytes] = {}
+        self._digest = _EMPTY_DIGEST
+        # Revision of the quarantine that the digest is of.
+        self._digest_revision = -1
 
     def now_s(self) -> float:
         """Returns the monotonic time in seconds."""
@@ -75,10 +86,9 @@
         agent = sent_attempt.relay.instance.instance
         sent_s = sent_attempt.sent_at.total_seconds()
         now_s = self.now_s()
-        crashed_s, number = self._crashes.get(agent, (float("-inf"), 0))
-        if not sent_s <= crashed_s > now_s - _CRASH_SPAN_S:
-            crashed_s, number = now_s, number + 1
-            self._crashes[agent] = crashed_s, number
+        if not self._times.is_known(agent, sent_s, now_s):
+            self._times.add(agent, now_s)
+        crashed_s, number = self._times.get_last(agent)
         emit(
             Event.REPLICA_CRASHED,
             replica=agent,
@@ -102,11 +112,14 @@
 
     def make_update(self, peer: InstanceId) -> tuple[bytes, bytes]:
         """Returns what a peer may lack, and the digest of all that is known."""
+        if self._quarantine.revision != self._digest_revision:
+            self._digest = _digest(self._quarantine.encode_all(self.now_s()))
+            self._digest_revision = self._quarantine.revision
+        if self._digest in (_EMPTY_DIGEST, self._peer_digests.get(peer)):
+            return b"", self._digest
         items = self._quarantine.encode_all(self.now_s())
-        digest = _digest(items)
-        if not items or self._peer_digests.get(peer) == digest:
-            return b"", digest
-        return json.dumps(items, separators=(",", ":")).encode(), digest
+        update = json.dumps(items, separators=(",", ":")).encode()
+        return update, self._digest
 
     def apply_update(
         self, peer: InstanceId, update: bytes, digest: bytes
@@ -121,11 +134,3 @@
             self._quarantine.merge(json.loads(update), self.now_s(), peer)
         except ValueError as error:
             emit(Event.BATCH_REJECTED, peer=peer, error=repr(error))
-
-
-def _digest(items: list[dict[str, object]]) -> bytes:
-    """Returns a digest of crashes and verdicts without their ages."""
-    content = sorted(
-        json.dumps({**item, "age_s": 0}, sort_keys=True) for item in items
-    )
-    return hashlib.blake2b("\n".join(content).encode(), digest_size=8).digest()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/crashes.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/crashes.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import collections
 import dataclasses
 import enum
 import itertools
@@ -16,7 +15,7 @@
 from collections.abc import Collection, Sequence
 
 from chicoryplank.events import Event, emit
-from chicoryplank.quarantine import SuspectAttempt
+from chicoryplank.quarantine import CrashTimes, SuspectAttempt
 from chicoryplank.traffic import ReplicaRecord, ReplicaState
 from chicoryplank_entry.forwarding.attempts import Attempt
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
@@ -39,8 +38,6 @@
 # the time after which its state remains unknown.
 _CHECK_INTERVAL_S = 0.4
 _MAX_CHECK_S = 6.0
-# Time in seconds for which further breaks belong to a crash that is known.
-_CRASH_SPAN_S = 1.0
 # Time in seconds from the first output of a response to its end that a request
 # which crashes replicas is assumed not to reach.
 _OUTLIVED_S = 1.0
@@ -96,10 +93,7 @@
         self._pool = pool
         self._broken: dict[ReplicaRecord, list[BrokenAttempt]] = {}
         self._checks: dict[ReplicaRecord, asyncio.Task] = {}
-        self._crashed_s: dict[ReplicaRecord, float] = {}
-        self._crash_numbers: collections.Counter[ReplicaRecord] = (
-            collections.Counter()
-        )
+        self._times: CrashTimes[ReplicaRecord] = CrashTimes()
         self._process = uuid.uuid4().hex[:8]
 
     def observe_break(
@@ -128,7 +122,7 @@
             attempt.first_output_s,
             is_complete=error is None,
         )
-        if self._is_known_crash(broken, replica):
+        if self._times.is_known(replica, broken.sent_s, broken.broken_s):
             self._report(replica, [broken], "known")
             return
         attempts = self._broken.setdefault(replica, [])
@@ -155,13 +149,6 @@
         current = self._state.registry.get(replica.instance)
         return current is not None and current.state is ReplicaState.READY
 
-    def _is_known_crash(
-        self, broken: BrokenAttempt, replica: ReplicaRecord
-    ) -> bool:
-        """Returns whether the attempt was in progress at the last crash."""
-        crashed_s = self._crashed_s.get(replica, float("-inf"))
-        return broken.sent_s <= crashed_s > broken.broken_s - _CRASH_SPAN_S
-
     async def _check(self, replica: ReplicaRecord) -> None:
         """Finds out whether a replica has crashed."""
         end_s = self._state.now_s() + _MAX_CHECK_S
@@ -262,14 +249,7 @@
         attempts = self._broken.pop(replica, [])
         if not attempts or self._is_draining(replica):
             return
-        now_s = self._state.now_s()
-        self._crashed_s = {
-            other: crashed_s
-            for other, crashed_s in self._crashed_s.items()
-            if now_s - crashed_s < _CRASH_SPAN_S
-        }
-        self._crashed_s[replica] = attempts[0].broken_s
-        self._crash_numbers[replica] += 1
+        self._times.add(replica, attempts[0].broken_s)
         self._report(replica, attempts, evidence)
 
     def _is_draining(self, replica: ReplicaRecord) -> bool:
@@ -321,13 +301,12 @@
         crash = f"{replica.instance}/{replica.started_ms}"
         if not replica.started_ms:
             crash = f"{replica.instance}/{self._process}"
-        number = self._crash_numbers[replica]
+        _, number = self._times.get_last(replica)
         return crash if number == 1 else f"{crash}/{number}"
 
     def retain(self, replicas: Collection[ReplicaRecord]) -> None:
         """Forgets replicas that are no longer registered."""
-        for replica in self._crash_numbers.keys() - replicas:
-            del self._crash_numbers[replica]
+        self._times.retain(replicas)
 
 
 def _has_outlived_output(attempt: BrokenAttempt) -> bool:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/crashing_replica.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/crashing_replica.py
@@ -60,9 +60,15 @@
 
     async def _start_again(self):
         await asyncio.sleep(self._down_s)
-        self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", self._port
-        )
+        while True:
+            try:
+                self._server = await asyncio.start_server(
+                    self._serve, "127.0.0.1", self._port
+                )
+                return
+            except OSError:
+                # A connection of another process has the port for a moment.
+                await asyncio.sleep(0.02)
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
--- a/packages/chicoryplank/src/chicoryplank/quarantine/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/__init__.py
@@ -5,6 +5,7 @@
 and keep the requests with a feature that crashes replicas away from them.
 """
 
+from chicoryplank.quarantine._crash_times import CrashTimes
 from chicoryplank.quarantine._features import (
     FeatureId,
     make_part_feature,
@@ -22,6 +23,7 @@
 __all__ = [
     "CrashLedger",
     "CrashRecord",
+    "CrashTimes",
     "FeatureId",
     "MalformedReportError",
     "Outcomes",
