Let the timeouts of silent replicas follow the recent times of their service

The check that other replicas make progress has no evidence at this size, since an entry rarely has two requests at one replica.

Change: the timeouts for the first output and for the gap between two outputs are at least mean and four deviations of the recent times of the service. A timeout counts as a sample, so that the average follows a slowdown.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from chicoryplank.admission import OutputTimes
 from chicoryplank.ids import InstanceId
 from chicoryplank_entry.forwarding.attempts import SUCCESS, Attempt
 from chicoryplank_entry.forwarding.calls import Call
@@ -91,6 +92,7 @@
                 attempt.response.wait_head,
                 attempt,
                 self._parameters.first_output_timeout_s,
+                call.service_state.first_output_times,
             )
             return
         left_s = call.deadline_s - self._state.now_s()
@@ -109,17 +111,28 @@
                 "timeout while waiting for the response headers",
             ) from error
 
-    async def _await_output(self, read, attempt: Attempt, timeout_s: float):
+    async def _await_output(
+        self, read, attempt: Attempt, min_timeout_s: float, times: OutputTimes
+    ):
         """Waits for output; aborts if only this replica is silent.
 
         A lock-step group stalls as a whole, so another replica of it would not
         respond sooner.
+
+        Args:
+            read: Reads the output.
+            attempt: The attempt.
+            min_timeout_s: Smallest timeout in seconds.
+            times: Recent times until such an output of the service.
         """
+        started_s = self._state.now_s()
         while True:
-            timeout = asyncio.timeout(timeout_s)
+            timeout = asyncio.timeout(times.get_timeout_s(min_timeout_s))
             try:
                 async with timeout:
-                    return await read()
+                    output = await read()
+                times.observe(self._state.now_s() - started_s)
+                return output
             except TimeoutError as error:
                 if not timeout.expired():
                     raise
@@ -127,6 +140,7 @@
                     self._is_only_replica_silent(attempt)
                     and self._can_try_elsewhere()
                 ):
+                    times.observe(self._state.now_s() - started_s)
                     attempt.connection.abort()
                     raise ConnectionBrokenError(
                         BreakReason.TIMED_OUT,
@@ -140,8 +154,8 @@
         if now_s - service.last_progress_s > _MAX_PROGRESS_AGE_S:
             return False
         own_s = service.replica_last_progress_s.get(attempt.replica.instance)
-        return (
-            own_s is None or now_s - own_s > self._parameters.silence_timeout_s
+        return own_s is None or now_s - own_s > service.gap_times.get_timeout_s(
+            self._parameters.silence_timeout_s
         )
 
     def _can_try_elsewhere(self) -> bool:
@@ -222,9 +236,11 @@
         splitter = self._splitter
         splitter.discard_partial_event()
         instance = attempt.replica.instance
-        timeout_s = self._parameters.silence_timeout_s
         while data := await self._await_output(
-            attempt.response.read, attempt, timeout_s
+            attempt.response.read,
+            attempt,
+            self._parameters.silence_timeout_s,
+            self._call.service_state.gap_times,
         ):
             now_s = self._state.now_s()
             self._state.observe_progress(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -11,6 +11,7 @@
     CircuitBreaker,
     EntryCount,
     Occupancy,
+    OutputTimes,
     RetryBudget,
     RetryBudgetParameters,
     ServerLimits,
@@ -106,6 +107,8 @@
         last_progress_s: Time of the last output of any replica.
         replica_last_progress_s: Time of the last output of each replica.
         is_lockstep: Whether the replicas are ranks that run each step together.
+        first_output_times: Times from an attempt to its first output.
+        gap_times: Times between two outputs of a stream.
     """
 
     policy: Policy
@@ -122,6 +125,10 @@
         default_factory=dict
     )
     is_lockstep: bool = False
+    first_output_times: OutputTimes = dataclasses.field(
+        default_factory=OutputTimes
+    )
+    gap_times: OutputTimes = dataclasses.field(default_factory=OutputTimes)
 
 
 class EntryState:
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -6,6 +6,7 @@
 from chicoryplank.admission._circuit_breaker import CircuitBreaker
 from chicoryplank.admission._entry_count import EntryCount
 from chicoryplank.admission._occupancy import Occupancy
+from chicoryplank.admission._output_times import OutputTimes
 from chicoryplank.admission._retry_after import RetryAfterJitter
 from chicoryplank.admission._retry_budget import (
     RetryBudget,
@@ -26,6 +27,7 @@
     "CircuitBreaker",
     "EntryCount",
     "Occupancy",
+    "OutputTimes",
     "LimitReport",
     "LimitSource",
     "MalformedLimitError",
