Read what replicas say of themselves: leaving, and pauses

Cause: nothing read the header with which a replica says that it leaves, nor the Retry-After of its rejections.

Change: ReplicaHolds keeps which replicas get no new request, until when and why. It replaces the full state in Occupancy, the holds in ServerLimits, the exclusions in EntryState and the table in RelaySelector, and also holds replicas whose registration drains, whose slots counted as free before. Routing, probes, retries, resumed streams, trials and waiting requests ask it; a request is checked once more when its connection is made. A word of leaving ends with a new start of the replica, not with a registration or a lapse. A pause is bounded by 300 s and extended at random by up to a quarter, so that entries do not return together. If all replicas pause, requests are refused at once with the time until the first one returns, waiting ones too.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
@@ -98,24 +98,25 @@
         max_wait_s = self._get_max_wait(call, now_s)
         wait_s = state.estimate_wait_s(call.service_state)
         if wait_s > max_wait_s:
-            raise self.make_refusal(
-                call,
-                ErrorCode.QUEUE_FULL,
-                f"the expected wait for a slot is {wait_s:.1f} s",
-            )
+            raise self._make_wait_refusal(call, wait_s)
         granted = asyncio.get_running_loop().create_future()
         target_s = call.route.target.total_seconds()
         waiter = call.service_state.slot_queue.add(
             call.priority,
             call.request.received_s + target_s * self._parameters.on_time_share,
-            lambda: _resolve(granted),
+            lambda: _resolve(granted, True),
             call.attempts,
+            gives_up_s=now_s + max_wait_s,
+            on_reject=lambda: _resolve(granted, False),
         )
         if waiter is not None:
             try:
                 async with asyncio.timeout(max_wait_s) as limit:
-                    await granted
-                return
+                    if await granted:
+                        return
+                raise self._make_wait_refusal(
+                    call, state.estimate_wait_s(call.service_state)
+                )
             except TimeoutError:
                 if not limit.expired():
                     raise
@@ -149,15 +150,37 @@
             ),
         )
 
+    def _make_wait_refusal(
+        self, call: Call, wait_s: float
+    ) -> ChicoryplankError:
+        return self.make_refusal(
+            call,
+            ErrorCode.QUEUE_FULL,
+            f"the expected wait for a slot is {wait_s:.1f} s",
+            min_delay=timedelta(seconds=wait_s),
+        )
+
     def make_refusal(
-        self, call: Call, code: ErrorCode, message: str
+        self,
+        call: Call,
+        code: ErrorCode,
+        message: str,
+        *,
+        min_delay: timedelta = timedelta(),
     ) -> ChicoryplankError:
-        """Returns the final error; with a Retry-After delay if not run."""
+        """Returns the final error; with a Retry-After delay if not run.
+
+        Args:
+            call: The request.
+            code: Code of the error.
+            message: Why the request is refused.
+            min_delay: Expected time until a slot is free, if known.
+        """
         retry_after = None
         if call.verdict is Verdict.NOT_RUN:
             left_s = call.caller_deadline_s - self._state.now_s()
             retry_after = self._retry_after_jitter.draw(
-                timedelta(seconds=max(0, left_s))
+                timedelta(seconds=max(0, left_s)), min_delay
             )
         return ChicoryplankError(code, message, call.verdict, retry_after)
 
@@ -186,6 +209,6 @@
         )
 
 
-def _resolve(future: asyncio.Future) -> None:
+def _resolve(future: asyncio.Future, is_granted: bool) -> None:
     if not future.done():
-        future.set_result(None)
+        future.set_result(is_granted)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 from datetime import timedelta
 
+from chicoryplank.admission import HoldReason
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
@@ -45,6 +46,13 @@
 # Delay before a replica that can't be reached is tried again, if no other one
 # is left, in seconds.
 _CONNECTION_RETRY_DELAY_S = 0.05
+# Reasons for which even a request whose connection is made is not sent.
+_WITHDRAWN = frozenset(
+    {HoldReason.PAUSE, HoldReason.LEAVING, HoldReason.MISDIRECTED}
+)
+_UNAVAILABLE = 503
+_RETRY_AFTER = "retry-after"
+_IS_LEAVING = "1"
 
 
 class Exchange:
@@ -259,6 +267,10 @@
                     self._end_attempt(call, replica.instance, None)
                     continue
                 connection = await self._connect(call, backend)
+                if self._has_withdrawn(replica):
+                    self._pool.release(backend, connection)
+                    self._end_attempt(call, replica.instance, None)
+                    continue
             except ConnectionBrokenError as error:
                 self._end_attempt(call, replica.instance, False)
                 call.tried_replicas.add(replica.instance)
@@ -272,6 +284,15 @@
                 raise
             return self._write_request(call, replica, backend, connection)
 
+    def _has_withdrawn(self, replica: ReplicaRecord) -> bool:
+        """Returns whether a chosen replica takes no request any more.
+
+        It may have said so while the connection to it was being made.
+        """
+        return self._state.holds.is_held(
+            replica.instance, self._state.now_s(), _WITHDRAWN
+        )
+
     async def _connect(
         self, call: Call, backend: BackendAddress
     ) -> ClientConnection:
@@ -331,7 +352,7 @@
             await relay.wait_head(attempt)
             outcome = classify(self._names, attempt.response, call.request_id)
             if outcome not in (Outcome.UNPROVEN, Outcome.MISDIRECTED):
-                self._read_limit(attempt)
+                self._read_replica_headers(attempt)
             if outcome is Outcome.FINAL or (
                 outcome is Outcome.FAILURE
                 and not self._admission.is_worth_retrying(call)
@@ -382,14 +403,22 @@
                 f"{condition.value}",
             )
 
-    def _read_limit(self, attempt: Attempt) -> None:
-        """Records the limit that the replica names for all entries."""
-        self._state.server_limits.read(
-            attempt.replica.instance,
-            attempt.response.get(self._names.server_limit),
+    def _read_replica_headers(self, attempt: Attempt) -> None:
+        """Records what the replica says of itself in its response."""
+        response = attempt.response
+        instance = attempt.replica.instance
+        if self._state.server_limits.read(
+            instance,
+            response.get(self._names.server_limit),
             attempt.started_s,
             self._state.now_s(),
-        )
+        ):
+            self._state.holds.release(instance, HoldReason.LIMIT)
+        if response.get(self._names.leaving) == _IS_LEAVING:
+            self._state.observe_leaving(attempt.replica)
+        pause = response.get(_RETRY_AFTER)
+        if response.status == _UNAVAILABLE and pause is not None:
+            self._state.observe_pause(attempt.replica, pause)
 
     def _handle_failure_response(
         self, call: Call, attempt: Attempt, outcome: Outcome
@@ -400,7 +429,6 @@
             Whether the replica succeeded, for the routing policy; None if the
             request did not run there.
         """
-        instance = attempt.replica.instance
         status = attempt.response.status
         at_fault = attempt.response.get(self._names.at_fault)
         if outcome in (Outcome.MISDIRECTED, Outcome.FULL):
@@ -418,11 +446,11 @@
         if outcome is Outcome.MISDIRECTED:
             replica = attempt.replica
             if at_fault in (None, replica.instance, replica.address):
-                self._state.exclude(instance)
+                self._state.observe_misdirected(replica)
             return None
         if outcome is Outcome.FULL:
             now_s = self._state.now_s()
-            self._state.occupancy.observe_full(instance, now_s)
+            self._state.observe_full(attempt.replica)
             if call.service_state.is_lockstep and at_fault is not None:
                 emit(Event.SERVICE_DOWN, replica=at_fault)
                 call.service_state.circuit_breaker.observe_outage(now_s)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/fields.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/fields.py
@@ -20,6 +20,7 @@
             example of another one of its group.
         server_limit: Requests per second that a replica takes from all entries
             together; absent while it takes any number.
+        leaving: "1" if the replica leaves and is to get no new request.
         prompt_parts: Parts of the prompt of a request in order, as ID:TOKENS
             separated by commas.
         last_event: Id of the last event that the receiver of a stream got.
@@ -34,6 +35,7 @@
     urgency: str
     at_fault: str
     server_limit: str = "server-limit"
+    leaving: str = "server-leaving"
     prompt_parts: str = "prompt-parts"
     last_event: str = "last-event-id"
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
@@ -13,7 +13,12 @@
 import itertools
 from collections.abc import Callable, Mapping
 
-from chicoryplank.admission import LimitReport, LimitSource, RateBucket
+from chicoryplank.admission import (
+    HoldReason,
+    LimitReport,
+    LimitSource,
+    RateBucket,
+)
 from chicoryplank.ids import InstanceId
 from chicoryplank.rendezvous import rank_members
 from chicoryplank_entry.forwarding.metrics import METRICS
@@ -95,7 +100,7 @@
         if wait_s <= 0:
             return True
         until_s = self._state.now_s() + max(wait_s, _MIN_WAIT_S)
-        self._state.server_limits.hold(instance, until_s)
+        self._state.holds.hold(instance, HoldReason.LIMIT, until_s)
         return False
 
     def request(
@@ -217,7 +222,9 @@
                 None if limit is None else float(limit), now_s - float(age_s)
             )
             instance = InstanceId(name)
-            if self._state.registry.get(instance) is not None:
-                self._state.server_limits.observe(
-                    instance, report, LimitSource.PEER
-                )
+            if self._state.registry.get(
+                instance
+            ) is not None and self._state.server_limits.observe(
+                instance, report, LimitSource.PEER
+            ):
+                self._state.holds.release(instance, HoldReason.LIMIT)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -8,15 +8,21 @@
 from datetime import UTC, datetime, timedelta
 
 from chicoryplank.admission import (
+    MAX_PAUSE_S,
+    UNUSABLE,
     CircuitBreaker,
     EntryCount,
+    HoldReason,
+    MalformedPauseError,
     Occupancy,
     OutputTimes,
+    ReplicaHolds,
     RetryBudget,
     RetryBudgetParameters,
     ServerLimits,
     SlotQueue,
     SlowReplicas,
+    parse_pause,
 )
 from chicoryplank.clock import Clock
 from chicoryplank.events import Event, emit
@@ -58,11 +64,19 @@
 # Time in seconds for which a replica is excluded after another replica has
 # responded at its address. An outdated registration has expired by then.
 _EXCLUSION_S = 10.0
+# Time in seconds for which a replica counts as full after it rejected a request
+# for lack of slots. A group step is shorter, so a slot may be free by then.
+_FULL_HOLD_S = 0.15
+# Share of a pause by which it is extended at random, and the longest extension
+# in seconds, so that the entries do not return together.
+_PAUSE_SPREAD = 0.25
+_MAX_PAUSE_SPREAD_S = 1.0
+_MAX_LOGGED_CHARACTERS = 50
 # Fraction of all slots that are reserved for requests which can still meet
 # their latency target, so that entries without a backlog do not wait behind
 # entries that have one.
 _ON_TIME_RESERVE = 0.08
-# Interval of checks for expired exclusions, stalls and free slots, in seconds.
+# Interval of checks for stalls and free slots, in seconds.
 _CHECK_INTERVAL_S = 0.1
 
 
@@ -147,6 +161,7 @@
         entry_count: Number of entries that are visible now, with this one.
         entry_bound: Number of entries among which an allowance is divided.
         server_limits: Limits that replicas name for all entries together.
+        holds: Replicas that get no new request now.
         quarantine: Crashes of replicas, and the requests that cause them.
     """
 
@@ -171,11 +186,11 @@
         self.entry_count = 1
         self.entry_bound = EntryCount()
         self.server_limits = ServerLimits()
+        self.holds = ReplicaHolds()
         self.quarantine = Quarantine()
         self.is_draining = False
         self._configured = asyncio.Event()
         self._services: dict[ServiceId, ServiceState] = {}
-        self._excluded_until_s: dict[InstanceId, float] = {}
 
     def now_s(self) -> float:
         """Returns the monotonic time in seconds."""
@@ -235,30 +250,82 @@
 
     def refresh_candidates(self) -> None:
         """Updates the candidates of all services from the registry."""
-        known = {record.instance for record in self.registry.list_all()}
-        for instance in self._excluded_until_s.keys() - known:
-            del self._excluded_until_s[instance]
+        now_s = self.now_s()
+        records = self.registry.list_all()
+        for record in records:
+            self.holds.observe_start(record.instance, record.started_ms)
+            if record.state is ReplicaState.DRAINING:
+                self._hold(record, HoldReason.LEAVING, float("inf"))
+        known = {record.instance for record in records}
+        self.holds.retain(known, now_s)
         self.server_limits.retain(known)
         for service, state in self._services.items():
             self._refresh_service(service, state)
 
-    def exclude(self, instance: InstanceId) -> None:
-        """Excludes a replica whose address now belongs to another one."""
-        if instance not in self._excluded_until_s:
-            self._excluded_until_s[instance] = self.now_s() + _EXCLUSION_S
-            self.refresh_candidates()
+    def observe_misdirected(self, replica: ReplicaRecord) -> None:
+        """Records that the address of a replica belongs to another one."""
+        until_s = self.now_s() + _EXCLUSION_S
+        self._hold(replica, HoldReason.MISDIRECTED, until_s)
+
+    def observe_full(self, replica: ReplicaRecord) -> None:
+        """Records that a replica rejected a request for lack of slots."""
+        until_s = self.now_s() + _FULL_HOLD_S
+        self._hold(replica, HoldReason.FULL, until_s)
+
+    def observe_leaving(self, replica: ReplicaRecord) -> None:
+        """Records that a replica says in a response that it leaves.
+
+        The hold lasts until the replica starts again, whatever a registration
+        says that is read later.
+        """
+        if self._hold(replica, HoldReason.LEAVING, float("inf")):
+            emit(Event.REPLICA_LEAVING, replica=replica.instance)
+
+    def observe_pause(self, replica: ReplicaRecord, text: str) -> None:
+        """Records that a replica rejects requests for a time.
+
+        Args:
+            replica: The replica.
+            text: Time in seconds, as the replica wrote it.
+        """
+        try:
+            pause_s = parse_pause(text)
+        except MalformedPauseError:
+            pause_s = None
+        applied_s = min(pause_s or 0.0, MAX_PAUSE_S)
+        if applied_s != pause_s:
+            emit(
+                Event.REPLICA_PAUSE_MALFORMED,
+                replica=replica.instance,
+                value=repr(text[:_MAX_LOGGED_CHARACTERS]),
+                applied_s=applied_s,
+            )
+        if not applied_s:
+            return
+        spread_s = min(_PAUSE_SPREAD * applied_s, _MAX_PAUSE_SPREAD_S)
+        until_s = self.now_s() + applied_s + spread_s * self.rng.random()
+        if self._hold(replica, HoldReason.PAUSE, until_s):
+            emit(
+                Event.REPLICA_PAUSED,
+                replica=replica.instance,
+                pause_s=applied_s,
+            )
+
+    def _hold(
+        self, replica: ReplicaRecord, reason: HoldReason, until_s: float
+    ) -> bool:
+        return self.holds.hold(
+            replica.instance, reason, until_s, replica.started_ms
+        )
 
     def readmit(self, instance: InstanceId) -> None:
-        """Forgets what was observed of a replica that has started again."""
-        self._excluded_until_s.pop(instance, None)
+        """Forgets what was observed of a replica that registered again."""
+        self.holds.release(instance, HoldReason.MISDIRECTED)
+        self.holds.release(instance, HoldReason.LIMIT)
         self.server_limits.reset(instance, self.now_s())
 
     def _refresh_service(self, service: ServiceId, state: ServiceState) -> None:
-        records = [
-            record
-            for record in self.registry.list_service(service)
-            if record.instance not in self._excluded_until_s
-        ]
+        records = self.registry.list_service(service)
         candidates = tuple(make_candidate(record) for record in records)
         state.slots = {record.instance: record.slots for record in records}
         state.replica_last_progress_s = {
@@ -279,8 +346,7 @@
         now_s = self.now_s()
         avoided = self.slow_replicas.list_avoided(state.slots, now_s)
         used = state.slots.keys() - avoided
-        # The slots of a replica whose limit is used up are of no use now.
-        held = self.server_limits.list_held(now_s)
+        held = self.holds.list_held(now_s, UNUSABLE)
         if used - held:
             used -= held
         total = sum(state.slots[instance] for instance in used)
@@ -290,8 +356,9 @@
         return max(
             state.slot_queue.estimate_wait(total * share, free * share),
             self.server_limits.estimate_wait_s(
-                state.slots, len(state.slot_queue), now_s
+                state.slots, len(state.slot_queue)
             ),
+            self.holds.estimate_wait_s(state.slots, now_s),
         )
 
     def list_full_replicas(
@@ -310,10 +377,9 @@
             instance
             for instance, slots in state.slots.items()
             if occupancy.count(instance) >= slots + allowance
-            or occupancy.is_full(instance, now_s)
         ).union(
             self.slow_replicas.list_avoided(state.slots, now_s),
-            self.server_limits.list_held(now_s) & state.slots.keys(),
+            self.holds.list_held(now_s) & state.slots.keys(),
         )
 
     def list_versions(self, service: ServiceId) -> set[str]:
@@ -401,16 +467,7 @@
             self.check_services(self.now_s())
 
     def check_services(self, now_s: float) -> None:
-        """Ends expired exclusions, detects stalls and grants free slots."""
-        expired = [
-            name
-            for name, at_s in self._excluded_until_s.items()
-            if now_s >= at_s
-        ]
-        for instance in expired:
-            del self._excluded_until_s[instance]
-        if expired:
-            self.refresh_candidates()
+        """Detects stalls, and settles requests that wait for a slot."""
         for state in self._services.values():
             if state.is_lockstep and state.circuit_breaker.check_stalled(
                 state.in_flight, now_s
@@ -419,6 +476,8 @@
                     emit(Event.SERVICE_STANDS, in_flight=state.in_flight)
                 state.circuit_breaker.observe_outage(now_s)
             if len(state.slot_queue):
+                wait_s = self.holds.estimate_wait_s(state.slots, now_s)
+                state.slot_queue.reject_before(now_s + wait_s)
                 self._grant_slots(state, now_s)
 
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/limit_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/limit_model.py
@@ -56,7 +56,7 @@
         permits = process.peers.permits
         limits = process.state.server_limits
         for _ in range(_MAX_ATTEMPTS):
-            if REPLICA in limits.list_held(self.now_s):
+            if process.state.holds.is_held(REPLICA, self.now_s):
                 return
             if limits.get(REPLICA) is not None:
                 waits = [0.1]
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_server_limits.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_server_limits.py
@@ -7,6 +7,7 @@
 import asyncio
 import time
 
+from chicoryplank.admission import HoldReason
 from chicoryplank.ids import InstanceId
 from chicoryplank_entry.forwarding.tests.harness import (
     SERVICE,
@@ -141,7 +142,8 @@
                 before_s = state.estimate_wait_s(service)
                 for number in range(3):
                     name = InstanceId(f"replica-{number}")
-                    state.server_limits.hold(name, state.now_s() + 5.0)
+                    until_s = state.now_s() + 5.0
+                    state.holds.hold(name, HoldReason.LIMIT, until_s)
                 return before_s, state.estimate_wait_s(service)
 
         before_s, after_s = asyncio.run(run())
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from datetime import datetime, timedelta
 
+from chicoryplank.admission import HoldReason, ReplicaHolds
 from chicoryplank.clock import Clock
 from chicoryplank.configuration import Snapshot
 from chicoryplank.ids import InstanceId, ZoneId
@@ -155,7 +156,7 @@
         self._policies: dict[str, Policy] = {}
         self._candidates: dict[str, tuple[Candidate, ...]] = {}
         self._candidate_ids: dict[str, list[InstanceId]] = {}
-        self._held_until: dict[InstanceId, timedelta] = {}
+        self._holds = ReplicaHolds()
         self._joined_at: dict[InstanceId, datetime] = {}
 
     def choose(
@@ -179,7 +180,7 @@
             for relay in pool.get_relays(deployment)
             if relay.is_usable
         }
-        held = self._list_held()
+        held = self._holds.list_held(self._now_s())
         if relays.keys() - excluded - held:
             excluded |= held
         elif not relays.keys() - excluded:
@@ -192,20 +193,20 @@
 
     def hold(self, relay: Relay, duration: timedelta | None) -> None:
         """Prefers other replicas until the limit of this one allows more."""
-        until = self._clock.elapsed() + (duration or timedelta())
-        self._held_until[relay.instance.instance] = until
+        until_s = self._now_s() + (duration or timedelta()).total_seconds()
+        instance = relay.instance.instance
+        self._holds.release(instance, HoldReason.LIMIT)
+        self._holds.hold(instance, HoldReason.LIMIT, until_s)
 
     def get_hold(self, relay: Relay) -> timedelta:
         """Returns the time until the limit of a replica allows a request."""
-        until = self._held_until.get(relay.instance.instance, timedelta())
-        return max(timedelta(), until - self._clock.elapsed())
-
-    def _list_held(self) -> frozenset[InstanceId]:
-        now = self._clock.elapsed()
-        for instance, until in list(self._held_until.items()):
-            if now >= until:
-                del self._held_until[instance]
-        return frozenset(self._held_until)
+        wait_s = self._holds.estimate_wait_s(
+            [relay.instance.instance], self._now_s()
+        )
+        return timedelta(seconds=wait_s)
+
+    def _now_s(self) -> float:
+        return self._clock.elapsed().total_seconds()
 
     def begin_attempt(self, relay: Relay) -> None:
         """Records the start of an attempt at a replica."""
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -7,6 +7,14 @@
 from chicoryplank.admission._entry_count import EntryCount
 from chicoryplank.admission._occupancy import Occupancy
 from chicoryplank.admission._output_times import OutputTimes
+from chicoryplank.admission._replica_holds import (
+    MAX_PAUSE_S,
+    UNUSABLE,
+    HoldReason,
+    MalformedPauseError,
+    ReplicaHolds,
+    parse_pause,
+)
 from chicoryplank.admission._retry_after import RetryAfterJitter
 from chicoryplank.admission._retry_budget import (
     RetryBudget,
@@ -24,14 +32,19 @@
 from chicoryplank.admission._slow_groups import SlowReplicas, find_slow_replicas
 
 __all__ = [
+    "MAX_PAUSE_S",
+    "UNUSABLE",
     "CircuitBreaker",
     "EntryCount",
+    "HoldReason",
     "Occupancy",
     "OutputTimes",
     "LimitReport",
     "LimitSource",
     "MalformedLimitError",
+    "MalformedPauseError",
     "RateBucket",
+    "ReplicaHolds",
     "RetryAfterJitter",
     "RetryBudget",
     "RetryBudgetParameters",
@@ -41,4 +54,5 @@
     "Waiter",
     "find_slow_replicas",
     "parse_limit",
+    "parse_pause",
 ]
--- a/packages/chicoryplank/src/chicoryplank/admission/_occupancy.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_occupancy.py
@@ -12,9 +12,6 @@
 # Age in seconds after which the counts of an entry are dropped. The callers of
 # an entry that has been silent for this long have switched to another one.
 _PEER_MAX_AGE_S = 2.0
-# Time in seconds for which a replica counts as full after it rejected a request
-# for lack of slots. A group step is shorter, so a slot may be free by then.
-_FULL_HOLD_S = 0.15
 
 
 class Occupancy:
@@ -37,7 +34,6 @@
         self._peer_total: collections.Counter[InstanceId] = (
             collections.Counter()
         )
-        self._full_until: dict[InstanceId, float] = {}
 
     def begin(self, instance: InstanceId) -> None:
         """Counts a request that this entry sent to a replica."""
@@ -68,20 +64,6 @@
         if silent:
             self._sum_peers()
 
-    def observe_full(self, instance: InstanceId, now_s: float) -> None:
-        """Records that a replica rejected a request for lack of slots."""
-        self._full_until[instance] = now_s + _FULL_HOLD_S
-
-    def is_full(self, instance: InstanceId, now_s: float) -> bool:
-        """Whether the replica recently rejected a request for lack of slots."""
-        until = self._full_until.get(instance)
-        if until is None:
-            return False
-        if now_s >= until:
-            del self._full_until[instance]
-            return False
-        return True
-
     def count(self, instance: InstanceId) -> int:
         """Returns the in-flight requests of a replica from all entries."""
         return self._own_counts[instance] + self._peer_total[instance]
--- a/packages/chicoryplank/src/chicoryplank/admission/_server_limits.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_server_limits.py
@@ -129,14 +129,15 @@
     Example:
         >>> limits = ServerLimits()
         >>> limits.read(InstanceId("a"), "5", sent_s=1.0, now_s=1.5)
+        True
         >>> limits.read(InstanceId("a"), None, sent_s=1.2, now_s=1.7)
+        False
         >>> limits.get(InstanceId("a"))
         5.0
     """
 
     def __init__(self) -> None:
         self._reports: dict[InstanceId, LimitReport] = {}
-        self._held_until_s: dict[InstanceId, float] = {}
         self._logged_values: set[tuple[InstanceId, str]] = set()
 
     def get(self, instance: InstanceId) -> float | None:
@@ -158,7 +159,7 @@
         text: str | None,
         sent_s: float,
         now_s: float,
-    ) -> None:
+    ) -> bool:
         """Applies the limit that a server names in a response, or its lack.
 
         A malformed limit changes nothing. A response without one may be older
@@ -169,32 +170,38 @@
             text: Value of the header; None if there is none.
             sent_s: Time at which the request was sent, in seconds.
             now_s: Current time in seconds.
+
+        Returns:
+            Whether the limit changed.
         """
         if text is None:
-            if self.get(instance) is not None:
-                report = LimitReport(None, sent_s)
-                self.observe(instance, report, LimitSource.RESPONSE)
-            return
+            if self.get(instance) is None:
+                return False
+            report = LimitReport(None, sent_s)
+            return self.observe(instance, report, LimitSource.RESPONSE)
         try:
             limit = parse_limit(text)
         except MalformedLimitError:
             self._log_malformed(instance, text[:_MAX_LOGGED_CHARACTERS])
-            return
+            return False
         report = LimitReport(limit, now_s)
-        self.observe(instance, report, LimitSource.RESPONSE)
+        return self.observe(instance, report, LimitSource.RESPONSE)
 
     def observe(
         self, instance: InstanceId, report: LimitReport, source: LimitSource
-    ) -> None:
-        """Records a report unless a newer one is known; logs a change."""
+    ) -> bool:
+        """Records a report unless a newer one is known; logs a change.
+
+        Returns:
+            Whether the limit changed.
+        """
         known = self._reports.get(instance)
         if known is not None and report.seen_s <= known.seen_s:
-            return
+            return False
         previous = self.get(instance)
         self._reports[instance] = report
         if report.limit == previous:
-            return
-        self._held_until_s.pop(instance, None)
+            return False
         emit(
             Event.SERVER_LIMIT_CHANGED,
             replica=instance,
@@ -202,6 +209,7 @@
             previous=_format_limit(previous),
             source=source.value,
         )
+        return True
 
     def _log_malformed(self, instance: InstanceId, text: str) -> None:
         key = (instance, text)
@@ -221,10 +229,8 @@
 
     def retain(self, instances: Iterable[InstanceId]) -> None:
         """Forgets all other servers."""
-        known = set(instances)
-        for values in (self._reports, self._held_until_s):
-            for instance in values.keys() - known:
-                del values[instance]
+        for instance in self._reports.keys() - set(instances):
+            del self._reports[instance]
 
     def list_reports(self, now_s: float) -> dict[InstanceId, LimitReport]:
         """Returns the reports that other entries may lack."""
@@ -238,41 +244,27 @@
             del self._reports[instance]
         return dict(self._reports)
 
-    def hold(self, instance: InstanceId, until_s: float) -> None:
-        """Keeps requests away from a server whose limit is used up."""
-        self._held_until_s[instance] = until_s
-
-    def list_held(self, now_s: float) -> frozenset[InstanceId]:
-        """Returns the servers that get no request now."""
-        for instance, until_s in list(self._held_until_s.items()):
-            if now_s >= until_s:
-                del self._held_until_s[instance]
-        return frozenset(self._held_until_s)
-
     def estimate_wait_s(
-        self, instances: Iterable[InstanceId], queued: int, now_s: float
+        self, instances: Iterable[InstanceId], queued: int
     ) -> float:
-        """Returns the least time until one of several servers may be sent to.
+        """Returns the time in which several servers take the queued requests.
 
         Args:
             instances: The servers.
             queued: Requests that wait for the same servers.
-            now_s: Current time in seconds.
 
         Returns:
             Seconds; 0 if any of the servers has no limit.
         """
         total = 0.0
-        first_s = float("inf")
         for instance in instances:
             rate = self.get_rate(instance)
             if rate is None:
                 return 0.0
             total += rate
-            first_s = min(first_s, self._held_until_s.get(instance, now_s))
         if not total:
             return 0.0
-        return max(first_s - now_s, queued / total)
+        return queued / total
 
 
 def _format_limit(limit: float | None) -> str:
--- a/packages/chicoryplank/src/chicoryplank/admission/_slot_queue.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_slot_queue.py
@@ -22,6 +22,8 @@
         latest_start_s: Latest start at which the latency target can be met.
         on_grant: Called once when the request gets a slot.
         attempts: Attempts that the request already had.
+        gives_up_s: Time until which the request can wait.
+        on_reject: Called once when no slot becomes free until then.
         is_granted: Whether it got a slot and was not withdrawn yet.
     """
 
@@ -29,6 +31,8 @@
     latest_start_s: float
     on_grant: Callable[[], None]
     attempts: int = 0
+    gives_up_s: float = float("inf")
+    on_reject: Callable[[], None] = lambda: None
     is_granted: bool = False
 
 
@@ -61,6 +65,9 @@
         latest_start_s: float,
         on_grant: Callable[[], None],
         attempts: int = 0,
+        *,
+        gives_up_s: float = float("inf"),
+        on_reject: Callable[[], None] = lambda: None,
     ) -> Waiter | None:
         """Adds a request; returns None if the queue is full.
 
@@ -70,10 +77,14 @@
                 met.
             on_grant: Called when the request gets a slot.
             attempts: Attempts that the request already had.
+            gives_up_s: Time until which the request can wait.
+            on_reject: Called when no slot becomes free until then.
         """
         if len(self._waiters) >= self._max_waiting:
             return None
-        waiter = Waiter(priority, latest_start_s, on_grant, attempts)
+        waiter = Waiter(
+            priority, latest_start_s, on_grant, attempts, gives_up_s, on_reject
+        )
         self._waiters.append(waiter)
         return waiter
 
@@ -85,6 +96,21 @@
         elif waiter in self._waiters:
             self._waiters.remove(waiter)
 
+    def reject_before(self, first_free_s: float) -> None:
+        """Rejects the requests that give up before a slot becomes free.
+
+        Args:
+            first_free_s: Earliest time at which a slot can be free.
+        """
+        hopeless = [
+            waiter
+            for waiter in self._waiters
+            if waiter.gives_up_s < first_free_s
+        ]
+        for waiter in hopeless:
+            self._waiters.remove(waiter)
+            waiter.on_reject()
+
     def observe_duration(self, duration_s: float) -> None:
         """Updates the mean time for which a request holds its slot."""
         if self._mean_duration_s is None:
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/test_occupancy.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/test_occupancy.py
@@ -34,13 +34,6 @@
         occupancy.expire_peers(2.1)
         self.assertEqual(0, occupancy.count(_A))
 
-    def test_full_state_expires(self):
-        """Guards against a request to a replica that rejected one just now."""
-        occupancy = Occupancy()
-        occupancy.observe_full(_A, 0.0)
-        self.assertTrue(occupancy.is_full(_A, 0.1))
-        self.assertFalse(occupancy.is_full(_A, 0.2))
-
     def test_counts_return_to_zero(self):
         """Guards against a replica that looks emptier than it is.
 
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/test_server_limits.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/test_server_limits.py
@@ -106,12 +106,12 @@
         self.assertIn(_SERVER, self.limits.list_reports(20.0))
         self.assertNotIn(_SERVER, self.limits.list_reports(60.0))
 
-    def test_change_ends_a_hold(self):
+    def test_change_is_reported(self):
         """Guards against waiting for a limit that is no longer in force."""
-        self.limits.hold(_SERVER, 20.0)
-        self.assertEqual({_SERVER}, self.limits.list_held(10.5))
-        self.limits.observe(_SERVER, LimitReport(50.0, 10.6), _SOURCE)
-        self.assertEqual(frozenset(), self.limits.list_held(10.7))
+        changed = LimitReport(50.0, 10.6)
+        self.assertTrue(self.limits.observe(_SERVER, changed, _SOURCE))
+        same = LimitReport(50.0, 10.7)
+        self.assertFalse(self.limits.observe(_SERVER, same, _SOURCE))
 
     def test_restarted_server_has_no_limit(self):
         """Guards against a limit of an earlier process at the same id."""
@@ -120,10 +120,8 @@
 
     def test_removed_server_is_forgotten(self):
         """Guards against memory that grows with the servers of the past."""
-        self.limits.hold(_SERVER, 20.0)
         self.limits.retain([])
         self.assertEqual({}, self.limits.list_reports(12.0))
-        self.assertEqual(frozenset(), self.limits.list_held(12.0))
 
     def test_zero_is_probed(self):
         """Guards against a server that is never asked again."""
@@ -134,10 +132,8 @@
         """Guards against requests that wait although no server takes them."""
         other = InstanceId("other")
         servers = [_SERVER, other]
-        self.limits.hold(_SERVER, 13.0)
-        self.assertEqual(0.0, self.limits.estimate_wait_s(servers, 9, 10.0))
+        self.assertEqual(0.0, self.limits.estimate_wait_s(servers, 9))
         self.limits.observe(other, LimitReport(1.0, 10.0), _SOURCE)
-        self.limits.hold(other, 14.0)
-        self.assertEqual(3.0, self.limits.estimate_wait_s(servers, 0, 10.0))
-        self.assertEqual(10.0, self.limits.estimate_wait_s(servers, 30, 10.0))
-        self.assertEqual(0.0, self.limits.estimate_wait_s([], 30, 10.0))
+        self.assertEqual(0.0, self.limits.estimate_wait_s(servers, 0))
+        self.assertEqual(10.0, self.limits.estimate_wait_s(servers, 30))
+        self.assertEqual(0.0, self.limits.estimate_wait_s([], 30))
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/test_slot_queue.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/test_slot_queue.py
@@ -37,6 +37,20 @@
         self._grant(2)
         self.assertEqual(["urgent", "fresh", "late"], self.granted)
 
+    def test_hopeless_requests_are_rejected(self):
+        """Guards against a wait for replicas that all return too late."""
+        rejected = []
+        for name, gives_up_s in (("short", 1.0), ("long", 3.0)):
+            self.queue.add(
+                1,
+                1.0,
+                lambda: None,
+                gives_up_s=gives_up_s,
+                on_reject=lambda name=name: rejected.append(name),
+            )
+        self.queue.reject_before(2.0)
+        self.assertEqual((["short"], 1), (rejected, len(self.queue)))
+
     def test_late_requests_leave_a_reserve(self):
         """Guards against a backlog whose late requests take every slot.
 
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -237,6 +237,23 @@
         logbook.WARNING,
         "crashes and verdicts could not be stored: {error}",
     )
+    REPLICA_LEAVING = (
+        1224,
+        logbook.INFO,
+        "replica {replica} says in a response that it leaves; it gets no new "
+        "request",
+    )
+    REPLICA_PAUSED = (
+        1225,
+        logbook.INFO,
+        "replica {replica} asks for no new request for {pause_s} s",
+    )
+    REPLICA_PAUSE_MALFORMED = (
+        1226,
+        logbook.WARNING,
+        "replica {replica} asks for a pause that is not plausible: {value}; "
+        "{applied_s} s are used",
+    )
     STORE_LOST = (
         1304,
         logbook.WARNING,
