Tell refused callers when a group that is down is expected back

Change: the circuit breaker learns the duration of outages. While it is open, a request that would wait longer than it may is refused at once, and Retry-After is at least the time until the expected return, within a third of the caller's time. Without an earlier outage, or beyond its duration, nothing changes.

The test of the exchange fails without the change.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
@@ -178,7 +178,11 @@
         """
         retry_after = None
         if call.verdict is Verdict.NOT_RUN:
-            left_s = call.caller_deadline_s - self._state.now_s()
+            now_s = self._state.now_s()
+            left_s = call.caller_deadline_s - now_s
+            breaker = call.service_state.circuit_breaker
+            return_s = breaker.estimate_return_s(now_s)
+            min_delay = max(min_delay, timedelta(seconds=return_s))
             retry_after = self._retry_after_jitter.draw(
                 timedelta(seconds=max(0, left_s)), min_delay
             )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -359,6 +359,7 @@
                 state.slots, len(state.slot_queue)
             ),
             self.holds.estimate_wait_s(state.slots, now_s),
+            state.circuit_breaker.estimate_return_s(now_s),
         )
 
     def list_full_replicas(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
@@ -9,6 +9,7 @@
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.tests.harness import (
     LOCKSTEP_ENGINE,
+    SERVICE,
     EntryFixture,
     Replica,
     drop,
@@ -314,6 +315,33 @@
         self.assertIn("retry-after", headers)
         self.assertLess(elapsed_s, 1.0)
 
+    def test_refusal_names_the_expected_return(self):
+        """Guards against callers that come back while the group still forms.
+
+        Earlier outages took 3 s, so a wait of 1.6 s would be in vain.
+        """
+
+        async def run():
+            async with EntryFixture(
+                Replica(respond()), engine=LOCKSTEP_ENGINE
+            ) as fixture:
+                now_s = fixture.state.now_s()
+                breaker = fixture.state.get_service(SERVICE).circuit_breaker
+                breaker.observe_outage(now_s - 9.0)
+                breaker.observe_progress(now_s - 6.0)
+                breaker.observe_outage(now_s - 0.5)
+                # The probe is on its way.
+                breaker.try_probe(now_s)
+                loop = asyncio.get_running_loop()
+                started_s = loop.time()
+                status, headers, _ = await fixture.send_request(left_ms=12_000)
+                return status, headers, loop.time() - started_s
+
+        status, headers, elapsed_s = asyncio.run(run())
+        self.assertEqual(503, status)
+        self.assertLess(elapsed_s, 0.3)
+        self.assertGreater(float(headers["retry-after"]), 2.0)
+
 
 class TestStartup(ExchangeCase):
     """A starting entry delays requests until it has a configuration."""
--- a/packages/chicoryplank/src/chicoryplank/admission/_circuit_breaker.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_circuit_breaker.py
@@ -3,7 +3,8 @@
 In a lock-step group all replicas fail together. Without the breaker every
 request would discover the outage by itself, and the failed attempts would use
 up the retry budget. While the breaker is open, one request at a time is sent
-as a probe.
+as a probe. The return of the service is expected after the duration of earlier
+outages, since a group takes about the same time to form again.
 """
 
 # Interval between probes of a service that is down, in seconds; about a third
@@ -12,6 +13,8 @@
 # Time in seconds without output from any replica after which a group counts as
 # stalled. A group step normally takes a tenth of it.
 _STALL_TIMEOUT_S = 0.9
+# Weight of the newest outage in the average duration of outages.
+_OUTAGE_GAIN = 0.5
 
 
 class CircuitBreaker:
@@ -31,6 +34,7 @@
         self._next_probe_s = 0.0
         self._last_progress_s = float("-inf")
         self._waiting_since_s: float | None = None
+        self._mean_outage_s: float | None = None
 
     @property
     def is_open(self) -> bool:
@@ -51,8 +55,30 @@
         """
         self._last_progress_s = now_s
         self._waiting_since_s = None
-        was_open, self._opened_at_s = self.is_open, None
-        return was_open
+        if self._opened_at_s is None:
+            return False
+        self._observe_duration(now_s - self._opened_at_s)
+        self._opened_at_s = None
+        return True
+
+    def _observe_duration(self, outage_s: float) -> None:
+        if self._mean_outage_s is None:
+            self._mean_outage_s = outage_s
+        else:
+            self._mean_outage_s += _OUTAGE_GAIN * (
+                outage_s - self._mean_outage_s
+            )
+
+    def estimate_return_s(self, now_s: float) -> float:
+        """Returns the time until the service is expected to run again.
+
+        Returns:
+            Seconds; 0 if the service runs, if no earlier outage is known, or
+            if this one lasts longer than those.
+        """
+        if self._opened_at_s is None or self._mean_outage_s is None:
+            return 0.0
+        return max(0.0, self._opened_at_s + self._mean_outage_s - now_s)
 
     def check_stalled(self, in_flight: int, now_s: float) -> bool:
         """Tells whether requests are in flight but no replica has output.
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/test_circuit_breaker.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/test_circuit_breaker.py
@@ -37,3 +37,26 @@
         breaker.observe_progress(0.0)
         self.assertFalse(breaker.check_stalled(0, 50.0))
         self.assertFalse(breaker.check_stalled(1, 50.1))
+
+
+class TestExpectedReturn(testtools.TestCase):
+    """Load pattern: a group falls and forms again several times in turn."""
+
+    def test_return_follows_earlier_outages(self):
+        """Guards against callers that come back while the group still forms."""
+        breaker = CircuitBreaker()
+        breaker.observe_outage(0.0)
+        self.assertEqual(0.0, breaker.estimate_return_s(1.0))
+        breaker.observe_progress(3.2)
+        breaker.observe_outage(10.0)
+        self.assertAlmostEqual(2.2, breaker.estimate_return_s(11.0))
+        breaker.observe_progress(13.0)
+        self.assertEqual(0.0, breaker.estimate_return_s(13.0))
+
+    def test_longer_outage_has_no_expected_return(self):
+        """Guards against refusals that name a time which has passed."""
+        breaker = CircuitBreaker()
+        breaker.observe_outage(0.0)
+        breaker.observe_progress(1.0)
+        breaker.observe_outage(5.0)
+        self.assertEqual(0.0, breaker.estimate_return_s(9.0))
