--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -314,6 +314,10 @@
     def _hold(
         self, replica: ReplicaRecord, reason: HoldReason, until_s: float
     ) -> bool:
+        """Holds a replica unless it has started again in the meantime."""
+        current = self.registry.get(replica.instance)
+        if current is not None and current.started_ms > replica.started_ms:
+            return False
         return self.holds.hold(
             replica.instance, reason, until_s, replica.started_ms
         )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_replica_words.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_replica_words.py
@@ -135,6 +135,20 @@
         """Guards against a restarted replica that is never used again."""
         self.assertFalse(self._read_registration(started_ms=9))
 
+    def test_late_word_of_an_earlier_start(self):
+        """Guards against a response that outlives the process that sent it."""
+
+        async def run():
+            async with EntryFixture(Replica(respond())) as fixture:
+                state = fixture.state
+                earlier = state.registry.get(_FIRST)
+                state.registry.put(dataclasses.replace(earlier, started_ms=9))
+                state.refresh_candidates()
+                state.observe_leaving(earlier)
+                return state.holds.is_held(_FIRST, state.now_s())
+
+        self.assertFalse(asyncio.run(run()))
+
 
 class TestPausedReplica(_WordsCase):
     """A replica that asks for a pause gets no request until its end."""
