Keep the pauses that backend servers ask for in their agents

The own front sends all requests to a backend server through its agent. The agent refuses requests in a pause with CP1304, not run, and the time that is left, with the same parser and bound as the front of the users' platform. The leaving header is not read there: the own front drains by configuration.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -211,7 +211,7 @@
             ) from error
         except HTTP_FAILURES as error:
             raise await self._make_break_error(error) from error
-        self.limit.observe(response.headers, sent_s)
+        self.limit.observe(response.status_code, response.headers, sent_s)
         return response
 
     async def _read_events(
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend_limit.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend_limit.py
@@ -1,23 +1,33 @@
-"""Limit on the requests to a backend server that the server itself names.
+"""Limits and pauses that a backend server asks for in its responses.
 
 All requests to a backend server pass through its agent, so the agent alone
-keeps the limit for all entries.
+keeps them for all entries.
 """
 
 import asyncio
 from collections.abc import Mapping
 from datetime import timedelta
 
-from chicoryplank.admission import RateBucket, ServerLimits
+from chicoryplank.admission import (
+    MAX_PAUSE_S,
+    MalformedPauseError,
+    RateBucket,
+    ServerLimits,
+    parse_pause,
+)
 from chicoryplank.clock import Clock
 from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
 
 _LIMIT_HEADER = "server-limit"
+_PAUSE_HEADER = "retry-after"
+_UNAVAILABLE = 503
+_MAX_LOGGED_CHARACTERS = 50
 
 
 class BackendLimit:
-    """Token bucket of a backend server while it names a limit.
+    """Token bucket of a backend server while it names a limit, and its pauses.
 
     Args:
         address: Host and port of the backend server.
@@ -29,6 +39,7 @@
         self._clock = clock
         self._limits = ServerLimits()
         self._bucket: RateBucket | None = None
+        self._paused_until_s = float("-inf")
 
     @property
     def is_named(self) -> bool:
@@ -41,6 +52,9 @@
 
     def try_take(self) -> float:
         """Takes one request; returns 0, or the wait in seconds."""
+        pause_s = self._paused_until_s - self.get_now_s()
+        if pause_s > 0:
+            return pause_s
         rate = self._limits.get_rate(self._server)
         if rate is None:
             self._bucket = None
@@ -61,7 +75,7 @@
         if wait_s > 0:
             raise ChicoryplankError(
                 ErrorCode.REPLICA_LIMITED,
-                "the backend server takes no more requests per second",
+                "the backend server takes no more requests now",
                 retry_after=timedelta(seconds=wait_s),
             )
 
@@ -70,19 +84,32 @@
         while (wait_s := self.try_take()) > 0:
             await asyncio.sleep(wait_s)
 
-    def observe(self, headers: Mapping[str, str], sent_s: float) -> None:
-        """Applies the limit in a response, or the lack of one.
+    def observe(
+        self, status: int, headers: Mapping[str, str], sent_s: float
+    ) -> None:
+        """Applies the limit in a response, or the lack of one, and its pause.
 
         Args:
+            status: Status of the response.
             headers: Headers of the response.
             sent_s: Time at which the request was sent, in seconds.
         """
-        text = next(
-            (
-                value
-                for name, value in headers.items()
-                if name.lower() == _LIMIT_HEADER
-            ),
-            None,
-        )
+        fields = {name.lower(): value for name, value in headers.items()}
+        text = fields.get(_LIMIT_HEADER)
         self._limits.read(self._server, text, sent_s, self.get_now_s())
+        if status == _UNAVAILABLE and _PAUSE_HEADER in fields:
+            self._observe_pause(fields[_PAUSE_HEADER])
+
+    def _observe_pause(self, text: str) -> None:
+        try:
+            pause_s = parse_pause(text)
+        except MalformedPauseError:
+            emit(
+                Event.REPLICA_PAUSE_MALFORMED,
+                replica=self._server,
+                value=repr(text[:_MAX_LOGGED_CHARACTERS]),
+                applied_s=0.0,
+            )
+            return
+        until_s = self.get_now_s() + min(pause_s, MAX_PAUSE_S)
+        self._paused_until_s = max(self._paused_until_s, until_s)
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend_limit.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend_limit.py
@@ -153,7 +153,7 @@
 
     def test_zero_is_probed(self):
         """Guards against a server that is never asked again."""
-        self.limit.observe({"Server-Limit": "0"}, 0.0)
+        self.limit.observe(200, {"Server-Limit": "0"}, 0.0)
         self.assertGreater(self.limit.try_take(), 0)
         self.clock.advance(timedelta(seconds=4))
         self.assertEqual(0, self.limit.try_take())
@@ -161,8 +161,43 @@
     def test_late_response_does_not_withdraw(self):
         """Guards against a response of before that ends a limit."""
         self.clock.advance(timedelta(seconds=2))
-        self.limit.observe({"server-limit": "1"}, 1.9)
-        self.limit.observe({}, 1.0)
+        self.limit.observe(200, {"server-limit": "1"}, 1.9)
+        self.limit.observe(200, {}, 1.0)
         self.assertTrue(self.limit.is_named)
-        self.limit.observe({}, 2.1)
+        self.limit.observe(200, {}, 2.1)
         self.assertFalse(self.limit.is_named)
+
+
+class TestPause(testtools.TestCase):
+    """A backend server that asks for a pause gets no request until its end."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.limit = BackendLimit("10.0.0.1:1", self.clock)
+
+    def _reject(self, pause):
+        self.limit.observe(503, {"Retry-After": pause}, 0.0)
+
+    def test_requests_are_refused_until_the_end(self):
+        """Guards against requests in a pause, and against holding them."""
+        self._reject("2")
+        self.clock.advance(timedelta(seconds=0.5))
+        error = self.assertRaises(ChicoryplankError, self.limit.check)
+        self.assertEqual(Verdict.NOT_RUN, error.verdict)
+        self.assertEqual(timedelta(seconds=1.5), error.retry_after)
+        self.clock.advance(timedelta(seconds=1.5))
+        self.limit.check()
+
+    def test_pause_of_another_status_is_ignored(self):
+        """Guards against a Retry-After that concerns one request only."""
+        self.limit.observe(429, {"Retry-After": "2"}, 0.0)
+        self.limit.check()
+
+    def test_implausible_pauses(self):
+        """Guards against a server that excludes itself for ever."""
+        self._reject("soon")
+        self.limit.check()
+        self._reject("9" * 12)
+        self.clock.advance(timedelta(seconds=300))
+        self.limit.check()
