Hold a group early enough to arm its ranks before the switch step

Cause: on the large site a hold lasted 70 ms, then 209 ms, with a lead time of 50 ms. The group stalled for the difference, and all its streams had a gap of 275 ms; 150 ms are allowed.

Change: the lead time follows the longest recent time from a hold to its release, which decays slowly, and starts from 1 ms for each rank. Small groups keep 50 ms.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/change_history.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/change_history.py
@@ -7,6 +7,16 @@
 # Same for the amount by which the skew of a new map exceeds the predicted one.
 _INITIAL_SKEW_ERROR = 0.1
 _SKEW_ERROR_WEIGHT = 0.1
+# Assumed time from the hold of a group to its release until one was observed,
+# for each rank, and the smallest and largest lead time, in seconds.
+_INITIAL_HELD_S_PER_RANK = 0.001
+_MIN_LEAD_S = 0.05
+_MAX_LEAD_S = 0.6
+# Weight of the newest time if it is below the average. A longer one replaces
+# the average at once, since a hold that is too late stalls the group.
+_HELD_WEIGHT = 0.1
+# Margin of the lead time over the expected time.
+_LEAD_MARGIN = 1.25
 # Increase of the skew over the expected one that counts as a shift of demand.
 _SHIFT_SKEW = 0.4
 # Minimum time between two shifts, in seconds. Requests of the old demand are
@@ -78,6 +88,31 @@
     def __init__(self) -> None:
         self.fixed_s = _INITIAL_FIXED_S
         self.skew_error = _INITIAL_SKEW_ERROR
+        self._held_s: float | None = None
+
+    def observe_held(self, held_s: float) -> None:
+        """Records the time from a hold to its release, in seconds."""
+        if self._held_s is None or held_s > self._held_s:
+            self._held_s = held_s
+        else:
+            self._held_s += _HELD_WEIGHT * (held_s - self._held_s)
+
+    def get_hold_lead_s(self, ranks: int) -> float:
+        """Returns the time before the switch step at which to hold a group.
+
+        All ranks are armed in this time, so that the group does not stall at
+        the step. Arming takes longer in larger groups.
+
+        Args:
+            ranks: Number of ranks of the group.
+
+        Returns:
+            Seconds.
+        """
+        held_s = self._held_s
+        if held_s is None:
+            held_s = ranks * _INITIAL_HELD_S_PER_RANK
+        return min(max(_MIN_LEAD_S, _LEAD_MARGIN * held_s), _MAX_LEAD_S)
 
     def observe_duration(self, took_s: float, copying_s: float) -> None:
         """Records how long a change took.
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -16,6 +16,7 @@
     RankPort,
     RankState,
     RankUnreachableError,
+    SwitchParameters,
     SwitchResult,
 )
 from chicoryplank.rebalance import (
@@ -327,7 +328,14 @@
         return max(version, seen + 1)
 
     def _make_switch(self, ports: RankPorts, epoch: int) -> GroupSwitch:
-        return GroupSwitch(ports, epoch, self.lease.get_token, self._clock)
+        lead_s = self._history.get_hold_lead_s(len(ports))
+        return GroupSwitch(
+            ports,
+            epoch,
+            self.lease.get_token,
+            self._clock,
+            SwitchParameters(hold_lead_time_s=lead_s),
+        )
 
     async def _recover(
         self,
@@ -435,6 +443,8 @@
         if result is SwitchResult.SWITCHED:
             view.predicted_skew = decision.predicted_skew
             view.is_prediction_checked = False
+            if switch.held_s is not None:
+                self._history.observe_held(switch.held_s)
             self._history.observe_duration(took_s, decision.copying_s)
             emit(Event.MAP_ARMED, group=name, change=version, took_ms=took_ms)
         else:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_maps.py
@@ -139,6 +139,28 @@
             history.observe_skew(1.4, 1.1)
         self.assertAlmostEqual(0.3, history.skew_error, places=2)
 
+    def test_hold_leads_by_the_time_to_arm(self):
+        """Guards against a group that stalls while its ranks are armed.
+
+        Each stall of a group of 192 ranks made all its streams late.
+        """
+        history = ChangeHistory()
+        self.assertGreater(history.get_hold_lead_s(192), 0.15)
+        self.assertEqual(0.05, history.get_hold_lead_s(4))
+        history.observe_held(0.07)
+        history.observe_held(0.21)
+        history.observe_held(0.07)
+        self.assertGreater(history.get_hold_lead_s(192), 0.21)
+        for _ in range(60):
+            history.observe_held(0.07)
+        self.assertLess(history.get_hold_lead_s(192), 0.1)
+
+    def test_lead_of_a_hold_is_bounded(self):
+        """Guards against maps that come long after their demand."""
+        history = ChangeHistory()
+        history.observe_held(9.0)
+        self.assertLess(history.get_hold_lead_s(192), 1.0)
+
     def test_shift_is_no_missed_prediction(self):
         """Guards against distrusting all maps because the demand moved."""
         history = ChangeHistory()
--- a/packages/chicoryplank/src/chicoryplank/orders/_switch.py
+++ b/packages/chicoryplank/src/chicoryplank/orders/_switch.py
@@ -119,6 +119,10 @@
             expired.
         clock: Clock for timeouts and delays.
         parameters: Timeouts and intervals.
+
+    Attributes:
+        held_s: Time in seconds from the last hold to its release; None before.
+            The group stalls for the part of it that exceeds the lead time.
     """
 
     def __init__(
@@ -134,6 +138,7 @@
         self._get_token = get_token
         self._clock = clock
         self._parameters = parameters or SwitchParameters()
+        self.held_s: float | None = None
         self._last_hold_step = 0
         self._last_token: FencingToken | None = None
         # Whether orders may be placed after the lease has expired.
@@ -167,6 +172,7 @@
             if hold is None:
                 return SwitchResult.WITHDRAWN
             held_rank, step = hold
+            held_at_s = self._now_s()
             emit(Event.GROUP_HELD, rank=held_rank, step=step, version=version)
             try:
                 is_armed = await self._arm_all(version, step)
@@ -175,6 +181,7 @@
             self._may_outlive_lease = True
             if is_armed:
                 await self._release(held_rank, step)
+                self.held_s = self._now_s() - held_at_s
                 return SwitchResult.SWITCHED
             await self._withdraw_all(current, version + 1)
             await self._release(held_rank, step)
