--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
@@ -9,7 +9,7 @@
 import collections
 import dataclasses
 import functools
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 from chicoryplank.errors import ErrorCode
 from chicoryplank.ids import AccountId
@@ -49,6 +49,7 @@
         self._permits: collections.Counter[str] = collections.Counter()
         self._quarantined: collections.Counter[str] = collections.Counter()
         self._crashes: collections.Counter[str] = collections.Counter()
+        self._holds: collections.Counter[str] = collections.Counter()
         self._skipped_responses = 0
         self._first_output: dict[str, _Latencies] = {}
         self._total: dict[str, _Latencies] = {}
@@ -86,6 +87,10 @@
         """Counts a request with a feature in quarantine: refused or trial."""
         self._quarantined[result] += 1
 
+    def count_hold(self, reason: str) -> None:
+        """Counts a replica that began to get no new request."""
+        self._holds[reason] += 1
+
     def count_skipped_response(self) -> None:
         """Counts a response of a replica to another request."""
         self._skipped_responses += 1
@@ -101,65 +106,70 @@
         name = route if account is None else account
         _get_latencies(self._total, name).observe(elapsed_s)
 
-    def collect(self) -> Iterator[object]:
-        """Yields the metric families, as a Prometheus collector."""
-        from prometheus_client.core import (
-            CounterMetricFamily,
-            HistogramMetricFamily,
+    def _list_counters(
+        self,
+    ) -> Iterator[tuple[str, str, list[str], Mapping[tuple[str, ...], int]]]:
+        """Yields name, help text, labels and counts by label values."""
+        prefix = "chicoryplank_forwarding"
+        yield (
+            f"{prefix}_crashes",
+            "Crashes of replicas with requests of this entry in progress, by "
+            "evidence.",
+            ["evidence"],
+            _wrap_keys(self._crashes),
         )
-
-        refusals = CounterMetricFamily(
-            "chicoryplank_forwarding_refusals",
+        yield (
+            f"{prefix}_quarantined",
+            "Requests with a feature in quarantine, by result.",
+            ["result"],
+            _wrap_keys(self._quarantined),
+        )
+        yield (
+            f"{prefix}_permits",
+            "Permits for requests to replicas that limit their requests, by "
+            "result.",
+            ["result"],
+            _wrap_keys(self._permits),
+        )
+        yield (
+            f"{prefix}_holds",
+            "Replicas that began to get no new request, by reason.",
+            ["reason"],
+            _wrap_keys(self._holds),
+        )
+        yield (
+            f"{prefix}_refusals",
             "Requests that got an answer of the entry's own, by code and "
             "verdict.",
-            labels=["code", "verdict"],
+            ["code", "verdict"],
+            self._refusals,
         )
-        for labels, count in self._refusals.items():
-            refusals.add_metric(labels, count)
-        failures = CounterMetricFamily(
-            "chicoryplank_forwarding_failures",
+        yield (
+            f"{prefix}_failures",
             "Attempts that failed, by stage.",
-            labels=["stage"],
+            ["stage"],
+            _wrap_keys(self._failures),
         )
-        for stage, count in self._failures.items():
-            failures.add_metric([stage], count)
-        rejections = CounterMetricFamily(
-            "chicoryplank_forwarding_rejections",
+        yield (
+            f"{prefix}_rejections",
             "Responses of replicas that are taken as not run, by the request "
             "id that they carry and the use of the connection.",
-            labels=["echoed_id", "connection"],
-        )
-        for labels, count in self._rejections.items():
-            rejections.add_metric(labels, count)
-        permits = CounterMetricFamily(
-            "chicoryplank_forwarding_permits",
-            "Permits for requests to replicas that limit their requests, by "
-            "result.",
-            labels=["result"],
-        )
-        for result, count in self._permits.items():
-            permits.add_metric([result], count)
-        crashes = CounterMetricFamily(
-            "chicoryplank_forwarding_crashes",
-            "Crashes of replicas with requests of this entry in progress, by "
-            "evidence.",
-            labels=["evidence"],
+            ["echoed_id", "connection"],
+            self._rejections,
         )
-        for evidence, count in self._crashes.items():
-            crashes.add_metric([evidence], count)
-        quarantined = CounterMetricFamily(
-            "chicoryplank_forwarding_quarantined",
-            "Requests with a feature in quarantine, by result.",
-            labels=["result"],
+
+    def collect(self) -> Iterator[object]:
+        """Yields the metric families, as a Prometheus collector."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            HistogramMetricFamily,
         )
-        for result, count in self._quarantined.items():
-            quarantined.add_metric([result], count)
-        yield crashes
-        yield quarantined
-        yield permits
-        yield refusals
-        yield failures
-        yield rejections
+
+        for name, text, labels, counts in self._list_counters():
+            family = CounterMetricFamily(name, text, labels=labels)
+            for values, count in counts.items():
+                family.add_metric(values, count)
+            yield family
         yield CounterMetricFamily(
             "chicoryplank_forwarding_skipped_responses",
             "Responses of replicas to other requests, which were skipped.",
@@ -189,6 +199,13 @@
             yield family
 
 
+def _wrap_keys(
+    counts: collections.Counter[str],
+) -> dict[tuple[str, ...], int]:
+    """Returns the counts of one label by tuples of label values."""
+    return {(value,): count for value, count in counts.items()}
+
+
 def _get_latencies(table: dict[str, _Latencies], label: str) -> _Latencies:
     """Returns the histogram of a label value; excess values share one."""
     if label not in table and len(table) >= _MAX_LABELS:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -45,6 +45,7 @@
     RouteIndex,
     TrafficConfiguration,
 )
+from chicoryplank_entry.forwarding.metrics import METRICS
 
 # Routing policies take datetimes. A fixed origin makes them monotonic, unlike
 # the wall clock.
@@ -318,9 +319,12 @@
         current = self.registry.get(replica.instance)
         if current is not None and current.started_ms > replica.started_ms:
             return False
-        return self.holds.hold(
+        has_begun = self.holds.hold(
             replica.instance, reason, until_s, replica.started_ms
         )
+        if has_begun:
+            METRICS.count_hold(reason.value)
+        return has_begun
 
     def readmit(self, instance: InstanceId) -> None:
         """Forgets what was observed of a replica that registered again."""
