Put requests that equal one under a crash of a group on probation

Change: for 10 s after a crash of a replica of a lock-step group, requests that equal one of at most 12 that were in progress there are refused, not run if they were not sent before. A complete response clears a suspect at once. Parts of prompts and services whose replicas crash one by one are not concerned.

Cost: the repetitions of the sound requests at that replica within 10 s.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -96,6 +96,9 @@
             list_versions=state.list_versions,
             make_refusal=self._admission.make_quarantine_refusal,
             count=METRICS.count_quarantined,
+            has_probation=lambda service: (
+                state.get_service(service).is_lockstep
+            ),
         )
         self.crashes = CrashDetector(state, pool)
         self.in_progress = 0
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
@@ -84,7 +84,11 @@
         self._crashes[evidence] += 1
 
     def count_quarantined(self, result: str) -> None:
-        """Counts a request with a feature in quarantine: refused or trial."""
+        """Counts a request with a feature in quarantine.
+
+        Args:
+            result: "refused", "probation" or "trial".
+        """
         self._quarantined[result] += 1
 
     def count_hold(self, reason: str) -> None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
@@ -7,6 +7,7 @@
 import hashlib
 import json
 from collections.abc import Callable, Collection, Mapping, Sequence
+from datetime import timedelta
 from typing import Protocol
 
 from chicoryplank.errors import ChicoryplankError
@@ -122,7 +123,10 @@
         list_versions: Returns the software versions of the replicas of a
             service.
         make_refusal: Returns the error of a request, with a description.
-        count: Counts a request in quarantine: refused or trial.
+        count: Counts a request in quarantine: refused, probation or trial.
+        has_probation: Returns whether requests that equal one under a crash
+            are refused for a short time. That is worth the few sound ones if a
+            crash takes the whole service down.
     """
 
     def __init__(
@@ -134,8 +138,10 @@
         list_versions: Callable[[ServiceId], Collection[str]],
         make_refusal: Callable[[QuarantinedCall, str], ChicoryplankError],
         count: Callable[[str], None],
+        has_probation: Callable[[ServiceId], bool] = lambda service: False,
     ) -> None:
         self._quarantine = quarantine
+        self._has_probation = has_probation
         self._trials = trials
         self._now_s = now_s
         self._list_versions = list_versions
@@ -150,6 +156,7 @@
         Raises:
             ChicoryplankError: With the verdict on all attempts so far.
         """
+        self._check_probation(call)
         verdict = self._find_verdict(call)
         if verdict is None or self._find_trial(call, verdict) is not None:
             return
@@ -158,6 +165,23 @@
             call, f"replicas crash under requests with {verdict.feature}"
         )
 
+    def _check_probation(self, call: QuarantinedCall) -> None:
+        """Refuses a request that equals one under a recent crash."""
+        if call.is_trial or not self._has_probation(call.service):
+            return
+        left_s = self._quarantine.get_probation_s(
+            call.service, call.features, self._now_s()
+        )
+        if not left_s:
+            return
+        self._count("probation")
+        error = self._make_refusal(
+            call, "an equal request was in progress when a replica crashed"
+        )
+        if error.retry_after is not None:
+            error.retry_after = timedelta(seconds=left_s)
+        raise error
+
     async def acquire_trial(self, call: QuarantinedCall) -> None:
         """Makes a request a trial if it has a feature for which one is due."""
         verdict = self._find_verdict(call)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_quarantine.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_quarantine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from datetime import timedelta
 from types import SimpleNamespace
 
 import testtools
@@ -10,7 +11,11 @@
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.fakes import MemoryStore
 from chicoryplank.ids import InstanceId
-from chicoryplank.quarantine import Quarantine, SuspectAttempt
+from chicoryplank.quarantine import (
+    Quarantine,
+    SuspectAttempt,
+    make_request_feature,
+)
 from chicoryplank.store import StoreError
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry.quarantine import (
@@ -99,7 +104,11 @@
     def send(self, check, feature=_FEATURE):
         """Returns whether a request is sent, and whether it is a trial."""
         call = SimpleNamespace(
-            request_id="1", features=(feature,), attempts=0, is_trial=False
+            request_id="1",
+            service="llm",
+            features=(feature,),
+            attempts=0,
+            is_trial=False,
         )
 
         async def run():
@@ -119,6 +128,45 @@
         self.assertEqual((False, False), self.send(check))
         self.assertEqual((True, False), self.send(check, "llm/part/other"))
 
+    def test_probation_where_a_crash_takes_all_down(self):
+        """Guards against a group that falls again and again.
+
+        Requests to services whose replicas crash one by one are not refused.
+        """
+        feature = make_request_feature("llm", "a", "POST", "/", b"1")
+        for is_lockstep in (True, False):
+            quarantine = Quarantine()
+            quarantine.observe_crash(
+                "replica-1/1",
+                "llm",
+                "v1",
+                [SuspectAttempt(99.0, (feature,))],
+                entry="entry-1",
+                replica_count=16,
+                seen_s=100.0,
+                now_s=100.0,
+            )
+            error = ChicoryplankError(
+                ErrorCode.QUARANTINED, "", retry_after=timedelta(seconds=60)
+            )
+            check = QuarantineCheck(
+                quarantine,
+                None,
+                now_s=lambda: 104.0,
+                list_versions=lambda service: self.versions,
+                make_refusal=lambda call, message, error=error: error,
+                count=lambda result: None,
+                has_probation=lambda service, value=is_lockstep: value,
+            )
+            call = SimpleNamespace(
+                service="llm", features=(feature,), attempts=0, is_trial=False
+            )
+            if not is_lockstep:
+                check.check(call)
+                continue
+            self.assertRaises(ChicoryplankError, check.check, call)
+            self.assertEqual(timedelta(seconds=6), error.retry_after)
+
     def test_one_trial_is_due_after_a_while(self):
         """Guards against a quarantine that a mended engine does not end."""
         self.now_s += 31.0
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
@@ -54,6 +54,10 @@
 # presence at so many crashes is unlikely.
 _MIN_CONTRAST = 3
 _MAX_PRESENCE_CHANCE = 1e-3
+# Time in seconds for which requests that equal a suspect of a crash are on
+# probation, and the largest number of requests that share the suspicion.
+_PROBATION_S = 10.0
+_MAX_PROBATION_REQUESTS = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +107,37 @@
                 return verdict
         return None
 
+    def get_probation_s(
+        self,
+        service: ServiceId,
+        features: Collection[FeatureId],
+        now_s: float,
+    ) -> float:
+        """Returns how long a request is on probation after a crash.
+
+        A single crash does not tell which request caused it, but few were in
+        progress at the replica, and few others equal one of those. Sound ones
+        are cleared by a complete response that was already on its way.
+
+        Args:
+            service: Service that the request is sent to.
+            features: Features of the request.
+            now_s: Current time in seconds.
+
+        Returns:
+            Seconds; 0 if the request is not on probation.
+        """
+        single = [item for item in features if not is_widespread(item)]
+        if not self._ledger.has_open_suspect(service, single):
+            return 0.0
+        ends_s = [
+            record.seen_s + _PROBATION_S
+            for record in self._ledger.list_records(service)
+            if sum(record.requests.values()) <= _MAX_PROBATION_REQUESTS
+            and not record.open_suspects.isdisjoint(single)
+        ]
+        return max(0.0, max(ends_s, default=now_s) - now_s)
+
     def has_verdicts(self) -> bool:
         """Returns whether any feature is or was in quarantine."""
         return bool(len(self._verdicts))
--- a/packages/chicoryplank/src/chicoryplank/quarantine/tests/test_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/tests/test_quarantine.py
@@ -8,6 +8,7 @@
     Quarantine,
     SuspectAttempt,
     make_part_feature,
+    make_request_feature,
 )
 
 _SERVICE = ServiceId("llm")
@@ -258,3 +259,53 @@
             trouble.crash(features, features[:20])
         size = len(str(trouble.quarantine.encode_all(trouble.now_s)))
         self.assertLess(size, 500_000)
+
+
+class TestProbation(testtools.TestCase):
+    """Load pattern: one request crashes a lock-step group at each return."""
+
+    def setUp(self):
+        super().setUp()
+        self.trouble = Trouble()
+        self.harmful = make_request_feature(_SERVICE, "a", "POST", "/", b"1")
+        self.sound = make_request_feature(_SERVICE, "a", "POST", "/", b"2")
+        self.trouble.crash([_SHARED, self.harmful], [_SHARED, self.sound])
+
+    def _get_s(self, *features, after_s=0.0):
+        trouble = self.trouble
+        return trouble.quarantine.get_probation_s(
+            _SERVICE, features, trouble.now_s + after_s
+        )
+
+    def test_equal_requests_are_on_probation(self):
+        """Guards against a request that crashes a group again and again."""
+        self.assertEqual(10.0, self._get_s(_SHARED, self.harmful))
+        self.assertEqual(4.0, self._get_s(self.harmful, after_s=6.0))
+
+    def test_probation_ends(self):
+        """Guards against refusing sound requests for long."""
+        self.assertEqual(0.0, self._get_s(self.sound, after_s=10.0))
+
+    def test_other_requests_are_not_on_probation(self):
+        """Guards against refusing all requests that share a prompt part."""
+        other = make_request_feature(_SERVICE, "a", "POST", "/", b"3")
+        self.assertEqual(0.0, self._get_s(_SHARED, other))
+
+    def test_success_clears_a_suspect(self):
+        """Guards against refusing a request that is known to be sound."""
+        self.trouble.succeed(_SHARED, self.sound)
+        self.assertEqual(0.0, self._get_s(self.sound))
+        self.assertEqual(5.0, self._get_s(self.harmful))
+
+    def test_crash_under_many_requests_puts_none_on_probation(self):
+        """Guards against refusals that cost more than another crash."""
+        trouble = Trouble()
+        features = [
+            make_request_feature(_SERVICE, "a", "POST", "/", b"%d" % number)
+            for number in range(13)
+        ]
+        trouble.crash(*([feature] for feature in features))
+        left_s = trouble.quarantine.get_probation_s(
+            _SERVICE, features, trouble.now_s
+        )
+        self.assertEqual(0.0, left_s)
