Extend the probation to the time after which a trial of a verdict is due

A verdict is tried again after 30 s too. The cost stays bounded by the requests that equal one of at most 12.

--- a/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
@@ -56,7 +56,7 @@
 _MAX_PRESENCE_CHANCE = 1e-3
 # Time in seconds for which requests that equal a suspect of a crash are on
 # probation, and the largest number of requests that share the suspicion.
-_PROBATION_S = 10.0
+_PROBATION_S = 30.0
 _MAX_PROBATION_REQUESTS = 12
 
 
