--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -418,10 +418,10 @@
         ):
             self._state.holds.release(instance, HoldReason.LIMIT)
         if response.get(self._names.leaving) == _IS_LEAVING:
-            self._state.observe_leaving(attempt.replica)
+            self._state.replica_words.observe_leaving(attempt.replica)
         pause = response.get(_RETRY_AFTER)
         if response.status == _UNAVAILABLE and pause is not None:
-            self._state.observe_pause(attempt.replica, pause)
+            self._state.replica_words.observe_pause(attempt.replica, pause)
 
     def _handle_failure_response(
         self, call: Call, attempt: Attempt, outcome: Outcome
@@ -449,11 +449,11 @@
         if outcome is Outcome.MISDIRECTED:
             replica = attempt.replica
             if at_fault in (None, replica.instance, replica.address):
-                self._state.observe_misdirected(replica)
+                self._state.replica_words.observe_misdirected(replica)
             return None
         if outcome is Outcome.FULL:
             now_s = self._state.now_s()
-            self._state.observe_full(attempt.replica)
+            self._state.replica_words.observe_full(attempt.replica)
             if call.service_state.is_lockstep and at_fault is not None:
                 emit(Event.SERVICE_DOWN, replica=at_fault)
                 call.service_state.circuit_breaker.observe_outage(now_s)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -8,12 +8,10 @@
 from datetime import UTC, datetime, timedelta
 
 from chicoryplank.admission import (
-    MAX_PAUSE_S,
     UNUSABLE,
     CircuitBreaker,
     EntryCount,
     HoldReason,
-    MalformedPauseError,
     Occupancy,
     OutputTimes,
     ReplicaHolds,
@@ -22,7 +20,6 @@
     ServerLimits,
     SlotQueue,
     SlowReplicas,
-    parse_pause,
 )
 from chicoryplank.clock import Clock
 from chicoryplank.events import Event, emit
@@ -45,7 +42,7 @@
     RouteIndex,
     TrafficConfiguration,
 )
-from chicoryplank_entry.forwarding.metrics import METRICS
+from chicoryplank_entry.forwarding.replica_words import ReplicaWords
 
 # Routing policies take datetimes. A fixed origin makes them monotonic, unlike
 # the wall clock.
@@ -62,17 +59,6 @@
 # Short, since the exact counts of the peers arrive several times a second.
 _REPORT_DECAY = timedelta(seconds=2)
 _MAX_QUEUED_REQUESTS = 512
-# Time in seconds for which a replica is excluded after another replica has
-# responded at its address. An outdated registration has expired by then.
-_EXCLUSION_S = 10.0
-# Time in seconds for which a replica counts as full after it rejected a request
-# for lack of slots. A group step is shorter, so a slot may be free by then.
-_FULL_HOLD_S = 0.15
-# Share of a pause by which it is extended at random, and the longest extension
-# in seconds, so that the entries do not return together.
-_PAUSE_SPREAD = 0.25
-_MAX_PAUSE_SPREAD_S = 1.0
-_MAX_LOGGED_CHARACTERS = 50
 # Fraction of all slots that are reserved for requests which can still meet
 # their latency target, so that entries without a backlog do not wait behind
 # entries that have one.
@@ -163,6 +149,7 @@
         entry_bound: Number of entries among which an allowance is divided.
         server_limits: Limits that replicas name for all entries together.
         holds: Replicas that get no new request now.
+        replica_words: Feeds the holds from what replicas say of themselves.
         quarantine: Crashes of replicas, and the requests that cause them.
     """
 
@@ -188,6 +175,9 @@
         self.entry_bound = EntryCount()
         self.server_limits = ServerLimits()
         self.holds = ReplicaHolds()
+        self.replica_words = ReplicaWords(
+            self.holds, self.registry, self.now_s, rng
+        )
         self.quarantine = Quarantine()
         self.is_draining = False
         self._configured = asyncio.Event()
@@ -254,78 +244,13 @@
         now_s = self.now_s()
         records = self.registry.list_all()
         for record in records:
-            self.holds.observe_start(record.instance, record.started_ms)
-            if record.state is ReplicaState.DRAINING:
-                self._hold(record, HoldReason.LEAVING, float("inf"))
+            self.replica_words.observe_registration(record)
         known = {record.instance for record in records}
         self.holds.retain(known, now_s)
         self.server_limits.retain(known)
         for service, state in self._services.items():
             self._refresh_service(service, state)
 
-    def observe_misdirected(self, replica: ReplicaRecord) -> None:
-        """Records that the address of a replica belongs to another one."""
-        until_s = self.now_s() + _EXCLUSION_S
-        self._hold(replica, HoldReason.MISDIRECTED, until_s)
-
-    def observe_full(self, replica: ReplicaRecord) -> None:
-        """Records that a replica rejected a request for lack of slots."""
-        until_s = self.now_s() + _FULL_HOLD_S
-        self._hold(replica, HoldReason.FULL, until_s)
-
-    def observe_leaving(self, replica: ReplicaRecord) -> None:
-        """Records that a replica says in a response that it leaves.
-
-        The hold lasts until the replica starts again, whatever a registration
-        says that is read later.
-        """
-        if self._hold(replica, HoldReason.LEAVING, float("inf")):
-            emit(Event.REPLICA_LEAVING, replica=replica.instance)
-
-    def observe_pause(self, replica: ReplicaRecord, text: str) -> None:
-        """Records that a replica rejects requests for a time.
-
-        Args:
-            replica: The replica.
-            text: Time in seconds, as the replica wrote it.
-        """
-        try:
-            pause_s = parse_pause(text)
-        except MalformedPauseError:
-            pause_s = None
-        applied_s = min(pause_s or 0.0, MAX_PAUSE_S)
-        if applied_s != pause_s:
-            emit(
-                Event.REPLICA_PAUSE_MALFORMED,
-                replica=replica.instance,
-                value=repr(text[:_MAX_LOGGED_CHARACTERS]),
-                applied_s=applied_s,
-            )
-        if not applied_s:
-            return
-        spread_s = min(_PAUSE_SPREAD * applied_s, _MAX_PAUSE_SPREAD_S)
-        until_s = self.now_s() + applied_s + spread_s * self.rng.random()
-        if self._hold(replica, HoldReason.PAUSE, until_s):
-            emit(
-                Event.REPLICA_PAUSED,
-                replica=replica.instance,
-                pause_s=applied_s,
-            )
-
-    def _hold(
-        self, replica: ReplicaRecord, reason: HoldReason, until_s: float
-    ) -> bool:
-        """Holds a replica unless it has started again in the meantime."""
-        current = self.registry.get(replica.instance)
-        if current is not None and current.started_ms > replica.started_ms:
-            return False
-        has_begun = self.holds.hold(
-            replica.instance, reason, until_s, replica.started_ms
-        )
-        if has_begun:
-            METRICS.count_hold(reason.value)
-        return has_begun
-
     def readmit(self, instance: InstanceId) -> None:
         """Forgets what was observed of a replica that registered again."""
         self.holds.release(instance, HoldReason.MISDIRECTED)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_replica_words.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_replica_words.py
@@ -144,7 +144,7 @@
                 earlier = state.registry.get(_FIRST)
                 state.registry.put(dataclasses.replace(earlier, started_ms=9))
                 state.refresh_candidates()
-                state.observe_leaving(earlier)
+                state.replica_words.observe_leaving(earlier)
                 return state.holds.is_held(_FIRST, state.now_s())
 
         self.assertFalse(asyncio.run(run()))
@@ -224,7 +224,9 @@
                 await asyncio.sleep(0.05)
                 state = fixture.state
                 started_s = time.monotonic()
-                state.observe_pause(state.registry.get(_FIRST), "30")
+                state.replica_words.observe_pause(
+                    state.registry.get(_FIRST), "30"
+                )
                 status, _, body = await waiting
                 elapsed_s = time.monotonic() - started_s
                 for task in busy:
@@ -248,7 +250,7 @@
                     connection = await acquire(backend, *args)
                     if backend.instance == _FIRST:
                         record = state.registry.get(_FIRST)
-                        state.observe_pause(record, "30")
+                        state.replica_words.observe_pause(record, "30")
                     return connection
 
                 fixture.pool.acquire = acquire_and_pause
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/word_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/word_model.py
@@ -207,9 +207,11 @@
             self._known_words.setdefault(
                 (id(state), record.instance, born), self.now_s
             )
-            state.observe_leaving(record)
+            state.replica_words.observe_leaving(record)
         if paused_until_s > self.now_s:
-            state.observe_pause(record, f"{paused_until_s - self.now_s:.3f}")
+            state.replica_words.observe_pause(
+                record, f"{paused_until_s - self.now_s:.3f}"
+            )
             self._choose(state, attempts - 1)
         else:
             self.served += 1
@@ -217,12 +219,12 @@
 
 def remove_leaving(state):
     """Removes what is learned from the leaving header."""
-    state.observe_leaving = lambda replica: None
+    state.replica_words.observe_leaving = lambda replica: None
 
 
 def remove_pauses(state):
     """Removes what is learned from Retry-After."""
-    state.observe_pause = lambda replica, text: None
+    state.replica_words.observe_pause = lambda replica, text: None
 
 
 def remove_memory(state):
