--- a/packages/chicoryplank-agent/src/chicoryplank_agent/rank_relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/rank_relay.py
@@ -46,6 +46,7 @@
 # Query parameter with the number of the response whose counts are known.
 _SINCE_PARAMETER = "since"
 _NUMBER_BITS = 48
+_NO_NUMBER = -1
 # Timeout of a call to an agent, in seconds. It is longer than the timeout of
 # the agent for its replica, so that an unresponsive replica is not mistaken for
 # an unresponsive agent.
@@ -205,7 +206,7 @@
         self._clock = clock
         self._agent_retry_at_s = float("-inf")
         self._counts: tuple[int, ...] = ()
-        self._counts_number = -1
+        self._counts_number = _NO_NUMBER
         self._client = CallClient(agent_address, _TIMEOUT_S, self._now_s)
 
     def _now_s(self) -> float:
@@ -234,9 +235,11 @@
             # A call from another instance would pause the whole group.
             raise RankUnreachableError(str(error)) from error
         values = tuple(document["counts"])
-        if document["is_increase"]:
+        # Agents of earlier versions always send the counts themselves.
+        if document.get("is_increase", False):
             values = tuple(map(operator.add, self._counts, values))
-        self._counts, self._counts_number = values, document["number"]
+        self._counts = values
+        self._counts_number = document.get("number", _NO_NUMBER)
         experts = document["experts"]
         return RankCounts(
             document["epoch"],
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_rank_relay.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_rank_relay.py
@@ -253,3 +253,19 @@
             self.assertEqual((5, 5, 5), read.counts)
 
         self._run(work)
+
+    def test_agent_of_an_earlier_version(self):
+        """Guards against a controller that stops during a rolling update."""
+
+        async def work(rank, local, direct):
+            document = {"epoch": 2, "step": 40, "counts": [7, 7, 7]}
+
+            async def call(method, path, body=b""):
+                return {**document, "experts": None}
+
+            rank._call = call
+            for _ in range(2):
+                read = await rank.read_counts(False)
+                self.assertEqual((7, 7, 7), read.counts)
+
+        self._run(work)
