--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -3,7 +3,8 @@
 A known failure is a line `test: <dotted test id>` of KNOWN-RED.txt. These
 tests still run; their failures are printed but do not fail the run. A listed
 test that passes fails the run, so that stale entries are removed. A line
-`flaky: <dotted test id>` names a test that fails in some runs only; it may pass.
+`flaky: <dotted test id>` names a test that fails in some runs only, and may
+pass.
 """
 
 import argparse
