Read pauses of backend servers in one place

The agent and the front for the users' platform each parsed, bounded and logged a pause. read_pause does it for both; the agent now also logs a pause beyond the bound, as docs/events.md says. The reasons for which a request is not sent any more stand beside the other sets of reasons, and the model no longer imports a private name.

Run: formatter and linter, the tests of holds, words, the model of words, the agent's limits and the exchange (76 passed).

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend_limit.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend_limit.py
@@ -8,22 +8,14 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
-from chicoryplank.admission import (
-    MAX_PAUSE_S,
-    MalformedPauseError,
-    RateBucket,
-    ServerLimits,
-    parse_pause,
-)
+from chicoryplank.admission import RateBucket, ServerLimits, read_pause
 from chicoryplank.clock import Clock
 from chicoryplank.errors import ChicoryplankError, ErrorCode
-from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
 
 _LIMIT_HEADER = "server-limit"
 _PAUSE_HEADER = "retry-after"
 _UNAVAILABLE = 503
-_MAX_LOGGED_CHARACTERS = 50
 
 
 class BackendLimit:
@@ -98,18 +90,6 @@
         text = fields.get(_LIMIT_HEADER)
         self._limits.read(self._server, text, sent_s, self.get_now_s())
         if status == _UNAVAILABLE and _PAUSE_HEADER in fields:
-            self._observe_pause(fields[_PAUSE_HEADER])
-
-    def _observe_pause(self, text: str) -> None:
-        try:
-            pause_s = parse_pause(text)
-        except MalformedPauseError:
-            emit(
-                Event.REPLICA_PAUSE_MALFORMED,
-                replica=self._server,
-                value=repr(text[:_MAX_LOGGED_CHARACTERS]),
-                applied_s=0.0,
-            )
-            return
-        until_s = self.get_now_s() + min(pause_s, MAX_PAUSE_S)
-        self._paused_until_s = max(self._paused_until_s, until_s)
+            pause_s = read_pause(self._server, fields[_PAUSE_HEADER])
+            until_s = self.get_now_s() + pause_s
+            self._paused_until_s = max(self._paused_until_s, until_s)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 from datetime import timedelta
 
-from chicoryplank.admission import HoldReason
+from chicoryplank.admission import WITHDRAWN, HoldReason
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
@@ -46,10 +46,6 @@
 # Delay before a replica that can't be reached is tried again, if no other one
 # is left, in seconds.
 _CONNECTION_RETRY_DELAY_S = 0.05
-# Reasons for which even a request whose connection is made is not sent.
-_WITHDRAWN = frozenset(
-    {HoldReason.PAUSE, HoldReason.LEAVING, HoldReason.MISDIRECTED}
-)
 _UNAVAILABLE = 503
 _RETRY_AFTER = "retry-after"
 _IS_LEAVING = "1"
@@ -293,7 +289,7 @@
         It may have said so while the connection to it was being made.
         """
         return self._state.holds.is_held(
-            replica.instance, self._state.now_s(), _WITHDRAWN
+            replica.instance, self._state.now_s(), WITHDRAWN
         )
 
     async def _connect(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
@@ -222,9 +222,9 @@
                 None if limit is None else float(limit), now_s - float(age_s)
             )
             instance = InstanceId(name)
-            if self._state.registry.get(
-                instance
-            ) is not None and self._state.server_limits.observe(
+            if self._state.registry.get(instance) is None:
+                continue
+            if self._state.server_limits.observe(
                 instance, report, LimitSource.PEER
             ):
                 self._state.holds.release(instance, HoldReason.LIMIT)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/replica_words.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/replica_words.py
@@ -8,11 +8,9 @@
 from collections.abc import Callable
 
 from chicoryplank.admission import (
-    MAX_PAUSE_S,
     HoldReason,
-    MalformedPauseError,
     ReplicaHolds,
-    parse_pause,
+    read_pause,
 )
 from chicoryplank.events import Event, emit
 from chicoryplank.traffic import ReplicaRecord, ReplicaRegistry, ReplicaState
@@ -28,7 +26,6 @@
 # in seconds, so that the entries do not return together.
 _PAUSE_SPREAD = 0.25
 _MAX_PAUSE_SPREAD_S = 1.0
-_MAX_LOGGED_CHARACTERS = 50
 
 
 class ReplicaWords:
@@ -85,27 +82,16 @@
             replica: The replica.
             text: Time in seconds, as the replica wrote it.
         """
-        try:
-            pause_s = parse_pause(text)
-        except MalformedPauseError:
-            pause_s = None
-        applied_s = min(pause_s or 0.0, MAX_PAUSE_S)
-        if applied_s != pause_s:
-            emit(
-                Event.REPLICA_PAUSE_MALFORMED,
-                replica=replica.instance,
-                value=repr(text[:_MAX_LOGGED_CHARACTERS]),
-                applied_s=applied_s,
-            )
-        if not applied_s:
+        pause_s = read_pause(replica.instance, text)
+        if not pause_s:
             return
-        spread_s = min(_PAUSE_SPREAD * applied_s, _MAX_PAUSE_SPREAD_S)
-        until_s = self._now_s() + applied_s + spread_s * self._rng.random()
+        spread_s = min(_PAUSE_SPREAD * pause_s, _MAX_PAUSE_SPREAD_S)
+        until_s = self._now_s() + pause_s + spread_s * self._rng.random()
         if self._hold(replica, HoldReason.PAUSE, until_s):
             emit(
                 Event.REPLICA_PAUSED,
                 replica=replica.instance,
-                pause_s=applied_s,
+                pause_s=pause_s,
             )
 
     def _hold(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/word_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/word_model.py
@@ -11,11 +11,14 @@
 import random
 from datetime import timedelta
 
-from chicoryplank.admission import HoldReason, RetryBudgetParameters
+from chicoryplank.admission import (
+    WITHDRAWN,
+    HoldReason,
+    RetryBudgetParameters,
+)
 from chicoryplank.clock import ManualClock
 from chicoryplank.ids import InstanceId, ServiceId, ZoneId
 from chicoryplank.traffic import ReplicaRecord, ReplicaState
-from chicoryplank_entry.forwarding.exchange import _WITHDRAWN
 from chicoryplank_entry.forwarding.state import EntryState
 
 _SERVICE = ServiceId("llm")
@@ -164,7 +167,7 @@
 
     def _send(self, state, record, attempts):
         service = state.get_service(_SERVICE)
-        if state.holds.is_held(record.instance, self.now_s, _WITHDRAWN):
+        if state.holds.is_held(record.instance, self.now_s, WITHDRAWN):
             state.end_request(service, record.instance, None, self.now_s)
             self._choose(state, attempts)
             return
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -8,12 +8,13 @@
 from chicoryplank.admission._occupancy import Occupancy
 from chicoryplank.admission._output_times import OutputTimes
 from chicoryplank.admission._replica_holds import (
-    MAX_PAUSE_S,
     UNUSABLE,
+    WITHDRAWN,
     HoldReason,
     MalformedPauseError,
     ReplicaHolds,
     parse_pause,
+    read_pause,
 )
 from chicoryplank.admission._retry_after import RetryAfterJitter
 from chicoryplank.admission._retry_budget import (
@@ -32,8 +33,8 @@
 from chicoryplank.admission._slow_groups import SlowReplicas, find_slow_replicas
 
 __all__ = [
-    "MAX_PAUSE_S",
     "UNUSABLE",
+    "WITHDRAWN",
     "CircuitBreaker",
     "EntryCount",
     "HoldReason",
@@ -55,4 +56,5 @@
     "find_slow_replicas",
     "parse_limit",
     "parse_pause",
+    "read_pause",
 ]
--- a/packages/chicoryplank/src/chicoryplank/admission/_replica_holds.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_replica_holds.py
@@ -12,10 +12,12 @@
     MalformedLimitError,
     parse_limit,
 )
+from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
 
 # Longest pause in seconds that a replica is given, whatever it asks for.
-MAX_PAUSE_S = 300.0
+_MAX_PAUSE_S = 300.0
+_MAX_LOGGED_CHARACTERS = 50
 # Time in seconds for which the holds of a replica outlast its registration,
 # which may only have lapsed.
 _UNREGISTERED_MEMORY_S = 60.0
@@ -43,6 +45,8 @@
 _WITH_KNOWN_END = frozenset({HoldReason.LIMIT, HoldReason.PAUSE})
 # A replica most likely takes no request again.
 _WITHOUT_RETURN = frozenset({HoldReason.MISDIRECTED, HoldReason.LEAVING})
+# Reasons for which even a request that has a connection is not sent.
+WITHDRAWN = _WITHOUT_RETURN | {HoldReason.PAUSE}
 # Reasons for which the slots of a replica are of no use now. A full replica has
 # a free slot soon.
 UNUSABLE = _WITH_KNOWN_END | _WITHOUT_RETURN
@@ -69,6 +73,31 @@
         raise MalformedPauseError(str(error)) from error
 
 
+def read_pause(instance: InstanceId, text: str) -> float:
+    """Returns the pause to give a replica; logs one that is not plausible.
+
+    Args:
+        instance: The replica.
+        text: Time in seconds, as the replica wrote it.
+
+    Returns:
+        Seconds; 0 for none.
+    """
+    try:
+        pause_s = parse_pause(text)
+    except MalformedPauseError:
+        pause_s = None
+    applied_s = min(pause_s or 0.0, _MAX_PAUSE_S)
+    if applied_s != pause_s:
+        emit(
+            Event.REPLICA_PAUSE_MALFORMED,
+            replica=instance,
+            value=repr(text[:_MAX_LOGGED_CHARACTERS]),
+            applied_s=applied_s,
+        )
+    return applied_s
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Hold:
     """End of a hold, and the start of the process that it concerns."""
