Decode cold starts of services and replicas

The configuration says how long a replica of a service is cold after its start and how many requests per second it tolerates until then, and its registration says how long it stays cold. Nothing uses them yet.

--- a/packages/chicoryplank/src/chicoryplank/traffic/_model.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_model.py
@@ -133,12 +133,17 @@
         max_connections: Maximum number of connections that one replica accepts
             from all clients together.
         engine: Profile of the inference engine; None for a plain service.
+        cold_start: Time after its start for which a replica is cold.
+        cold_requests_per_s: Requests per second that a cold replica tolerates;
+            0 if its replicas are never cold.
     """
 
     name: ServiceId
     health_path: str = "/health"
     max_connections: int = 0
     engine: EngineProfile | None = None
+    cold_start: timedelta = timedelta()
+    cold_requests_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 from collections.abc import Iterable
+from datetime import timedelta
 
 from chicoryplank.ids import InstanceId, ServiceId, ZoneId
 
@@ -36,6 +37,9 @@
         created_revision: Store revision at which the replica registered; 0 if
             unknown.
         version: Version of its software; empty if unknown.
+        cold_remaining: Time for which the replica stays cold, as of this
+            registration; None if unknown. Not compared, since it differs
+            between registrations of the same process.
     """
 
     instance: InstanceId
@@ -47,6 +51,9 @@
     started_ms: int = 0
     created_revision: int = 0
     version: str = ""
+    cold_remaining: timedelta | None = dataclasses.field(
+        default=None, compare=False
+    )
 
     @property
     def start_order(self) -> tuple[int, int]:
