Send no requests to replicas in evacuated zones

Cause: operators evacuate a zone by the key op/evacuate/ZONE, which the entries did not read, so an evacuated zone still received requests.

Change: the store view reads the keys with all other items and changes. Replicas of evacuated zones are held (HoldReason.EVACUATED), which covers first attempts, retries, resumed streams and requests whose connection is being established. If the evacuation leaves a service without usable replica, requests, waiting ones too, are refused at once with NO_REPLICA.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
@@ -93,6 +93,8 @@
         """
         state = self._state
         now_s = state.now_s()
+        if state.is_evacuated(call.service_state, now_s):
+            raise self._make_evacuation_refusal(call)
         if not must_wait and self._has_free_slot(call, now_s):
             return
         max_wait_s = self._get_max_wait(call, now_s)
@@ -114,6 +116,8 @@
                 async with asyncio.timeout(max_wait_s) as limit:
                     if await granted:
                         return
+                if state.is_evacuated(call.service_state, state.now_s()):
+                    raise self._make_evacuation_refusal(call)
                 raise self._make_wait_refusal(
                     call, state.estimate_wait_s(call.service_state)
                 )
@@ -160,6 +164,14 @@
             min_delay=timedelta(seconds=wait_s),
         )
 
+    def _make_evacuation_refusal(self, call: Call) -> ChicoryplankError:
+        return self.make_refusal(
+            call,
+            ErrorCode.NO_REPLICA,
+            f"all {len(call.service_state.slots)} replicas are in evacuated "
+            f"zones or leaving",
+        )
+
     def make_refusal(
         self,
         call: Call,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
@@ -51,6 +51,7 @@
         self._crashes: collections.Counter[str] = collections.Counter()
         self._holds: collections.Counter[str] = collections.Counter()
         self._skipped_responses = 0
+        self._evacuated_zones = 0
         self._first_output: dict[str, _Latencies] = {}
         self._total: dict[str, _Latencies] = {}
 
@@ -95,6 +96,10 @@
         """Counts a replica that began to get no new request."""
         self._holds[reason] += 1
 
+    def set_evacuated_zones(self, count: int) -> None:
+        """Sets the number of evacuated zones."""
+        self._evacuated_zones = count
+
     def count_skipped_response(self) -> None:
         """Counts a response of a replica to another request."""
         self._skipped_responses += 1
@@ -166,6 +171,7 @@
         """Yields the metric families, as a Prometheus collector."""
         from prometheus_client.core import (
             CounterMetricFamily,
+            GaugeMetricFamily,
             HistogramMetricFamily,
         )
 
@@ -179,6 +185,12 @@
             "Responses of replicas to other requests, which were skipped.",
             value=self._skipped_responses,
         )
+        yield GaugeMetricFamily(
+            "chicoryplank_forwarding_evacuated_zones",
+            "Zones whose replicas get no new requests by order of the "
+            "operator.",
+            value=self._evacuated_zones,
+        )
         for name, text, label, table in (
             (
                 "chicoryplank_forwarding_first_seconds",
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -9,6 +9,7 @@
 
 from chicoryplank.admission import (
     UNUSABLE,
+    WITHOUT_RETURN,
     CircuitBreaker,
     EntryCount,
     HoldReason,
@@ -42,6 +43,7 @@
     RouteIndex,
     TrafficConfiguration,
 )
+from chicoryplank_entry.forwarding.evacuations import EvacuationHolds
 from chicoryplank_entry.forwarding.replica_words import ReplicaWords
 
 # Routing policies take datetimes. A fixed origin makes them monotonic, unlike
@@ -63,6 +65,7 @@
 # their latency target, so that entries without a backlog do not wait behind
 # entries that have one.
 _ON_TIME_RESERVE = 0.08
+_EVACUATED = frozenset({HoldReason.EVACUATED})
 # Interval of checks for stalls and free slots, in seconds.
 _CHECK_INTERVAL_S = 0.1
 
@@ -150,6 +153,7 @@
         server_limits: Limits that replicas name for all entries together.
         holds: Replicas that get no new request now.
         replica_words: Feeds the holds from what replicas say of themselves.
+        evacuations: Zones whose replicas get no new request.
         quarantine: Crashes of replicas, and the requests that cause them.
     """
 
@@ -178,6 +182,7 @@
         self.replica_words = ReplicaWords(
             self.holds, self.registry, self.now_s, rng
         )
+        self.evacuations = EvacuationHolds(self.holds)
         self.quarantine = Quarantine()
         self.is_draining = False
         self._configured = asyncio.Event()
@@ -245,6 +250,7 @@
         records = self.registry.list_all()
         for record in records:
             self.replica_words.observe_registration(record)
+        self.evacuations.apply(records)
         known = {record.instance for record in records}
         self.holds.retain(known, now_s)
         self.server_limits.retain(known)
@@ -295,6 +301,19 @@
             state.circuit_breaker.estimate_return_s(now_s),
         )
 
+    def is_evacuated(self, state: ServiceState, now_s: float) -> bool:
+        """Returns whether the evacuation of zones leaves no usable replica.
+
+        Replicas that are leaving or misdirected are not usable either. A pause
+        or a full replica ends soon, so requests may wait for those.
+        """
+        if not self.evacuations.is_active:
+            return False
+        evacuated = self.holds.list_held(now_s, _EVACUATED)
+        if evacuated.isdisjoint(state.slots):
+            return False
+        return state.slots.keys() <= self.holds.list_held(now_s, WITHOUT_RETURN)
+
     def list_full_replicas(
         self, state: ServiceState, allowance: int, now_s: float
     ) -> frozenset[InstanceId]:
@@ -411,6 +430,8 @@
                 state.circuit_breaker.observe_outage(now_s)
             if len(state.slot_queue):
                 wait_s = self.holds.estimate_wait_s(state.slots, now_s)
+                if self.is_evacuated(state, now_s):
+                    wait_s = math.inf
                 state.slot_queue.reject_before(now_s + wait_s)
                 self._grant_slots(state, now_s)
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_views.py
@@ -63,6 +63,10 @@
             ReplicaState(change.value.decode()),
         )
 
+    def parse_evacuated_zone(self, key):
+        kind, _, name = key.partition("/")
+        return ZoneId(name) if kind == "evacuate" else None
+
     def parse_member_id(self, key):
         kind, _, name = key.partition("/")
         return InstanceId(name) if kind == "member" else None
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
@@ -8,7 +8,7 @@
 
 from chicoryplank.eras import split_revision
 from chicoryplank.events import Event, emit
-from chicoryplank.ids import InstanceId, ModelGroupId
+from chicoryplank.ids import InstanceId, ModelGroupId, ZoneId
 from chicoryplank.orders import get_lease_key, get_lease_owner
 from chicoryplank.store import StoreError
 from chicoryplank.traffic import ReplicaRecord, TrafficConfiguration
@@ -81,6 +81,12 @@
     def parse_replica_id(self, key: str) -> InstanceId | None:
         """Returns the replica id of a key; None for other keys."""
 
+    def parse_evacuated_zone(self, key: str) -> ZoneId | None:
+        """Returns the zone that a key evacuates; None for other keys.
+
+        Any value of the key evacuates the zone.
+        """
+
     def decode_member(self, change: Change) -> Member | None:
         """Decodes a registration of an entry; None if it is not a valid one."""
 
@@ -237,7 +243,10 @@
         while True:
             await asyncio.sleep(_CHECK_INTERVAL_S)
             now_s = self._state.now_s()
-            if self._state.registry.remove_expired(now_s):
+            is_changed = self._state.registry.remove_expired(now_s)
+            if self._state.registry.is_connected:
+                is_changed |= self._state.evacuations.remove_expired(now_s)
+            if is_changed:
                 self._publish_replicas()
             since_s = self._behind_since_s
             if since_s is None:
@@ -276,6 +285,9 @@
         self._state.registry.replace_all(
             replicas, now_s, is_restored=is_restored
         )
+        self._state.evacuations.replace_all(
+            self._list_evacuated_zones(items), now_s, is_restored=is_restored
+        )
         self._apply_quarantine(
             next((item for item in items if item.key == QUARANTINE_KEY), None)
         )
@@ -306,6 +318,7 @@
                 if known is None or known.started_ms != record.started_ms:
                     self._state.readmit(instance)
                 self._state.registry.put(record)
+        replicas_changed |= self._apply_evacuations(changes)
         self._finish_update(revision, replicas_changed)
         self._feed.append(changes, revision)
 
@@ -328,6 +341,26 @@
         if configuration is not None and self._state.activate(configuration):
             emit(Event.CONFIGURATION_APPLIED, version=configuration.version)
 
+    def _list_evacuated_zones(self, items: Iterable[Change]) -> list[ZoneId]:
+        zones = map(
+            self._decoder.parse_evacuated_zone, (item.key for item in items)
+        )
+        return [zone for zone in zones if zone is not None]
+
+    def _apply_evacuations(self, changes: Iterable[Change]) -> bool:
+        """Applies begins and ends of evacuations; returns whether any."""
+        is_changed = False
+        for change in changes:
+            zone = self._decoder.parse_evacuated_zone(change.key)
+            if zone is None:
+                continue
+            is_changed = True
+            if change.value is None:
+                self._state.evacuations.end(zone)
+            else:
+                self._state.evacuations.begin(zone)
+        return is_changed
+
     def _apply_quarantine(self, change: Change | None) -> None:
         if change is None or change.value is None:
             self._on_quarantine(None, 0)
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -10,6 +10,7 @@
 from chicoryplank.admission._replica_holds import (
     UNUSABLE,
     WITHDRAWN,
+    WITHOUT_RETURN,
     HoldReason,
     MalformedPauseError,
     ReplicaHolds,
@@ -35,6 +36,7 @@
 __all__ = [
     "UNUSABLE",
     "WITHDRAWN",
+    "WITHOUT_RETURN",
     "CircuitBreaker",
     "EntryCount",
     "HoldReason",
--- a/packages/chicoryplank/src/chicoryplank/admission/_replica_holds.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_replica_holds.py
@@ -32,6 +32,7 @@
         PAUSE: It asked for a pause when it rejected a request.
         MISDIRECTED: Another replica has responded at its address.
         LEAVING: It drains, as its registration or a response says.
+        EVACUATED: The operator has evacuated its zone.
     """
 
     FULL = "full"
@@ -39,17 +40,20 @@
     PAUSE = "pause"
     MISDIRECTED = "misdirected"
     LEAVING = "leaving"
+    EVACUATED = "evacuated"
 
 
 # A replica takes requests again at a known time.
 _WITH_KNOWN_END = frozenset({HoldReason.LIMIT, HoldReason.PAUSE})
-# A replica most likely takes no request again.
-_WITHOUT_RETURN = frozenset({HoldReason.MISDIRECTED, HoldReason.LEAVING})
+# A replica most likely takes no request again, or nobody knows when.
+WITHOUT_RETURN = frozenset(
+    {HoldReason.MISDIRECTED, HoldReason.LEAVING, HoldReason.EVACUATED}
+)
 # Reasons for which even a request that has a connection is not sent.
-WITHDRAWN = _WITHOUT_RETURN | {HoldReason.PAUSE}
+WITHDRAWN = WITHOUT_RETURN | {HoldReason.PAUSE}
 # Reasons for which the slots of a replica are of no use now. A full replica has
 # a free slot soon.
-UNUSABLE = _WITH_KNOWN_END | _WITHOUT_RETURN
+UNUSABLE = _WITH_KNOWN_END | WITHOUT_RETURN
 ALL_REASONS = frozenset(HoldReason)
 
 
@@ -210,7 +214,7 @@
         returns_s = [
             self._get_end_s(instance, now_s, _WITH_KNOWN_END)
             for instance in instances
-            if not self.is_held(instance, now_s, _WITHOUT_RETURN)
+            if not self.is_held(instance, now_s, WITHOUT_RETURN)
         ]
         return max(0.0, min(returns_s, default=now_s) - now_s)
 
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -254,6 +254,28 @@
         "replica {replica} asks for a pause that is not plausible: {value}; "
         "{applied_s} s are used",
     )
+    ZONE_EVACUATED = (
+        1310,
+        logbook.WARNING,
+        "zone {zone} is evacuated; its {replicas} replicas get no new requests",
+    )
+    ZONE_READMITTED = (
+        1311,
+        logbook.INFO,
+        "evacuation of zone {zone} has ended; its {replicas} replicas get "
+        "requests again",
+    )
+    EVACUATED_ZONE_UNKNOWN = (
+        1312,
+        logbook.WARNING,
+        "evacuated zone {zone} has no replica; evacuating it changes nothing",
+    )
+    EVACUATION_UNCONFIRMED = (
+        1313,
+        logbook.WARNING,
+        "the evacuation of zone {zone} is missing in the restored store; the "
+        "zone stays evacuated for now",
+    )
     STORE_LOST = (
         1304,
         logbook.WARNING,
--- a/packages/chicoryplank/src/chicoryplank/traffic/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/__init__.py
@@ -1,5 +1,6 @@
 """Routes, services and replicas for forwarding plain HTTP requests."""
 
+from chicoryplank.traffic._evacuations import ZoneEvacuations
 from chicoryplank.traffic._model import (
     ClientLimits,
     EngineProfile,
@@ -28,5 +29,6 @@
     "Service",
     "Share",
     "TrafficConfiguration",
+    "ZoneEvacuations",
     "choose_service",
 ]
