Test evacuated zones and keep their set immutable

Cause: the union of a frozenset and a dict view is a mutable set, so the end of an evacuation after a restore changed the applied zones in place and was neither logged nor reported.

Change: the library builds the union as a frozenset. Tests cover the set of zones, the holds, first attempts, retries, resumed streams, requests whose connection is being made, refusal at once, start, outage and restore of the store.

--- /dev/null
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_evacuations.py
@@ -0,0 +1,372 @@
+"""Tests of replicas in evacuated zones.
+
+Load pattern: the operator evacuates a zone while requests keep arriving.
+"""
+
+import asyncio
+import dataclasses
+import json
+import random
+import time
+
+import testtools
+
+from chicoryplank.admission import HoldReason, ReplicaHolds
+from chicoryplank.errors import ErrorCode
+from chicoryplank.ids import InstanceId, ServiceId, ZoneId
+from chicoryplank.traffic import ReplicaRecord, ReplicaState, RequestKind
+from chicoryplank_entry.forwarding.evacuations import EvacuationHolds
+from chicoryplank_entry.forwarding.metrics import METRICS
+from chicoryplank_entry.forwarding.tests.harness import (
+    SERVICE,
+    EntryFixture,
+    Replica,
+    drop,
+    hang,
+    make_event,
+    make_request,
+    read_response,
+    reject,
+    respond,
+    stream,
+)
+
+_ZONE = ZoneId("hall-b")
+_FIRST = InstanceId("replica-0")
+_EVACUATED = frozenset({HoldReason.EVACUATED})
+# A refusal that waits for a slot takes at least the interval of the checks,
+# 0.1 s, and up to 1.6 s.
+_AT_ONCE_S = 0.1
+
+
+class _EvacuationFixture(EntryFixture):
+    """Entry whose first replicas are in the zone that is evacuated."""
+
+    def __init__(self, *replicas, in_zone=1, **arguments):
+        super().__init__(*replicas, **arguments)
+        self._in_zone = in_zone
+
+    async def __aenter__(self):
+        await super().__aenter__()
+        registry = self.state.registry
+        for record in registry.list_all()[: self._in_zone]:
+            registry.put(dataclasses.replace(record, zone=_ZONE))
+        self.state.refresh_candidates()
+        return self
+
+    def evacuate(self):
+        self.state.evacuations.begin(_ZONE)
+        self.state.refresh_candidates()
+
+    def readmit(self):
+        self.state.evacuations.end(_ZONE)
+        self.state.refresh_candidates()
+
+    async def send_timed(self, **fields):
+        """Sends a request; returns status, headers, code and time in s."""
+        started_s = time.monotonic()
+        status, headers, body = await self.send_request(**fields)
+        elapsed_s = time.monotonic() - started_s
+        return status, headers, json.loads(body)["error"], elapsed_s
+
+
+class TestEvacuatedZone(testtools.TestCase):
+    """Replicas in an evacuated zone get no new request."""
+
+    def test_first_attempts(self):
+        """Guards against requests to the zone, and an end without effect."""
+
+        async def run(kind):
+            inside, outside = Replica(respond()), Replica(respond())
+            async with _EvacuationFixture(
+                inside, outside, kind=kind
+            ) as fixture:
+                fixture.evacuate()
+                for number in range(30):
+                    status, _, _ = await fixture.send_request(
+                        request_id=str(number)
+                    )
+                    self.assertEqual(200, status)
+                self.assertEqual([], inside.requests)
+                fixture.readmit()
+                # The entry prefers replicas of its own zone.
+                state = fixture.state
+                outer = state.registry.get("replica-1")
+                state.replica_words.observe_leaving(outer)
+                status, _, _ = await fixture.send_request(request_id="later")
+                self.assertEqual((200, 1), (status, len(inside.requests)))
+
+        for kind in (RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT):
+            asyncio.run(run(kind))
+
+    def test_retries(self):
+        """Guards against a retry in the zone after a failure elsewhere."""
+
+        async def run(script):
+            inside = Replica(respond())
+            outside = Replica(script, respond())
+            async with _EvacuationFixture(inside, outside) as fixture:
+                fixture.evacuate()
+                status, _, _ = await fixture.send_request()
+            self.assertEqual((200, []), (status, inside.requests))
+
+        for script in (reject(), drop()):
+            asyncio.run(run(script))
+
+    def test_resumed_stream(self):
+        """Guards against resuming a stream in the zone."""
+        events = [make_event(number) for number in range(1, 5)]
+
+        async def run():
+            inside = Replica(respond())
+            outside = Replica(
+                stream(events[:2], ends=False), stream(events[2:])
+            )
+            async with _EvacuationFixture(
+                inside, outside, kind=RequestKind.STREAMING
+            ) as fixture:
+                fixture.evacuate()
+                status, _, body = await fixture.send_request()
+            self.assertEqual((200, b"".join(events)), (status, body))
+            self.assertEqual([], inside.requests)
+
+        asyncio.run(run())
+
+    def test_request_whose_connection_is_being_made(self):
+        """Guards against a request that was chosen for the zone before."""
+
+        async def run():
+            inside, outside = Replica(respond()), Replica(respond())
+            async with _EvacuationFixture(inside, outside) as fixture:
+                acquire = fixture.pool.acquire
+
+                async def evacuate_meanwhile(*arguments):
+                    connection = await acquire(*arguments)
+                    fixture.evacuate()
+                    return connection
+
+                fixture.pool.acquire = evacuate_meanwhile
+                fixture.state.choose_replica = lambda state, excluded, now_s: (
+                    fixture.state.registry.get(
+                        _FIRST if _FIRST not in excluded else "replica-1"
+                    )
+                )
+                status, _, _ = await fixture.send_request()
+            self.assertEqual((200, []), (status, inside.requests))
+            self.assertEqual(1, len(outside.requests))
+
+        asyncio.run(run())
+
+    def test_requests_in_progress_continue(self):
+        """Guards against an evacuation that breaks responses."""
+        events = [make_event(number) for number in range(1, 40)]
+
+        async def run():
+            inside = Replica(stream(events))
+            async with _EvacuationFixture(
+                inside, kind=RequestKind.STREAMING
+            ) as fixture:
+                response = asyncio.create_task(fixture.send_request())
+                while not inside.requests:
+                    await asyncio.sleep(0.001)
+                fixture.evacuate()
+                return await response
+
+        status, _, body = asyncio.run(run())
+        self.assertEqual((200, b"".join(events)), (status, body))
+
+
+class TestEvacuatedService(testtools.TestCase):
+    """Requests are refused at once if no usable replica is left."""
+
+    def _check_refusal(self, status, headers, error):
+        self.assertEqual(503, status)
+        self.assertEqual(ErrorCode.NO_REPLICA.value, error["code"])
+        self.assertEqual("not_run", error["verdict"])
+        self.assertGreater(float(headers["retry-after"]), 0)
+
+    def test_new_requests(self):
+        """Guards against waiting for a slot, or sending to the zone."""
+
+        async def run():
+            replicas = [Replica(respond()) for _ in range(3)]
+            async with _EvacuationFixture(*replicas, in_zone=2) as fixture:
+                state = fixture.state
+                leaving = state.registry.get("replica-2")
+                state.replica_words.observe_leaving(leaving)
+                fixture.evacuate()
+                status, headers, error, elapsed_s = await fixture.send_timed()
+            self._check_refusal(status, headers, error)
+            self.assertLess(elapsed_s, _AT_ONCE_S)
+            self.assertEqual(
+                [], [request for item in replicas for request in item.requests]
+            )
+
+        asyncio.run(run())
+
+    def test_open_circuit_breaker(self):
+        """Guards against a probe that is sent to the zone."""
+
+        async def run():
+            inside = Replica(respond())
+            async with _EvacuationFixture(inside) as fixture:
+                fixture.evacuate()
+                service = fixture.state.get_service(SERVICE)
+                now_s = fixture.state.now_s()
+                service.circuit_breaker.observe_outage(now_s - 60.0)
+                status, headers, error, _ = await fixture.send_timed()
+            self._check_refusal(status, headers, error)
+            self.assertEqual([], inside.requests)
+
+        asyncio.run(run())
+
+    def test_waiting_requests(self):
+        """Guards against requests that wait although no slot will be free."""
+
+        async def run():
+            inside = Replica(hang())
+            async with _EvacuationFixture(inside) as fixture:
+                writers = []
+                for number in range(3):
+                    reader, writer = await fixture.connect()
+                    writers.append(writer)
+                    writer.write(
+                        make_request(request_id=str(number), left_ms=9000)
+                    )
+                    await asyncio.sleep(0.05)
+                self.assertEqual(2, len(inside.requests))
+                fixture.evacuate()
+                started_s = time.monotonic()
+                status, headers, body = await read_response(reader)
+                elapsed_s = time.monotonic() - started_s
+                for writer in writers:
+                    writer.close()
+            self._check_refusal(status, headers, json.loads(body)["error"])
+            # Waiting requests are checked every 0.1 s.
+            self.assertLess(elapsed_s, 0.1 + _AT_ONCE_S)
+
+        asyncio.run(run())
+
+    def test_paused_replica_elsewhere(self):
+        """Guards against a refusal although a replica returns in time."""
+
+        async def run():
+            inside, outside = Replica(respond()), Replica(respond())
+            async with _EvacuationFixture(inside, outside) as fixture:
+                fixture.evacuate()
+                record = fixture.state.registry.get("replica-1")
+                fixture.state.replica_words.observe_pause(record, "0.05")
+                status, _, _ = await fixture.send_request(left_ms=2000)
+            self.assertEqual((200, []), (status, inside.requests))
+
+        asyncio.run(run())
+
+
+def _make_record(name, zone, started_ms=1):
+    return ReplicaRecord(
+        InstanceId(name),
+        ServiceId("llm"),
+        f"{name}:1",
+        ZoneId(zone),
+        2,
+        ReplicaState.READY,
+        started_ms,
+    )
+
+
+class TestEvacuationHolds(testtools.TestCase):
+    """Exactly the registered replicas of evacuated zones are held."""
+
+    def setUp(self):
+        super().setUp()
+        self.holds = ReplicaHolds()
+        self.evacuations = EvacuationHolds(self.holds)
+        self.ended = []
+        self.evacuations.on_ended = self.ended.append
+
+    def _list_held(self):
+        return self.holds.list_held(1e9, _EVACUATED)
+
+    def test_replica_that_registers_later_or_restarts(self):
+        """Guards against requests to a new process in the zone."""
+        self.evacuations.begin("a")
+        self.evacuations.apply([])
+        for started_ms in (1, 2, 1):
+            record = _make_record("r", "a", started_ms)
+            self.holds.observe_start(record.instance, started_ms)
+            self.evacuations.apply([record])
+            self.assertEqual({"r"}, self._list_held())
+
+    def test_replica_that_moves(self):
+        """Guards against a hold that follows a replica out of the zone."""
+        self.evacuations.begin("a")
+        self.evacuations.apply([_make_record("r", "a")])
+        self.evacuations.apply([_make_record("r", "b")])
+        self.assertEqual(frozenset(), self._list_held())
+
+    def test_end_is_reported_with_the_replicas(self):
+        """Guards against replicas that are taken as warm after the end."""
+        records = [_make_record("r", "a"), _make_record("s", "b")]
+        self.evacuations.begin("a")
+        self.evacuations.apply(records)
+        self.evacuations.apply(records)
+        self.assertEqual([], self.ended)
+        self.evacuations.end("a")
+        self.evacuations.apply(records)
+        self.assertEqual([["r"]], self.ended)
+
+    def test_end_and_begin_at_once_is_no_end(self):
+        """Guards against requests between two changes that arrive together."""
+        records = [_make_record("r", "a")]
+        self.evacuations.begin("a")
+        self.evacuations.apply(records)
+        self.evacuations.end("a")
+        self.evacuations.begin("a")
+        self.evacuations.apply(records)
+        self.assertEqual(({"r"}, []), (self._list_held(), self.ended))
+
+    def test_gauge(self):
+        """Guards against a gauge that does not follow the evacuations."""
+        for zones in (("a", "b"), ()):
+            self.evacuations.replace_all(zones, 0.0, is_restored=False)
+            self.evacuations.apply([])
+            gauge = next(
+                family
+                for family in METRICS.collect()
+                if family.name == "chicoryplank_forwarding_evacuated_zones"
+            )
+            self.assertEqual(len(zones), gauge.samples[0].value)
+
+    def test_random_histories(self):
+        """Guards against an order of changes after which a hold is wrong."""
+        rng = random.Random(7)
+        records = {}
+        evacuated = set()
+        for _ in range(3000):
+            zone = rng.choice("abc")
+            name = f"r{rng.randrange(6)}"
+            match rng.randrange(5):
+                case 0:
+                    evacuated.add(zone)
+                    self.evacuations.begin(zone)
+                case 1:
+                    evacuated.discard(zone)
+                    self.evacuations.end(zone)
+                case 2:
+                    evacuated = set(rng.sample("abc", rng.randrange(4)))
+                    self.evacuations.replace_all(
+                        evacuated, 0.0, is_restored=False
+                    )
+                case 3:
+                    records[name] = _make_record(name, zone, rng.randrange(3))
+                    self.holds.observe_start(name, records[name].started_ms)
+                case 4:
+                    records.pop(name, None)
+            self.evacuations.apply(records.values())
+            self.holds.retain(records.keys(), 0.0)
+            expected = {
+                record.instance
+                for record in records.values()
+                if record.zone in evacuated
+            }
+            self.assertEqual(expected, self._list_held() & records.keys())
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_views.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from chicoryplank.admission import RetryBudgetParameters
+from chicoryplank.admission import HoldReason, RetryBudgetParameters
 from chicoryplank.clock import SystemClock
 from chicoryplank.eras import join_revision
 from chicoryplank.ids import (
@@ -307,6 +307,98 @@
 
         self.assertEqual([None, "own", None], self._run(work))
 
+    def _list_evacuated(self, state):
+        reasons = frozenset({HoldReason.EVACUATED})
+        return state.holds.list_held(state.now_s(), reasons)
+
+    def test_evacuation_is_read_with_the_configuration(self):
+        """Guards against an entry that starts and sends to the zone."""
+
+        async def work(source, state, view):
+            return state.configuration.version, self._list_evacuated(state)
+
+        items = [
+            Change("config", b"3", 10),
+            Change("evacuate/z", b"", 10),
+            Change("replica/a", b"ready", 10),
+        ]
+        self.assertEqual((3, {"a"}), self._run(work, items))
+
+    def test_evacuation_begins_and_ends(self):
+        """Guards against requests to replicas of an evacuated zone."""
+
+        async def work(source, state, view):
+            held = []
+            for changes in (
+                [Change("evacuate/z", b"any", 11)],
+                [Change("replica/b", b"ready", 12)],
+                [
+                    Change("evacuate/z", None, 13),
+                    Change("config", b"4", 14),
+                    Change("evacuate/z", b"", 15),
+                ],
+                [Change("evacuate/z", None, 16)],
+            ):
+                await source.responses.put(changes)
+                await asyncio.sleep(0.01)
+                held.append(set(self._list_evacuated(state)))
+            return held
+
+        items = [Change("replica/a", b"ready", 10)]
+        both = {"a", "b"}
+        self.assertEqual([{"a"}, both, both, set()], self._run(work, items))
+
+    def test_evacuation_outlasts_an_outage(self):
+        """Guards against requests to the zone while the store is away.
+
+        The reload after the outage shows that the evacuation has ended.
+        """
+
+        async def work(source, state, view):
+            read_all = source.read_all
+
+            async def fail():
+                raise StoreError("away", Verdict.NOT_RUN)
+
+            source.read_all = fail
+            await source.responses.put(StoreError("away", Verdict.NOT_RUN))
+            await asyncio.sleep(0.3)
+            held = self._list_evacuated(state)
+            source.items = [Change("replica/a", b"ready", 10)]
+            source.read_all = read_all
+            await asyncio.sleep(0.9)
+            return held, self._list_evacuated(state)
+
+        items = [
+            Change("evacuate/z", b"", 10),
+            Change("replica/a", b"ready", 10),
+        ]
+        self.assertEqual(({"a"}, set()), self._run(work, items))
+
+    def test_evacuation_outlasts_a_restore(self):
+        """Guards against requests before the operator has written again."""
+
+        async def work(source, state, view):
+            ended = []
+            state.evacuations.on_ended = ended.extend
+            source.items = [Change("replica/a", b"ready", join_revision(1, 4))]
+            source.revision = join_revision(1, 4)
+            await source.responses.put(HistoryGoneError())
+            await asyncio.sleep(0.02)
+            held = self._list_evacuated(state)
+            clock = state.now_s
+            for passed_s in (5.7, 6.1):
+                state.now_s = lambda passed_s=passed_s: clock() + passed_s
+                await asyncio.sleep(0.25)
+                held = [*held, len(self._list_evacuated(state))]
+            return held, ended
+
+        items = [
+            Change("evacuate/z", b"", 10),
+            Change("replica/a", b"ready", 10),
+        ]
+        self.assertEqual((["a", 1, 0], ["a"]), self._run(work, items))
+
     def test_stop_cancels_the_watch(self):
         """Guards against a stop that waits for the watch."""
 
--- a/packages/chicoryplank/src/chicoryplank/traffic/_evacuations.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_evacuations.py
@@ -69,7 +69,7 @@
                 for zone, due_s in self._due_s.items()
                 if zone in missing
             }
-        self.zones = listed | self._due_s.keys()
+        self.zones = listed.union(self._due_s)
         return frozenset(self._due_s)
 
     def remove_expired(self, now_s: float) -> bool:
