Evacuate zones on the product's own front end

Cause: operators of the product's own front end could drain single instances only; an intent could not name a zone.

Change: intents have the section evacuated with add and remove, and

`chicoryplank evacuate ZONE [--end] [--yes]` plans and confirms it, status and config show list it. Entries send no attempt to replicas of these zones. A shortfall that an evacuation causes is a warning, not a refusal; plans also warn of groups and services without a replica outside the evacuated zones. Entries log begin and end and have a gauge.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/_platform.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/_platform.py
@@ -9,7 +9,7 @@
 from chicoryplank.clock import Clock, SystemClock
 from chicoryplank.configuration import Capacity, EntrySettings
 from chicoryplank.errors import ChicoryplankError, ErrorCode
-from chicoryplank.ids import InstanceId
+from chicoryplank.ids import InstanceId, ZoneId
 from chicoryplank.store import Store
 
 # Timeout if no settings file is given. Generous, since an operator would
@@ -138,7 +138,9 @@
 def make_capacity(instances: Sequence[InstanceStatus]) -> Capacity:
     """Returns the instances of each deployment that are not draining."""
     live: dict[str, set[InstanceId]] = defaultdict(set)
+    zones = {}
     for item in instances:
         if item.deployment and not item.leaving:
             live[item.deployment].add(item.instance)
-    return Capacity({name: frozenset(live[name]) for name in live})
+            zones[item.instance] = ZoneId(item.zone)
+    return Capacity({name: frozenset(live[name]) for name in live}, zones)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/_status.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/_status.py
@@ -32,6 +32,7 @@
         "live": len(listed - leaving),
         "leaving": sorted(leaving),
         "gone": sorted(snapshot.leaving - listed),
+        "evacuated": sorted(snapshot.evacuated),
         "groups": [
             dataclasses.asdict(need)
             for need in compute_needs(snapshot, make_capacity(instances))
@@ -56,6 +57,12 @@
     lines += [
         f"  {name} gone, can be removed from leaving" for name in status["gone"]
     ]
+    for zone in status["evacuated"]:
+        replicas = sum(
+            item["zone"] == zone and bool(item["deployment"])
+            for item in status["instances"]
+        )
+        lines.append(f"zone {zone} evacuated, {replicas} replicas")
     lines.append("groups:")
     for need in status["groups"]:
         is_short = (
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/cli.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/cli.py
@@ -184,10 +184,40 @@
 @click.option("--operator", help="Your name, for other operators to see.")
 @click.option("--output", type=click.Path(), help="Write a plan file.")
 @add_site_options(requires_instance_list=True)
-def drain_command(*, instance, yes, operator, output, target, as_json):
+def drain_command(*, instance, **options):
     """Plans to drain INSTANCE, which gets no new requests once confirmed."""
     document = {"leaving": {"add": [instance]}}
-    intent = parse_intent(json.dumps(document))
+    _plan_edit(parse_intent(json.dumps(document)), **options)
+
+
+@main.command("evacuate")
+@click.argument("zone")
+@click.option("--end", is_flag=True, help="End the evacuation of the zone.")
+@click.option(
+    "--yes", is_flag=True, help="Confirm the plan without a separate command."
+)
+@click.option("--operator", help="Your name, for other operators to see.")
+@click.option("--output", type=click.Path(), help="Write a plan file.")
+@add_site_options(requires_instance_list=True)
+def evacuate_command(*, zone, end, **options):
+    """Plans to evacuate ZONE, whose replicas get no new requests then.
+
+    Requests in progress continue.
+    """
+    document = {"evacuated": {"remove" if end else "add": [zone]}}
+    _plan_edit(parse_intent(json.dumps(document)), **options)
+
+
+def _plan_edit(
+    intent: Intent,
+    *,
+    yes: bool,
+    operator: str | None,
+    output: str | None,
+    target: Target,
+    as_json: bool,
+) -> None:
+    """Shows the plan of an intent, and confirms it if `yes` is set."""
     operator_name = resolve_operator(operator) if yes else ""
 
     async def run(store: Store) -> tuple[Plan, Confirmation | None]:
@@ -259,6 +289,7 @@
         "groups": encode_resources(snapshot.groups),
         "services": encode_resources(snapshot.services),
         "leaving": sorted(snapshot.leaving),
+        "evacuated": sorted(snapshot.evacuated),
     }
     lines = [f"version {snapshot.version}"]
     lines += [
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/controllers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/controllers.py
@@ -11,13 +11,14 @@
 from chicoryplank.configuration import InstanceListSettings
 from chicoryplank.errors import ChicoryplankError
 from chicoryplank.events import Event, emit
-from chicoryplank.ids import InstanceId
+from chicoryplank.ids import InstanceId, ZoneId
 from chicoryplank.limits import Limiter, QueueParameters
 from chicoryplank.process_state import (
     Instance,
     ProcessState,
     follow_observables,
 )
+from chicoryplank_entry import metrics
 from chicoryplank_entry.relays import RelayPool
 from chicoryplank_entry.selection import (
     choose_agents,
@@ -105,6 +106,30 @@
                 relay.request_send()
 
 
+async def report_evacuations(process_state: ProcessState) -> None:
+    """Logs the beginning and the end of evacuations, and counts the zones.
+
+    Waits for the instance list, which tells whether a zone has replicas.
+    """
+    reported: frozenset[ZoneId] = frozenset()
+    observables = (process_state.instances, process_state.snapshot)
+    async for instances, snapshot in follow_observables(*observables):
+        metrics.EVACUATED_ZONES.set(len(snapshot.evacuated))
+        if not instances or snapshot.evacuated == reported:
+            continue
+        replicas = collections.Counter(
+            item.zone for item in instances if item.role == "backend"
+        )
+        for zone in sorted(snapshot.evacuated - reported):
+            if replicas[zone]:
+                emit(Event.ZONE_EVACUATED, zone=zone, replicas=replicas[zone])
+            else:
+                emit(Event.EVACUATED_ZONE_UNKNOWN, zone=zone)
+        for zone in sorted(reported - snapshot.evacuated):
+            emit(Event.ZONE_READMITTED, zone=zone, replicas=replicas[zone])
+        reported = snapshot.evacuated
+
+
 async def detect_stalled_agents(pool: RelayPool, clock: Clock) -> None:
     """Marks agents as stalled from which no message came for too long."""
     while True:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -33,6 +33,7 @@
     count_entries,
     detect_stalled_agents,
     poll_instance_list,
+    report_evacuations,
     update_relays,
 )
 from chicoryplank_entry.crash_reports import CrashReports
@@ -117,7 +118,11 @@
             is_writer=lambda: self.control.is_root,
         )
         self._selector = RelaySelector(
-            settings.zone, clock, rng, self.count_entries
+            settings.zone,
+            clock,
+            rng,
+            self.count_entries,
+            lambda: self.process_state.snapshot.value.evacuated,
         )
         self.dispatcher = self._make_dispatcher()
         self._client = make_client(1)
@@ -268,6 +273,7 @@
                 self.control.follow_instance_list(),
                 self.control.send_heartbeats(),
                 self.control.run_garbage_collection(),
+                report_evacuations(self.process_state),
                 detect_stalled_agents(self.pool, self._clock),
                 self.gate.run_ticks(),
                 self._records.run(),
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/exchange.py
@@ -182,8 +182,7 @@
                 frozenset(call.tried_instances),
             )
         else:
-            relays = self._pool.get_relays(deployment)
-            usable = [item for item in relays if item.is_usable]
+            usable = self._selector.list_usable(self._pool, deployment)
             relay = _choose_by_idempotency_key(call, usable)
         if relay is None:
             raise ChicoryplankError(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_evacuations.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_evacuations.py
@@ -9,6 +9,7 @@
 import random
 import time
 
+import logbook
 import testtools
 
 from chicoryplank.admission import HoldReason, ReplicaHolds
@@ -217,6 +218,17 @@
 
         self._run(work)
 
+    def test_group_stays_complete(self):
+        """Guards against a controller that leaves out the ranks of a zone."""
+
+        def work(state, service):
+            state.evacuations.begin(ZoneId("hall-a"))
+            state.refresh_candidates()
+            self.assertEqual(60, len(state.registry.list_service(SERVICE)))
+            self.assertEqual(60, len(service.slots))
+
+        self._run(work)
+
     def test_slow_group_is_used_if_no_other_is_left(self):
         """Guards against requests that wait although a slow group is free."""
 
@@ -383,6 +395,29 @@
         self.evacuations.apply(records)
         self.assertEqual(({"r"}, []), (self._list_held(), self.ended))
 
+    def test_log(self):
+        """Guards against an evacuation that operators cannot follow."""
+        records = [_make_record("r", "a")]
+        with logbook.TestHandler() as handler:
+            for zones, is_restored in (
+                (["a", "typo"], False),
+                ([], True),
+                ([], False),
+            ):
+                self.evacuations.replace_all(
+                    zones, 0.0, is_restored=is_restored
+                )
+                self.evacuations.apply(records)
+            self.evacuations.remove_expired(7.0)
+            self.evacuations.apply(records)
+            lines = [
+                (record.extra["event"], record.extra["fields"]["zone"])
+                for record in handler.records
+            ]
+        expected = [(1310, "a"), (1312, "typo"), (1313, "a"), (1313, "typo")]
+        expected += [(1311, "a"), (1311, "typo")]
+        self.assertEqual(expected, lines)
+
     def test_gauge(self):
         """Guards against a gauge that does not follow the evacuations."""
         for zones in (("a", "b"), ()):
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/metrics.py
@@ -58,6 +58,10 @@
     "Requests with a feature in quarantine, by result.",
     ["result"],
 )
+EVACUATED_ZONES = prometheus_client.Gauge(
+    "chicoryplank_evacuated_zones",
+    "Zones whose replicas get no new requests by order of the operator.",
+)
 IN_PROGRESS = prometheus_client.Gauge(
     "chicoryplank_requests_in_progress",
     "Requests in progress.",
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/selection.py
@@ -1,7 +1,7 @@
 """Choice of the agents to connect to, and of the agent for each attempt."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import datetime, timedelta
 
 from chicoryplank.admission import HoldReason, ReplicaHolds
@@ -139,6 +139,7 @@
         clock: Source of time.
         rng: Random number generator for the policies.
         count_entries: Returns the number of live entries.
+        list_evacuated: Returns the evacuated zones.
     """
 
     def __init__(
@@ -146,12 +147,14 @@
         zone: ZoneId,
         clock: Clock,
         rng: random.Random,
-        count_entries,
+        count_entries: Callable[[], int],
+        list_evacuated: Callable[[], frozenset[ZoneId]] = frozenset,
     ) -> None:
         self._zone = zone
         self._clock = clock
         self._rng = rng
         self._count_entries = count_entries
+        self._list_evacuated = list_evacuated
         self._started_at = clock.now()
         self._policies: dict[str, Policy] = {}
         self._candidates: dict[str, tuple[Candidate, ...]] = {}
@@ -159,6 +162,18 @@
         self._holds = ReplicaHolds()
         self._joined_at: dict[InstanceId, datetime] = {}
 
+    def list_usable(self, pool: RelayPool, deployment: str) -> list[Relay]:
+        """Returns the relays of a deployment that may get new attempts.
+
+        Replicas in evacuated zones get none, not even as a last choice.
+        """
+        evacuated = self._list_evacuated()
+        return [
+            relay
+            for relay in pool.get_relays(deployment)
+            if relay.is_usable and relay.instance.zone not in evacuated
+        ]
+
     def choose(
         self,
         pool: RelayPool,
@@ -177,8 +192,7 @@
         """
         relays = {
             relay.instance.instance: relay
-            for relay in pool.get_relays(deployment)
-            if relay.is_usable
+            for relay in self.list_usable(pool, deployment)
         }
         held = self._holds.list_held(self._now_s())
         if relays.keys() - excluded - held:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_cli.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_cli.py
@@ -197,6 +197,29 @@
         self.assertIn("toolroom-llm: 15 of 14 needed replicas", text)
         self.assertIn("instances: 20 live, 1 leaving", text)
 
+    def test_evacuate(self):
+        """Guards against an evacuation that is not planned, shown or ended."""
+        self.confirm_example()
+        for item in self.instances[:8]:
+            item["zone"] = "press"
+        evacuate = ("evacuate", "press")
+        planned = self.run_json(*evacuate)
+        self.assertEqual("evacuated.press", planned["changes"][0]["path"])
+        self.assertEqual([], self.run_json("status")["evacuated"])
+        text = self.run_command(*evacuate, "--yes", *_SITE_TEXT).stdout
+        self.assertIn("+ evacuated.press\nwarning: group toolroom-llm", text)
+        self.assertIn("version 2 is active", text)
+        status = self.run_json("status")
+        self.assertEqual(["press"], status["evacuated"])
+        text = self.run_command("status", *_SITE_TEXT).stdout
+        self.assertIn("zone press evacuated, 8 replicas", text)
+        self.assertIn("toolroom-llm: 8 of 14 needed replicas", text)
+        shown = self.run_json("config", "show")
+        self.assertEqual(["press"], shown["evacuated"])
+        self.run_command(*evacuate, *_SITE_TEXT, code=2)
+        self.run_json(*evacuate, "--end", "--yes")
+        self.assertEqual([], self.run_json("status")["evacuated"])
+
     def test_drain_of_unknown_instance_warns(self):
         """Guards against a misspelt instance name that goes unnoticed."""
         self.confirm_example()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_selection.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_selection.py
@@ -98,18 +98,25 @@
                 self.assertIn(agent.instance, connected[entry])
 
 
-class TestHeldReplicas(testtools.TestCase):
-    """A replica whose limit is used up is the last choice."""
+class _SelectorCase(testtools.TestCase):
+    """Base class with a selector and two relays."""
+
+    zones = 1
 
     def setUp(self):
         super().setUp()
         self.clock = ManualClock()
+        self.evacuated = frozenset()
         self.selector = RelaySelector(
-            ZoneId("zone-0"), self.clock, random.Random(1), lambda: 1
+            ZoneId("zone-0"),
+            self.clock,
+            random.Random(1),
+            lambda: 1,
+            lambda: self.evacuated,
         )
         self.relays = [
             SimpleNamespace(instance=instance, is_usable=True)
-            for instance in _make_instances(0, 2, 1)
+            for instance in _make_instances(0, 2, self.zones)
         ]
         self.pool = SimpleNamespace(get_relays=lambda deployment: self.relays)
 
@@ -121,6 +128,10 @@
             for number in range(40)
         }
 
+
+class TestHeldReplicas(_SelectorCase):
+    """A replica whose limit is used up is the last choice."""
+
     def test_other_replica_is_chosen(self):
         """Guards against requests that each spend a retry on the limit."""
         self.assertEqual({"agent-0", "agent-1"}, self._choose())
@@ -144,3 +155,28 @@
         )
         self.clock.advance(timedelta(seconds=1))
         self.assertEqual(timedelta(), self.selector.get_hold(self.relays[0]))
+
+
+class TestEvacuatedZone(_SelectorCase):
+    """Replicas of an evacuated zone get no attempt."""
+
+    zones = 2
+
+    def test_other_zone_is_chosen(self):
+        """Guards against attempts in the zone, also as the last choice."""
+        self.evacuated = frozenset({ZoneId("zone-0")})
+        self.assertEqual({"agent-1"}, self._choose())
+        tried = frozenset({InstanceId("agent-1")})
+        self.assertEqual({"agent-1"}, self._choose(tried))
+        self.selector.hold(self.relays[1], timedelta(seconds=1))
+        self.assertEqual({"agent-1"}, self._choose())
+        self.evacuated = frozenset()
+        self.assertEqual({"agent-0"}, self._choose())
+
+    def test_no_replica_is_left(self):
+        """Guards against requests that are sent to the zone all the same."""
+        self.evacuated = frozenset({ZoneId("zone-0"), ZoneId("zone-1")})
+        self.assertIsNone(
+            self.selector.choose(self.pool, "llm", b"", frozenset())
+        )
+        self.assertEqual([], self.selector.list_usable(self.pool, "llm"))
--- a/packages/chicoryplank/src/chicoryplank/configuration/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/__init__.py
@@ -28,6 +28,7 @@
     delete_unreferenced_parts,
 )
 from chicoryplank.configuration._intent import (
+    EvacuationEdits,
     Intent,
     LeavingEdits,
     ResourceEdits,
@@ -95,6 +96,7 @@
     "ChangeRecord",
     "Confirmation",
     "EntrySettings",
+    "EvacuationEdits",
     "ExportedConfiguration",
     "GroupConfiguration",
     "GroupNeed",
--- a/packages/chicoryplank/src/chicoryplank/configuration/_capacity.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_capacity.py
@@ -5,7 +5,7 @@
 
 from chicoryplank.configuration._snapshot import Snapshot
 from chicoryplank.errors import ChicoryplankError, ErrorCode
-from chicoryplank.ids import InstanceId, ModelGroupId
+from chicoryplank.ids import InstanceId, ModelGroupId, ZoneId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -14,11 +14,31 @@
 
     Attributes:
         live: Live instances by deployment, without those that the platform is
-            stopping. Instances that operators drain are included and are
-            subtracted when the capacity is compared.
+            stopping. Instances that operators drain or whose zone is evacuated
+            are included and are subtracted when the capacity is compared.
+        zones: Zones of the live instances; one without a zone is not affected
+            by evacuations.
     """
 
     live: Mapping[str, frozenset[InstanceId]]
+    zones: Mapping[InstanceId, ZoneId] = dataclasses.field(default_factory=dict)
+
+    def list_available(
+        self, deployment: str, snapshot: Snapshot
+    ) -> frozenset[InstanceId]:
+        """Returns the instances of a deployment that get new requests.
+
+        Args:
+            deployment: Name of the deployment.
+            snapshot: Version that lists the draining instances and the
+                evacuated zones.
+        """
+        live = self.live.get(deployment, frozenset()) - snapshot.leaving
+        return frozenset(
+            instance
+            for instance in live
+            if self.zones.get(instance) not in snapshot.evacuated
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,7 +48,8 @@
     Attributes:
         group: Id of the model group.
         needed_replicas: Number of replicas in the configuration.
-        available_replicas: Number of live instances that are not draining.
+        available_replicas: Number of live instances that are neither draining
+            nor in an evacuated zone.
         needed_tokens_per_s: Sum of the token rate limits of the accounts that
             may use the group.
         available_tokens_per_s: Total token rate of the available replicas.
@@ -89,8 +110,7 @@
     needs = []
     for name in sorted(snapshot.groups):
         group = snapshot.groups[name]
-        live = capacity.live.get(name, frozenset())
-        available = len(live - snapshot.leaving)
+        available = len(capacity.list_available(name, snapshot))
         needs.append(
             GroupNeed(
                 group=name,
--- a/packages/chicoryplank/src/chicoryplank/configuration/_changes.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_changes.py
@@ -14,6 +14,8 @@
 # Keeps a change record within the size of one store value. The first
 # differences are enough to recognize what a change was about.
 _MAX_RECORDED_CHANGES = 500
+# Sections of a snapshot that are lists of names.
+_LIST_SECTIONS = ("leaving", "evacuated")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,10 +70,12 @@
                 section, getattr(old, section), getattr(new, section)
             )
         )
-    changes.extend(
-        Change(f"leaving.{name}", name in old.leaving, name in new.leaving)
-        for name in sorted(old.leaving ^ new.leaving)
-    )
+    for section in _LIST_SECTIONS:
+        before, after = getattr(old, section), getattr(new, section)
+        changes.extend(
+            Change(f"{section}.{name}", name in before, name in after)
+            for name in sorted(before ^ after)
+        )
     return tuple(changes)
 
 
@@ -116,7 +120,7 @@
     lines = []
     for change in changes:
         old, new = _format_value(change.old), _format_value(change.new)
-        if change.path.startswith("leaving."):
+        if change.path.partition(".")[0] in _LIST_SECTIONS:
             sign = "+" if change.new else "-"
             lines.append(f"{sign} {change.path}")
         elif change.old is None:
--- a/packages/chicoryplank/src/chicoryplank/configuration/_intent.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_intent.py
@@ -6,6 +6,7 @@
 from chicoryplank.configuration._resources import (
     ACCOUNT_FIELDS,
     ACCOUNT_VALIDATOR,
+    EVACUATED_VALIDATOR,
     GROUP_FIELDS,
     GROUP_VALIDATOR,
     LEAVING_VALIDATOR,
@@ -62,6 +63,19 @@
     remove: frozenset[str] = frozenset()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationEdits:
+    """Requested changes of the list of evacuated zones.
+
+    Attributes:
+        add: Zones to evacuate.
+        remove: Zones whose evacuation ends.
+    """
+
+    add: frozenset[str] = frozenset()
+    remove: frozenset[str] = frozenset()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Intent:
     """Changes that an operator asks for; everything else stays as it is.
@@ -71,12 +85,14 @@
         groups: Edits of model groups.
         services: Edits of plain services.
         leaving: Edits of the list of draining instances.
+        evacuated: Edits of the list of evacuated zones.
     """
 
     accounts: ResourceEdits = ResourceEdits()
     groups: ResourceEdits = ResourceEdits()
     services: ResourceEdits = ResourceEdits()
     leaving: LeavingEdits = LeavingEdits()
+    evacuated: EvacuationEdits = EvacuationEdits()
 
 
 def _make_edits_validator(
@@ -129,6 +145,16 @@
                 ),
             ),
         ),
+        Field(
+            "evacuated",
+            make_object_validator(
+                EvacuationEdits,
+                (
+                    Field("add", EVACUATED_VALIDATOR),
+                    Field("remove", EVACUATED_VALIDATOR),
+                ),
+            ),
+        ),
     ),
 )
 
@@ -138,8 +164,8 @@
 
     Args:
         text: JSON with comments: objects `accounts`, `groups` and `services`,
-            each with `add`, `change` and `remove`, and `leaving` with `add`
-            and `remove`.
+            each with `add`, `change` and `remove`, and `leaving` and
+            `evacuated`, each with `add` and `remove`.
 
     Returns:
         The intent.
@@ -174,6 +200,13 @@
     }
 
 
+def get_list_edits(
+    intent: Intent,
+) -> dict[str, LeavingEdits | EvacuationEdits]:
+    """Returns the edits of lists of names by section name."""
+    return {"leaving": intent.leaving, "evacuated": intent.evacuated}
+
+
 def _find_conflicts(intent: Intent) -> Iterator[Problem]:
     """Finds ids that occur in more than one edit of the same section."""
     allowed = "in only one of add, change and remove"
@@ -185,8 +218,9 @@
         )
         for name in sorted(repeated):
             yield Problem(f"{section}.{name}", "several edits", allowed)
-    for name in sorted(intent.leaving.add & intent.leaving.remove):
-        yield Problem(f"leaving.{name}", "several edits", allowed)
+    for section, edits in get_list_edits(intent).items():
+        for name in sorted(edits.add & edits.remove):
+            yield Problem(f"{section}.{name}", "several edits", allowed)
 
 
 def encode_intent(intent: Intent) -> dict[str, object]:
@@ -206,9 +240,10 @@
             },
             "remove": sorted(edits.remove),
         }
-    if intent.leaving != LeavingEdits():
-        encoded["leaving"] = {
-            "add": sorted(intent.leaving.add),
-            "remove": sorted(intent.leaving.remove),
-        }
+    for section, edits in get_list_edits(intent).items():
+        if edits.add or edits.remove:
+            encoded[section] = {
+                "add": sorted(edits.add),
+                "remove": sorted(edits.remove),
+            }
     return encoded
--- a/packages/chicoryplank/src/chicoryplank/configuration/_parts.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_parts.py
@@ -13,6 +13,7 @@
 
 from chicoryplank.configuration._resources import (
     ACCOUNT_VALIDATOR,
+    EVACUATED_VALIDATOR,
     GROUP_VALIDATOR,
     LEAVING_VALIDATOR,
     SERVICE_VALIDATOR,
@@ -45,6 +46,11 @@
     "groups": GROUP_VALIDATOR,
     "services": SERVICE_VALIDATOR,
 }
+# Validators of the sections that are lists of names, each stored as one part.
+_LIST_VALIDATORS = {
+    "leaving": LEAVING_VALIDATOR,
+    "evacuated": EVACUATED_VALIDATOR,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +82,7 @@
     groups: Mapping[str, object] = dataclasses.field(default_factory=dict)
     services: Mapping[str, object] = dataclasses.field(default_factory=dict)
     leaving: frozenset[str] = frozenset()
+    evacuated: frozenset[str] = frozenset()
 
 
 def encode_json(value: object) -> bytes:
@@ -129,8 +136,10 @@
     for name, service in snapshot.services.items():
         encoded = encode_resources({name: service})
         parts[f"services/{name}"] = {"services": encoded}
-    if snapshot.leaving:
-        parts["leaving"] = {"leaving": sorted(snapshot.leaving)}
+    for section in _LIST_VALIDATORS:
+        names = getattr(snapshot, section)
+        if names:
+            parts[section] = {section: sorted(names)}
     return {name: encode_json(part) for name, part in parts.items()}
 
 
@@ -160,20 +169,21 @@
     try:
         document = json.loads(data)
         members = document[section]
-        if section == "leaving":
-            return PartContent(leaving=_decode_leaving(members))
+        if section in _LIST_VALIDATORS:
+            return PartContent(**{section: _decode_names(section, members)})
         resources = _decode_resources(section, members)
     except DECODE_ERRORS as error:
         raise _make_malformed_error(f"part {name}", error) from error
     return PartContent(**{section: resources})
 
 
-def _decode_leaving(members: object) -> frozenset[str]:
+def _decode_names(section: str, members: object) -> frozenset[str]:
     problems: list[Problem] = []
-    leaving = LEAVING_VALIDATOR.convert(members, "leaving", problems)
+    validator = _LIST_VALIDATORS[section]
+    names = validator.convert(members, section, problems)
     if problems:
         raise ValueError(str(problems[0]))
-    return leaving
+    return names
 
 
 def _decode_resources(
@@ -230,9 +240,11 @@
     groups: dict[str, object] = {}
     services: dict[str, object] = {}
     leaving: frozenset[str] = frozenset()
+    evacuated: frozenset[str] = frozenset()
     for content in contents:
         accounts.update(content.accounts)
         groups.update(content.groups)
         services.update(content.services)
         leaving |= content.leaving
-    return Snapshot(version, accounts, groups, services, leaving)
+        evacuated |= content.evacuated
+    return Snapshot(version, accounts, groups, services, leaving, evacuated)
--- a/packages/chicoryplank/src/chicoryplank/configuration/_plan.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_plan.py
@@ -22,6 +22,7 @@
     Intent,
     encode_intent,
     get_edits_by_section,
+    get_list_edits,
     parse_intent,
 )
 from chicoryplank.configuration._parts import (
@@ -34,6 +35,7 @@
 )
 from chicoryplank.configuration._resources import (
     MAX_ACCOUNTS,
+    MAX_EVACUATED,
     MAX_GROUPS,
     MAX_LEAVING,
     MAX_SERVICES,
@@ -48,6 +50,7 @@
     "groups": MAX_GROUPS,
     "services": MAX_SERVICES,
     "leaving": MAX_LEAVING,
+    "evacuated": MAX_EVACUATED,
 }
 
 
@@ -93,7 +96,9 @@
         InvalidInputError: With INVALID_INTENT and every error found, if the
             intent cannot be applied to the version.
         InsufficientCapacityError: If the change creates or increases a
-            shortfall of capacity.
+            shortfall of capacity. The evacuation of a zone only causes
+            warnings, because an operator evacuates a zone whose capacity is
+            endangered.
     """
     target = apply_intent(snapshot, intent)
     changes = diff_snapshots(snapshot, target)
@@ -106,10 +111,16 @@
     )
     if capacity is not None:
         needs = compute_needs(target, capacity)
-        shortfalls = find_shortfalls(compute_needs(snapshot, capacity), needs)
+        evacuated = dataclasses.replace(snapshot, evacuated=target.evacuated)
+        shortfalls = find_shortfalls(compute_needs(evacuated, capacity), needs)
         if shortfalls:
             raise InsufficientCapacityError(shortfalls)
-        warnings = tuple(_find_warnings(target, intent, capacity, needs))
+        new_shortfalls = find_shortfalls(
+            compute_needs(snapshot, capacity), needs
+        )
+        warnings = tuple(
+            _find_warnings(target, intent, capacity, needs, new_shortfalls)
+        )
     base_digest = digest_content(digest_parts(encode_parts(snapshot)))
     return Plan(
         base_version=snapshot.version,
@@ -174,7 +185,10 @@
     }
     target = Snapshot(
         version=ConfigVersion(snapshot.version + 1),
-        leaving=(snapshot.leaving | intent.leaving.add) - intent.leaving.remove,
+        **{
+            section: (getattr(snapshot, section) | edits.add) - edits.remove
+            for section, edits in get_list_edits(intent).items()
+        },
         **resources,
     )
     problems = list(_check_constraints(target))
@@ -197,13 +211,14 @@
             yield from _check_names_exist(
                 f"{section}.{action}", names, present, must_exist
             )
-    leaving = dict.fromkeys(snapshot.leaving)
-    yield from _check_names_exist(
-        "leaving.add", intent.leaving.add, leaving, False
-    )
-    yield from _check_names_exist(
-        "leaving.remove", intent.leaving.remove, leaving, True
-    )
+    for section, edits in get_list_edits(intent).items():
+        present = dict.fromkeys(getattr(snapshot, section))
+        yield from _check_names_exist(
+            f"{section}.add", edits.add, present, False
+        )
+        yield from _check_names_exist(
+            f"{section}.remove", edits.remove, present, True
+        )
 
 
 def _check_names_exist(
@@ -287,19 +302,47 @@
     intent: Intent,
     capacity: Capacity,
     needs: tuple[GroupNeed, ...],
+    new_shortfalls: tuple[GroupNeed, ...],
 ) -> Iterator[str]:
+    """Describes what operators should know before they confirm a plan.
+
+    Args:
+        target: Version that the plan leads to.
+        intent: Intent of the plan.
+        capacity: Live instances.
+        needs: Needed and available capacity in the new version.
+        new_shortfalls: Needs whose shortfall the evacuation of a zone creates
+            or increases.
+    """
     live = frozenset().union(*capacity.live.values())
     for name in sorted(intent.leaving.add - live):
         yield f"instance {name} is not live in the instance list"
+    for name in sorted(intent.evacuated.add - set(capacity.zones.values())):
+        yield f"zone {name} has no live instance in the instance list"
     for need in needs:
-        if need.missing_replicas or need.missing_tokens_per_s:
+        if need in new_shortfalls:
+            yield f"{need}; the evacuation causes the shortfall"
+        elif need.missing_replicas or need.missing_tokens_per_s:
             yield f"{need}; the shortfall existed before this change"
+    for name in sorted(target.groups):
+        if _is_evacuated(target, name, capacity):
+            yield f"group {name} has no replica outside the evacuated zones"
     for name in sorted(target.services):
         deployment = target.services[name].deployment
-        if not capacity.live.get(deployment, frozenset()) - target.leaving:
+        if _is_evacuated(target, deployment, capacity):
+            yield f"service {name} has no replica outside the evacuated zones"
+        elif not capacity.list_available(deployment, target):
             yield f"service {name}: deployment {deployment} has no instance"
 
 
+def _is_evacuated(
+    target: Snapshot, deployment: str, capacity: Capacity
+) -> bool:
+    """Returns whether only replicas in evacuated zones are left."""
+    live = capacity.live.get(deployment, frozenset()) - target.leaving
+    return bool(live) and not capacity.list_available(deployment, target)
+
+
 def encode_plan(plan: Plan) -> dict[str, object]:
     """Returns the JSON form of a plan, which decode_plan reads."""
     return {
--- a/packages/chicoryplank/src/chicoryplank/configuration/_resources.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_resources.py
@@ -33,6 +33,7 @@
 MAX_SERVICES = 1_000
 # The whole list is stored as one value, and a value has at most one megabyte.
 MAX_LEAVING = 10_000
+MAX_EVACUATED = 1_000
 
 _PRIORITIES = {priority.name.lower(): priority for priority in Priority}
 _OBJECTIVES = {objective.value: objective for objective in Objective}
@@ -78,6 +79,9 @@
 LEAVING_VALIDATOR = make_list_validator(
     make_name_validator(), 0, MAX_LEAVING, frozenset
 )
+EVACUATED_VALIDATOR = make_list_validator(
+    make_name_validator(), 0, MAX_EVACUATED, frozenset
+)
 
 
 def make_partial_validator(fields: tuple[Field, ...]) -> Validator:
--- a/packages/chicoryplank/src/chicoryplank/configuration/_snapshot.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_snapshot.py
@@ -10,6 +10,7 @@
     InstanceId,
     ModelGroupId,
     ServiceId,
+    ZoneId,
 )
 
 
@@ -95,6 +96,7 @@
             instance list.
         services: Plain services by id.
         leaving: Draining instances, which get no new work.
+        evacuated: Zones whose replicas get no new requests.
     """
 
     version: ConfigVersion
@@ -102,3 +104,4 @@
     groups: Mapping[ModelGroupId, GroupConfiguration]
     services: Mapping[ServiceId, ServiceConfiguration]
     leaving: frozenset[InstanceId] = frozenset()
+    evacuated: frozenset[ZoneId] = frozenset()
--- a/packages/chicoryplank/src/chicoryplank/configuration/tests/test_plan.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/tests/test_plan.py
@@ -65,6 +65,7 @@
                 },
                 "groups": {"change": {"llm": {"replicas": 2.5}, "other": {}}},
                 "leaving": {"add": ["x", "x"]},
+                "evacuated": {"add": ["a zone"]},
                 "zones": {},
             }
         )
@@ -77,6 +78,7 @@
             "groups.change.llm.replicas",
             "groups.change.other",
             "leaving.add",
+            "evacuated.add[0]",
             "zones",
         }
         self.assertEqual(expected, self.find_paths(parse_intent, text))
@@ -87,9 +89,10 @@
             {
                 "accounts": {"add": {"a": make_account("a")}, "remove": ["a"]},
                 "leaving": {"add": ["i"], "remove": ["i"]},
+                "evacuated": {"add": ["z"], "remove": ["z"]},
             }
         )
-        expected = {"accounts.a", "leaving.i"}
+        expected = {"accounts.a", "leaving.i", "evacuated.z"}
         self.assertEqual(expected, self.find_paths(parse_intent, text))
         self.assertEqual({"(whole)"}, self.find_paths(parse_intent, "{}"))
 
@@ -102,12 +105,14 @@
             },
             groups={"remove": ["absent"]},
             leaving={"remove": ["llm-0"]},
+            evacuated={"remove": ["z"]},
         )
         expected = {
             "accounts.add.account-0",
             "accounts.change.absent",
             "groups.remove.absent",
             "leaving.remove.llm-0",
+            "evacuated.remove.z",
         }
         problem_paths = self.find_paths(
             create_plan, make_base(), intent, CAPACITY
@@ -167,6 +172,7 @@
                             "accounts",
                             "groups",
                             "leaving",
+                            "evacuated",
                             "add",
                             "change",
                             "remove",
@@ -248,6 +254,44 @@
         )
         self.assertEqual(2, error.shortfalls[0].available_replicas)
 
+    def test_evacuation_warns_but_is_not_refused(self):
+        """Guards against an evacuation that waits for lower limits."""
+        zones = {f"llm-{number}": f"z{number % 2}" for number in range(4)}
+        zones |= {"tablets-0": "z0", "quotes-0": "z0"}
+        capacity = Capacity(CAPACITY.live, zones)
+        evacuate = parse(evacuated={"add": ["z0", "typo"]})
+        plan = create_plan(make_base(), evacuate, capacity)
+        self.assertEqual(2, plan.needs[0].available_replicas)
+        expected = {
+            "zone typo has no live instance in the instance list",
+            "service quotes has no replica outside the evacuated zones",
+        }
+        self.assertLessEqual(expected, set(plan.warnings))
+        self.assertIn("the evacuation causes the shortfall", plan.warnings[1])
+        self.assertIn("+ evacuated.z0", format_plan(plan))
+        snapshot = apply_intent(make_base(), evacuate)
+        drain = parse(leaving={"add": ["llm-1"]})
+        self.assertRaises(
+            InsufficientCapacityError, create_plan, snapshot, drain, capacity
+        )
+        end = parse(evacuated={"remove": ["z0", "typo"]})
+        plan = create_plan(snapshot, end, capacity)
+        self.assertEqual(4, plan.needs[0].available_replicas)
+        self.assertEqual((), plan.warnings)
+        self.assertIn("- evacuated.z0", format_plan(plan))
+
+    def test_group_that_is_evacuated_completely(self):
+        """Guards against a plan that hides that a group serves nothing."""
+        zones = dict.fromkeys(CAPACITY.live["llm"], "z")
+        evacuate = parse(evacuated={"add": ["z"]})
+        plan = create_plan(
+            make_base(), evacuate, Capacity(CAPACITY.live, zones)
+        )
+        self.assertIn(
+            "group llm has no replica outside the evacuated zones",
+            plan.warnings,
+        )
+
     def test_existing_shortfall_does_not_block(self):
         """Guards against the loss of a zone blocking unrelated changes."""
         reduced_capacity = Capacity({"llm": frozenset({"llm-0"})})
