--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -4,11 +4,12 @@
 import dataclasses
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from datetime import UTC, datetime, timedelta
 
 from chicoryplank.admission import (
     UNUSABLE,
+    WITHOUT_RETURN,
     CircuitBreaker,
     EntryCount,
     HoldReason,
@@ -42,6 +43,7 @@
     RouteIndex,
     TrafficConfiguration,
 )
+from chicoryplank_entry.forwarding.evacuations import EvacuationHolds
 from chicoryplank_entry.forwarding.replica_words import ReplicaWords
 
 # Routing policies take datetimes. A fixed origin makes them monotonic, unlike
@@ -63,6 +65,7 @@
 # their latency target, so that entries without a backlog do not wait behind
 # entries that have one.
 _ON_TIME_RESERVE = 0.08
+_EVACUATED = frozenset({HoldReason.EVACUATED})
 # Interval of checks for stalls and free slots, in seconds.
 _CHECK_INTERVAL_S = 0.1
 
@@ -150,6 +153,7 @@
         server_limits: Limits that replicas name for all entries together.
         holds: Replicas that get no new request now.
         replica_words: Feeds the holds from what replicas say of themselves.
+        evacuations: Zones whose replicas get no new request.
         quarantine: Crashes of replicas, and the requests that cause them.
     """
 
@@ -178,6 +182,7 @@
         self.replica_words = ReplicaWords(
             self.holds, self.registry, self.now_s, rng
         )
+        self.evacuations = EvacuationHolds(self.holds)
         self.quarantine = Quarantine()
         self.is_draining = False
         self._configured = asyncio.Event()
@@ -245,6 +250,7 @@
         records = self.registry.list_all()
         for record in records:
             self.replica_words.observe_registration(record)
+        self.evacuations.apply(records)
         known = {record.instance for record in records}
         self.holds.retain(known, now_s)
         self.server_limits.retain(known)
@@ -259,7 +265,8 @@
 
     def _refresh_service(self, service: ServiceId, state: ServiceState) -> None:
         records = self.registry.list_service(service)
-        candidates = tuple(make_candidate(record) for record in records)
+        zones = self.evacuations.zones
+        candidates = tuple(make_candidate(record, zones) for record in records)
         state.slots = {record.instance: record.slots for record in records}
         state.replica_last_progress_s = {
             instance: progress_s
@@ -277,7 +284,7 @@
         """Estimates how long a new request waits for a slot, in seconds."""
         share = 1.0 / self.entry_count
         now_s = self.now_s()
-        avoided = self.slow_replicas.list_avoided(state.slots, now_s)
+        avoided = self._list_avoided(state, now_s)
         used = state.slots.keys() - avoided
         held = self.holds.list_held(now_s, UNUSABLE)
         if used - held:
@@ -295,6 +302,28 @@
             state.circuit_breaker.estimate_return_s(now_s),
         )
 
+    def _list_avoided(
+        self, state: ServiceState, now_s: float
+    ) -> frozenset[InstanceId]:
+        """Returns the replicas of slow groups, unless no other is left."""
+        used = state.slots.keys()
+        if self.evacuations.zones:
+            used -= self.holds.list_held(now_s, _EVACUATED)
+        return self.slow_replicas.list_avoided(used, now_s)
+
+    def is_evacuated(self, state: ServiceState, now_s: float) -> bool:
+        """Returns whether the evacuation of zones leaves no usable replica.
+
+        Replicas that are leaving or misdirected are not usable either. A pause
+        or a full replica ends soon, so requests may wait for those.
+        """
+        if not self.evacuations.zones:
+            return False
+        evacuated = self.holds.list_held(now_s, _EVACUATED)
+        if evacuated.isdisjoint(state.slots):
+            return False
+        return state.slots.keys() <= self.holds.list_held(now_s, WITHOUT_RETURN)
+
     def list_full_replicas(
         self, state: ServiceState, allowance: int, now_s: float
     ) -> frozenset[InstanceId]:
@@ -312,7 +341,7 @@
             for instance, slots in state.slots.items()
             if occupancy.count(instance) >= slots + allowance
         ).union(
-            self.slow_replicas.list_avoided(state.slots, now_s),
+            self._list_avoided(state, now_s),
             self.holds.list_held(now_s) & state.slots.keys(),
         )
 
@@ -411,14 +440,23 @@
                 state.circuit_breaker.observe_outage(now_s)
             if len(state.slot_queue):
                 wait_s = self.holds.estimate_wait_s(state.slots, now_s)
+                if self.is_evacuated(state, now_s):
+                    wait_s = math.inf
                 state.slot_queue.reject_before(now_s + wait_s)
                 self._grant_slots(state, now_s)
 
 
-def make_candidate(record: ReplicaRecord) -> Candidate:
-    """Returns the routing candidate of a registered replica."""
+def make_candidate(
+    record: ReplicaRecord, evacuated_zones: Collection[ZoneId] = ()
+) -> Candidate:
+    """Returns the routing candidate of a registered replica.
+
+    A replica in an evacuated zone counts as leaving. Otherwise an entry in that
+    zone would spend most of its random choices on replicas that are held.
+    """
     return Candidate(
         record.instance,
         record.zone,
-        leaving=record.state is ReplicaState.DRAINING,
+        leaving=record.state is ReplicaState.DRAINING
+        or record.zone in evacuated_zones,
     )
