Relieve slow ranks by the expert map

All ranks of a lock-step group wait for the slowest one in each step. The search for maps balanced the loads of the ranks as if all computed at the same speed, so that a rank that takes 1.6 times as long made each step nearly that much longer for as long as it was slow. The load of a rank is now weighted by the pace that it reports, from 1.25 on; groups whose ranks all have the usual pace get the same maps as before.

In the model (16 ranks, equal demand) a rank of 1.6 times the usual time leaves a weighted skew below 1.3 instead of 1.6, one of 12 times below 3.1 instead of 12.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/group_view.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/group_view.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from chicoryplank.ids import InstanceId, RankId
 from chicoryplank.orders import (
@@ -28,6 +28,9 @@
 _DEFAULT_STEP_DURATION_S = 0.08
 # Relative increase of the step duration while ranks copy experts.
 _COPY_SLOWDOWN = 0.15
+# Pace below which a rank counts as one of the usual speed. The paces of sound
+# ranks vary a little, and a map that follows them would change all the time.
+_MIN_SLOW_PACE = 1.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,6 +52,7 @@
         is_prediction_checked: Whether that skew was compared with the measured
             one.
         step_samples: Latest observations of the group step: time and number.
+        paces: Pace of each rank in the order of the map, 1 for the usual one.
     """
 
     epoch: int
@@ -64,6 +68,7 @@
     step_samples: collections.deque = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=4)
     )
+    paces: tuple[float, ...] = ()
 
 
 RankPorts = dict[RankId, RankPort]
@@ -159,6 +164,14 @@
     )
 
 
+def list_paces(states: Mapping[RankId, RankState]) -> tuple[float, ...]:
+    """Returns the pace of each rank, in the order of the ranks."""
+    return tuple(
+        pace if pace >= _MIN_SLOW_PACE else 1.0
+        for pace in (states[rank].pace for rank in sorted(states))
+    )
+
+
 def compute_step_duration_s(view: GroupView) -> float:
     """Returns the mean duration of the latest group steps, in seconds."""
     (first_s, first), (last_s, last) = (
@@ -178,6 +191,7 @@
     fixed_s: float,
     lasting_s: float,
     skew_error: float,
+    paces: Sequence[float] = (),
 ) -> JointDecision:
     """Searches for a better map without blocking the event loop.
 
@@ -188,6 +202,7 @@
         fixed_s: Duration of a change without its copies, in seconds.
         lasting_s: Time in seconds for which the demand is expected to last.
         skew_error: Amount by which earlier changes missed the predicted skew.
+        paces: Pace of each rank; empty if all have the usual one.
     """
     limits = JointLimits(engine.max_experts, engine.max_new_experts)
     costs = ChangeCosts(
@@ -199,5 +214,5 @@
         skew_error=skew_error,
     )
     return await run_cooperatively(
-        improve_joint_map(slots, loads, limits, costs)
+        improve_joint_map(slots, loads, limits, costs, paces)
     )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/maps.py
@@ -39,6 +39,7 @@
     group_ranks,
     has_uniform_map,
     is_complete,
+    list_paces,
     make_view,
     read_counts,
     read_states,
@@ -236,6 +237,7 @@
         if view is not None and view.epoch == epoch:
             step = max(state.step for state in states.values())
             view.step_samples.append((now_s, step))
+            view.paces = list_paces(states)
         if task is not None:
             self._check_pending_map(view, self._demands[name], engine)
         if task is not None or was_busy:
@@ -256,10 +258,11 @@
         if view is None or view.pending_version is None:
             return
         loads = demand.list_loads(engine.layer_sets)
-        skew = compute_joint_skew(view.pending_slots, loads)
+        skew = compute_joint_skew(view.pending_slots, loads, view.paces)
+        active_skew = compute_joint_skew(view.slots, loads, view.paces)
         view.is_pending_outdated = is_shift(
             skew, view.pending_skew
-        ) and not is_shift(compute_joint_skew(view.slots, loads), skew)
+        ) and not is_shift(active_skew, skew)
 
     async def _control_group(
         self,
@@ -364,7 +367,7 @@
         if demand.total < parameters.min_choices:
             return
         loads = demand.list_loads(engine.layer_sets)
-        skew = compute_joint_skew(view.slots, loads)
+        skew = compute_joint_skew(view.slots, loads, view.paces)
         lifetime = self._lifetimes.setdefault(name, DemandLifetime())
         lifetime.observe(skew, view.predicted_skew, now_s)
         self._check_prediction(view, skew, now_s)
@@ -384,6 +387,7 @@
             fixed_s=self._history.fixed_s,
             lasting_s=lifetime.estimate_remaining_s(now_s),
             skew_error=self._history.skew_error,
+            paces=view.paces,
         )
         if decision.gain < parameters.min_gain:
             return
--- a/packages/chicoryplank/src/chicoryplank/rebalance/_joint.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/_joint.py
@@ -6,6 +6,10 @@
 and each set is balanced on its own. The ranks copy at the same time, so the
 duration of a change depends on the largest number of copies of one rank over
 all sets.
+
+A rank that computes more slowly than the others takes longer for the same load.
+Its load is therefore weighted by its pace, the ratio of its computing time to
+the usual one, so that its experts move to other ranks.
 """
 
 import dataclasses
@@ -71,19 +75,25 @@
 
 
 def compute_joint_skew(
-    slots: JointSlots, loads: Sequence[Sequence[float]]
+    slots: JointSlots,
+    loads: Sequence[Sequence[float]],
+    paces: Sequence[float] = (),
 ) -> float:
     """Returns the mean skew of the layer sets.
 
-    The skew of a set is the ratio of its largest rank load to the mean.
+    The skew of a set is the ratio of its largest weighted rank load to the mean
+    load.
 
     Args:
         slots: Experts of each rank, by layer set and rank.
         loads: Load of each expert, by layer set and expert.
+        paces: Pace of each rank, 1 for the usual one; empty if all have that.
     """
     return _compute_mean_skew(
         [
-            _LayerSetSearch(ranks, set_loads, JointLimits(0, 0), _Copies(ranks))
+            _LayerSetSearch(
+                ranks, set_loads, JointLimits(0, 0), _Copies(ranks), paces
+            )
             for ranks, set_loads in zip(slots, loads, strict=True)
         ]
     )
@@ -94,6 +104,7 @@
     loads: Sequence[Sequence[float]],
     limits: JointLimits,
     costs: ChangeCosts | None = None,
+    paces: Sequence[float] = (),
 ) -> Generator[None, None, JointDecision]:
     """Returns a map with less skew from a generator that yields between edits.
 
@@ -107,6 +118,7 @@
         loads: Load of each expert, by layer set and expert.
         limits: Limits on the experts of each rank.
         costs: Durations that limit the copies; by default copies cost nothing.
+        paces: Pace of each rank, 1 for the usual one; empty if all have that.
 
     References:
         DeepSeek-AI, "Expert Parallelism Load Balancer (EPLB)", 2025, for the
@@ -115,7 +127,7 @@
     costs = costs or ChangeCosts()
     copies = _Copies(slots[0] if slots else ())
     searches = [
-        _LayerSetSearch(ranks, set_loads, limits, copies)
+        _LayerSetSearch(ranks, set_loads, limits, copies, paces)
         for ranks, set_loads in zip(slots, loads, strict=True)
     ]
     initial_skew = _compute_mean_skew(searches)
@@ -214,6 +226,7 @@
         loads: Load of each expert.
         limits: Limits on the experts of each rank.
         copies: Copies of each rank, shared with the other layer sets.
+        paces: Pace of each rank; empty if all have the usual one.
     """
 
     def __init__(
@@ -222,6 +235,7 @@
         loads: Sequence[float],
         limits: JointLimits,
         copies: _Copies,
+        paces: Sequence[float] = (),
     ) -> None:
         self._initial_experts = [frozenset(experts) for experts in ranks]
         self._rank_experts = [set(experts) for experts in ranks]
@@ -233,15 +247,17 @@
         for rank, experts in enumerate(self._rank_experts):
             for expert in experts:
                 self._holders.setdefault(expert, set()).add(rank)
+        self._paces = tuple(paces) or (1.0,) * len(ranks)
         self._rank_loads = [
-            sum(self._get_replica_load(expert) for expert in experts)
-            for experts in self._rank_experts
+            self._sum_rank_load(rank) for rank in range(len(ranks))
         ]
-        self._mean = sum(self._rank_loads) / max(1, len(self._rank_loads))
+        self._mean = sum(loads[expert] for expert in self._holders) / max(
+            1, len(ranks)
+        )
 
     @property
     def skew(self) -> float:
-        """Ratio of the largest rank load to the mean; 1 if idle."""
+        """Ratio of the largest weighted load to the mean load; 1 if idle."""
         if self._mean <= 0:
             return 1.0
         return max(self._rank_loads) / self._mean
@@ -289,6 +305,13 @@
     def _get_replica_load(self, expert: ExpertId) -> float:
         return self._loads[expert] / len(self._holders[expert])
 
+    def _sum_rank_load(self, rank: int) -> float:
+        """Returns the load of a rank, weighted by its pace."""
+        return self._paces[rank] * sum(
+            self._get_replica_load(expert)
+            for expert in self._rank_experts[rank]
+        )
+
     def _may_receive(self, rank: int, expert: ExpertId) -> bool:
         """Whether a rank may get an expert under the limits on copies."""
         initial = self._initial_experts[rank]
@@ -369,10 +392,14 @@
             new_load = load / count
             for rank in holders:
                 change = -old_load if rank in lost else new_load - old_load
-                totals[rank] = totals.get(rank, self._rank_loads[rank]) + change
+                totals[rank] = (
+                    totals.get(rank, self._rank_loads[rank])
+                    + self._paces[rank] * change
+                )
             for rank in gained:
                 totals[rank] = (
-                    totals.get(rank, self._rank_loads[rank]) + new_load
+                    totals.get(rank, self._rank_loads[rank])
+                    + self._paces[rank] * new_load
                 )
         peak = max(totals.values())
         return peak if peak < bound else None
@@ -391,7 +418,4 @@
         for expert in changed_experts:
             ranks |= self._holders[expert]
         for rank in ranks:
-            self._rank_loads[rank] = sum(
-                self._get_replica_load(expert)
-                for expert in self._rank_experts[rank]
-            )
+            self._rank_loads[rank] = self._sum_rank_load(rank)
--- a/packages/chicoryplank/src/chicoryplank/rebalance/tests/test_joint.py
+++ b/packages/chicoryplank/src/chicoryplank/rebalance/tests/test_joint.py
@@ -35,8 +35,8 @@
     return loads
 
 
-def _run_search(slots, loads, limits=_LIMITS, costs=None):
-    generator = improve_joint_map(slots, loads, limits, costs)
+def _run_search(slots, loads, limits=_LIMITS, costs=None, paces=()):
+    generator = improve_joint_map(slots, loads, limits, costs, paces)
     while True:
         try:
             next(generator)
@@ -104,6 +104,55 @@
         self.assertGreater(sum(1 for _ in generator), 12)
 
 
+class TestSlowRank(testtools.TestCase):
+    """The experts of a rank that computes slowly move to the other ranks.
+
+    Load pattern: one rank of a lock-step group takes longer for the same work,
+    and all ranks wait for it in each step.
+    """
+
+    _LIMITS = JointLimits(max_experts=6, max_new_experts=2)
+
+    def _relieve(self, pace):
+        """Returns the skew without and with the search, for the same paces."""
+        slots = _make_initial_map(4, 64, 16)
+        paces = [1.0] * 16
+        paces[3] = pace
+        loads = [[1.0] * 64] * 4
+        decision = _run_search(slots, loads, self._LIMITS, paces=paces)
+        return decision, compute_joint_skew(decision.slots, loads, paces)
+
+    def test_slow_rank_is_relieved(self):
+        """Guards against steps that stay as slow as a rank of 1.6 the time."""
+        decision, skew = self._relieve(1.6)
+        self.assertAlmostEqual(1.6, decision.current_skew)
+        self.assertAlmostEqual(skew, decision.predicted_skew)
+        self.assertLess(skew, 1.3)
+
+    def test_very_slow_rank_is_relieved(self):
+        """Guards against a rank of 12 times the time that keeps its experts."""
+        decision, skew = self._relieve(12.0)
+        self.assertLess(skew, 3.1)
+        held = {expert for ranks in decision.slots[0] for expert in ranks}
+        self.assertEqual(set(range(64)), held)
+
+    def test_usual_paces_change_nothing(self):
+        """Guards against other maps for groups without a slow rank."""
+        slots = _make_initial_map(4, 64, 16)
+        loads = _make_loads(2, 4, 64)
+        self.assertEqual(
+            _run_search(slots, loads),
+            _run_search(slots, loads, paces=[1.0] * 16),
+        )
+
+    def test_relief_ends(self):
+        """Guards against a rank that stays idle when it is fast again."""
+        loads = [[1.0] * 64] * 4
+        decision, _ = self._relieve(12.0)
+        later = _run_search(decision.slots, loads, self._LIMITS)
+        self.assertLess(later.predicted_skew, 1.3)
+
+
 class TestChangeCosts(testtools.TestCase):
     """A change copies no more than the demand repays while it lasts.
 
