Evacuate zones in the fault soak of forwarding entries

Cause: no run with real entry processes showed that an evacuated zone gets no request while entries, replicas and the store have faults.

Change: the fault `evacuate` writes the key of a zone of replicas for 6 to 8 s; a request that arrives there later than 5 s after the write, other than a misdirected one, is a violation unless a fault affects the store, its entry or its link. Replicas of the soak are in two zones without entries.

--- a/tools/soak_forwarding.py
+++ b/tools/soak_forwarding.py
@@ -22,6 +22,7 @@
 from soak_command import report, run_command
 from soak_forwarding_faults import (
     FAULTS,
+    REPLICA_ZONES,
     STOP_GRACE_S,
     EntryProcess,
     FaultContext,
@@ -390,6 +391,7 @@
                 observe=self._checker.observe_arrival,
                 observe_end=self._checker.observe_execution_end,
                 crash_under=self._crash_under,
+                zone=REPLICA_ZONES[number % len(REPLICA_ZONES)],
             )
             await replica.start()
             stack.push_async_callback(replica.crash)
@@ -490,6 +492,7 @@
             random.Random(f"{options.seed}/faults"),
             self._record_drain,
             self._checker.record_limit,
+            self._checker.evacuated_since,
         )
         harmful = HarmfulTraffic(
             self._checker,
--- a/tools/soak_forwarding_faults.py
+++ b/tools/soak_forwarding_faults.py
@@ -12,7 +12,11 @@
 from fleet import Fleet, TcpProxy, wait_for_http
 from soak_records import Interval, Timeline
 
-from chicoryplank_platform.names import READY_PATH, REPLICA_PREFIX
+from chicoryplank_platform.names import (
+    EVACUATION_PREFIX,
+    READY_PATH,
+    REPLICA_PREFIX,
+)
 from chicoryplank_platform.tests.simulated_replica import (
     ReplicaFault,
     SimulatedReplica,
@@ -32,6 +36,9 @@
     ReplicaFault.UNSTATED,
 )
 _STORE = "store"
+# Zones of the replicas. No entry is in them, so that entries do not prefer some
+# of the replicas.
+REPLICA_ZONES = ("hall-c", "hall-d")
 # Signals that an entry may get while it stops.
 _STOP_SIGNALS = (
     signal.SIGHUP,
@@ -87,6 +94,8 @@
             its drain.
         record_limit: Called with a replica, the limit that it named until now,
             and the Unix time in seconds since which it named it.
+        evacuated_since: Unix time at which the store acknowledged the
+            evacuation of each zone that is evacuated now.
         reserved: Names of the entries and replicas that a fault restarts or
             pauses, so that no other such fault uses them.
         link_faults: Interval of the current fault of each replica link.
@@ -102,6 +111,7 @@
     rng: random.Random
     record_drain: Callable[[SimulatedReplica], None]
     record_limit: Callable[[str, float, float], None]
+    evacuated_since: dict[str, float]
     reserved: set[str] = dataclasses.field(default_factory=set)
     link_faults: dict[TcpProxy, Interval] = dataclasses.field(
         default_factory=dict
@@ -448,6 +458,20 @@
         replica.server_limit = ""
 
 
+async def evacuate_zone(context: FaultContext) -> None:
+    """Evacuates a zone of replicas for longer than the bound of 5 s."""
+    zones = dict.fromkeys(REPLICA_ZONES)
+    zone = context.choose_unreserved(zones)
+    if zone is None or context.evacuated_since:
+        return
+    with context.record_fault("evacuate", zone):
+        context.store.put(EVACUATION_PREFIX + zone, b"")
+        context.evacuated_since[zone] = time.time()
+        await asyncio.sleep(context.draw_duration_s(6.0, 8.0))
+        del context.evacuated_since[zone]
+        context.store.remove(EVACUATION_PREFIX + zone)
+
+
 async def send_harmful_requests(context: FaultContext) -> None:
     """Lets callers send requests that crash replicas."""
     await context.run_harm(context)
@@ -490,6 +514,7 @@
     "shed": shed_requests,
     "limit": limit_replica,
     "harm": send_harmful_requests,
+    "evacuate": evacuate_zone,
 }
 
 
--- a/tools/soak_forwarding_judge.py
+++ b/tools/soak_forwarding_judge.py
@@ -21,6 +21,7 @@
 
 # Bounds of the acceptance rules, in seconds.
 DRAIN_BOUND_S = 2.0
+EVACUATION_BOUND_S = 5.0
 CONFIG_APPLY_BOUND_S = 2.0
 TIMEOUT_SLACK_S = 0.5
 REMAINING_TIME_SLACK_S = 0.5
@@ -118,6 +119,9 @@
         self._named_limits: list[tuple[str, float, float, float]] = []
         # Unix time at which the store acknowledged the drain of each replica.
         self.draining_since: dict[str, float] = {}
+        # Unix time at which the store acknowledged the evacuation of each zone
+        # that is evacuated now.
+        self.evacuated_since: dict[str, float] = {}
         self._timeline = timeline
         self._timeouts = route_timeouts
 
@@ -217,6 +221,22 @@
                 f"{sent.entry}",
             )
 
+        since_s = self.evacuated_since.get(arrival.zone, now_s)
+        # A replica rejects a request that is meant for another one.
+        is_misdirected = (
+            arrival.headers.get(HEADERS.expected_instance) != arrival.replica
+        )
+        if (
+            undisturbed
+            and not is_misdirected
+            and now_s > since_s + EVACUATION_BOUND_S
+        ):
+            self.add(
+                "sent_to_evacuated_zone",
+                f"{request.request_id} {now_s - since_s:.1f} s after the "
+                f"evacuation, {sent.entry}",
+            )
+
     def _check_executions(self, sent: SentRequest, arrival: Arrival) -> None:
         request = sent.request
         executions = sent.executions
