Let permits apply several limits to a replica

Cause: an issuer of permits knows only the Server-Limit, but the bound on cold replicas and the pace of starting replicas need permits too.

Change: Permits has a list `limits` of PermitLimit objects. A request needs a permit if the replica has a Server-Limit or any limit applies to it. The issuer asks the bucket and all limits for their waits first, and takes and records the permit only if none requires a wait. `carried` names the limits whose state a question carries, so that an issuer that does not know it yet can apply it. RateBucket gets `get_wait_s`, which takes nothing, and an optional capacity.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permit_limits.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permit_limits.py
@@ -24,3 +24,29 @@
 
     def record_permit(self, instance: InstanceId, now_s: float) -> None:
         """Records that a permit was granted."""
+
+
+class CarriedLimit(Protocol):
+    """A limit whose state the questions for permits carry to the issuer.
+
+    An issuer that has just started, or that follows the store with a lag, may
+    not know yet that a replica has the limit.
+    """
+
+    def encode_report(
+        self, instance: InstanceId, now_s: float
+    ) -> object | None:
+        """Returns what an issuer must know of a replica, for JSON.
+
+        Returns:
+            None if the replica does not have this limit.
+        """
+
+    def apply_report(
+        self, instance: InstanceId, report: object, now_s: float
+    ) -> None:
+        """Applies what a question says of a replica.
+
+        Raises:
+            ValueError, TypeError: If it is malformed.
+        """
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
@@ -22,6 +22,10 @@
 from chicoryplank.ids import InstanceId
 from chicoryplank.rendezvous import rank_members
 from chicoryplank_entry.forwarding.metrics import METRICS
+from chicoryplank_entry.forwarding.permit_limits import (
+    CarriedLimit,
+    PermitLimit,
+)
 from chicoryplank_entry.forwarding.state import EntryState
 
 REQUEST_KIND = "permit-request"
@@ -49,6 +53,11 @@
         state: Shared state of this entry.
         list_live_members: Returns all live entries, with this one.
         send: Sends a document to another entry.
+
+    Attributes:
+        limits: Limits besides the Server-Limit. A replica needs permits if any
+            limit applies to it, and a permit is granted only if all agree.
+        carried: Limits whose state the questions carry, by field.
     """
 
     def __init__(
@@ -65,13 +74,22 @@
         self._buckets: dict[InstanceId, RateBucket] = {}
         self._numbers = itertools.count(1)
         self._pending: dict[int, Callable[[float], None]] = {}
+        self.limits: list[PermitLimit] = []
+        self.carried: dict[str, CarriedLimit] = {}
+
+    def is_limited(self, instance: InstanceId) -> bool:
+        """Returns whether a request to a replica needs a permit now."""
+        if self._state.server_limits.get(instance) is not None:
+            return True
+        now_s = self._state.now_s()
+        return any(limit.is_limited(instance, now_s) for limit in self.limits)
 
     async def acquire(self, instance: InstanceId) -> bool:
         """Returns whether a request may be sent to a replica now.
 
         If not, the replica is held until the limit allows a request.
         """
-        if self._state.server_limits.get(instance) is None:
+        if not self.is_limited(instance):
             return True
         answered = asyncio.get_running_loop().create_future()
 
@@ -132,6 +150,10 @@
         }
         if report is not None:
             document["limit"] = [report.limit, now_s - report.seen_s]
+        for field, limit in self.carried.items():
+            carried = limit.encode_report(instance, now_s)
+            if carried is not None:
+                document[field] = carried
         self._send(document, issuer)
         return number
 
@@ -155,6 +177,11 @@
         if document.get("limit") is not None:
             # An issuer that has just started may not know the limit yet.
             self.apply_reports({instance: document["limit"]})
+        for field, limit in self.carried.items():
+            if document.get(field) is not None:
+                limit.apply_report(
+                    instance, document[field], self._state.now_s()
+                )
         reply = {
             "kind": REPLY_KIND,
             "member": self._own,
@@ -170,23 +197,44 @@
         return rank_members(instance, members)[0]
 
     def _issue(self, instance: InstanceId) -> float:
-        """Takes a request from the bucket of a replica; returns the wait."""
-        rate = self._state.server_limits.get_rate(instance)
+        """Grants a permit if all limits agree; returns the wait in seconds."""
         if self._choose_issuer(instance) != self._own:
             self._buckets.pop(instance, None)
             return _UNKNOWN_WAIT_S
+        now_s = self._state.now_s()
+        rate = self._get_rate(instance, now_s)
+        bucket = None
+        waits_s = [limit.get_wait_s(instance, now_s) for limit in self.limits]
         if rate is None:
-            # Withdrawn, as this entry knows, but the other one does not yet.
+            # Withdrawn, as this entry knows, but the other one does not yet;
+            # or the replica has only other limits.
             self._buckets.pop(instance, None)
-            return 0.0
-        now_s = self._state.now_s()
+        else:
+            bucket = self._get_bucket(instance, now_s)
+            waits_s.append(bucket.get_wait_s(rate, now_s))
+        wait_s = max(waits_s, default=0.0)
+        if wait_s > 0:
+            return wait_s
+        if bucket is not None:
+            bucket.try_take(rate, now_s)
+        for limit in self.limits:
+            limit.record_permit(instance, now_s)
+        return 0.0
+
+    def _get_rate(self, instance: InstanceId, now_s: float) -> float | None:
+        """Returns the share of a Server-Limit that this issuer may grant."""
+        rate = self._state.server_limits.get_rate(instance)
+        if rate is None:
+            return None
         live = len(self._list_live_members())
-        share = min(1.0, live / self._state.entry_bound.get_bound(now_s))
+        return rate * min(1.0, live / self._state.entry_bound.get_bound(now_s))
+
+    def _get_bucket(self, instance: InstanceId, now_s: float) -> RateBucket:
         bucket = self._buckets.get(instance)
         if bucket is None:
             self._remove_unused_buckets()
             bucket = self._buckets[instance] = RateBucket(now_s)
-        return bucket.try_take(rate * share, now_s)
+        return bucket
 
     def _remove_unused_buckets(self) -> None:
         """Removes the buckets of replicas that no longer have a limit."""
--- a/packages/chicoryplank/src/chicoryplank/admission/_server_limits.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_server_limits.py
@@ -59,6 +59,8 @@
 
     Args:
         now_s: Current time in seconds.
+        capacity: Number of requests that the bucket saves; None for those of
+            a quarter of a second, at least one.
 
     Example:
         >>> bucket = RateBucket(0.0)
@@ -66,9 +68,21 @@
         (0.25, 0.0)
     """
 
-    def __init__(self, now_s: float) -> None:
+    def __init__(self, now_s: float, capacity: float | None = None) -> None:
         self._level = 0.0
         self._updated_s = now_s
+        self._capacity = capacity
+
+    def get_wait_s(self, rate: float, now_s: float) -> float:
+        """Returns the wait like try_take, but takes nothing."""
+        elapsed_s = max(0.0, now_s - self._updated_s)
+        self._updated_s = max(now_s, self._updated_s)
+        capacity = self._capacity
+        if capacity is None:
+            capacity = max(1.0, rate * _BURST_S)
+        self._level = min(self._level + rate * elapsed_s, capacity)
+        wait_s = (1 - self._level) / rate
+        return wait_s if wait_s > _MIN_WAIT_S else 0.0
 
     def try_take(self, rate: float, now_s: float) -> float:
         """Takes one request.
@@ -81,13 +95,8 @@
             0 if the request may be sent, or else the time in seconds after
             which one may be.
         """
-        elapsed_s = max(0.0, now_s - self._updated_s)
-        self._updated_s = now_s
-        self._level = min(
-            self._level + rate * elapsed_s, max(1.0, rate * _BURST_S)
-        )
-        wait_s = (1 - self._level) / rate
-        if wait_s > _MIN_WAIT_S:
+        wait_s = self.get_wait_s(rate, now_s)
+        if wait_s > 0:
             return wait_s
         self._level -= 1
         return 0.0
