Add a controller for the slow start of a replica

Cause: a replica that has started or recovered either gets requests up to its slots at once, or none for a fixed time.

--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -16,6 +16,12 @@
     parse_pause,
     read_pause,
 )
+from chicoryplank.admission._replica_pace import (
+    PaceOutcome,
+    PaceState,
+    ReplicaPace,
+    ServiceTimes,
+)
 from chicoryplank.admission._retry_after import RetryAfterJitter
 from chicoryplank.admission._retry_budget import (
     RetryBudget,
@@ -44,12 +50,16 @@
     "LimitSource",
     "MalformedLimitError",
     "MalformedPauseError",
+    "PaceOutcome",
+    "PaceState",
     "RateBucket",
     "ReplicaHolds",
+    "ReplicaPace",
     "RetryAfterJitter",
     "RetryBudget",
     "RetryBudgetParameters",
     "ServerLimits",
+    "ServiceTimes",
     "SlotQueue",
     "SlowReplicas",
     "Waiter",
