Bound the requests of all entries to a cold replica

Cause: nothing bounds the requests that many entries send together to a replica that has just started; 42 entries with one request each exceed its bound of 26 in a second.

Change: ColdReplicas keeps the time until which each replica of a service with cold-per-s counts as cold. Each request to one needs a permit of ColdStartLimit: one issuer has the only bucket, grants nothing without a majority of the entries, and its rate allows for a second issuer during a change. A permit is not used 0.1 s after it was asked for. Warm replicas are chosen before cold ones. The bound is set by bounds.cold-overshoot and bounds.cold-slack. A record keeps the revision of its registration, so that one registration that is read again is not taken for a new one.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -9,13 +9,17 @@
 from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 
-from chicoryplank.admission import RetryBudgetParameters
+from chicoryplank.admission import (
+    ColdBoundParameters,
+    RetryBudgetParameters,
+)
 from chicoryplank.clock import Clock
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import ModelGroupId, ZoneId
 from chicoryplank.lifecycle import Application
 from chicoryplank.store import Store
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
+from chicoryplank_entry.forwarding.cold_starts import add_cold_start_limit
 from chicoryplank_entry.forwarding.election import Election
 from chicoryplank_entry.forwarding.exchange import Exchange
 from chicoryplank_entry.forwarding.feed import FeedServer, FeedSource
@@ -57,7 +61,9 @@
 # about three seconds.
 _ADDRESS_LIFETIME_S = 2.0
 # Parameters that can change while the entry runs.
-_CHANGEABLE = frozenset({"stop_grace", "address_lifetime", "repeats"})
+_CHANGEABLE = frozenset(
+    {"stop_grace", "address_lifetime", "repeats", "cold_bound"}
+)
 _NOT_FOUND = 404
 
 AuxiliaryHandler = Callable[[ReceivedRequest, Reply], None]
@@ -78,6 +84,7 @@
         address_lifetime: Longest time for which callers may cache a directory
             response.
         repeats: Limits on retries.
+        cold_bound: Bound on the requests to a cold replica.
     """
 
     own: Member
@@ -88,6 +95,7 @@
     stop_grace: timedelta
     address_lifetime: timedelta
     repeats: RetryBudgetParameters
+    cold_bound: ColdBoundParameters = ColdBoundParameters()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,6 +164,12 @@
             adapter.store, clock, parameters.registration_key, own.encode()
         )
         self.peers = Peers(own, self.state, rng, self._observe_newer_revision)
+        self.cold_starts = add_cold_start_limit(
+            self.peers.permits,
+            self.state,
+            self.peers.list_live_members,
+            parameters.cold_bound,
+        )
         self.exchange = Exchange(
             self.state,
             adapter.names,
@@ -342,6 +356,7 @@
             **{name: getattr(parameters, name) for name in _CHANGEABLE},
         )
         self.state.set_retry_budget(parameters.repeats)
+        self.cold_starts.configure(parameters.cold_bound)
         return delayed
 
     async def drain(self) -> None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -24,7 +24,7 @@
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
-from chicoryplank_entry.forwarding.permits import Permits
+from chicoryplank_entry.forwarding.permits import Permit, Permits
 from chicoryplank_entry.forwarding.refusals import send_error
 from chicoryplank_entry.forwarding.state import EntryState
 from chicoryplank_entry.quarantine import QuarantineCheck, Trials
@@ -262,11 +262,12 @@
                 call.service_state, replica.instance, now_s
             )
             try:
-                if not await self._permits.acquire(replica.instance):
+                permit = await self._permits.acquire(replica.instance)
+                if permit is None:
                     self._end_attempt(call, replica.instance, None)
                     continue
                 connection = await self._connect(call, backend)
-                if self._has_withdrawn(replica):
+                if not self._may_write(call, replica, permit):
                     self._pool.release(backend, connection)
                     self._end_attempt(call, replica.instance, None)
                     continue
@@ -283,6 +284,17 @@
                 raise
             return self._write_request(call, replica, backend, connection)
 
+    def _may_write(
+        self, call: Call, replica: ReplicaRecord, permit: Permit
+    ) -> bool:
+        """Returns whether a replica to which a connection was made is used."""
+        if self._has_withdrawn(replica):
+            return False
+        if not self._permits.is_usable(replica.instance, permit):
+            call.tried_replicas.add(replica.instance)
+            return False
+        return True
+
     def _has_withdrawn(self, replica: ReplicaRecord) -> bool:
         """Returns whether a chosen replica takes no request any more.
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
@@ -76,7 +76,12 @@
         self._rejections[echoed_id, connection] += 1
 
     def count_permit(self, result: str) -> None:
-        """Counts a question for a permit: granted, denied or no_reply."""
+        """Counts a question for a permit by its result.
+
+        Args:
+            result: "granted", "denied" or "no_reply"; or "expired" if a request
+                was not sent since its permit was too old.
+        """
         self._permits[result] += 1
 
     def count_crash(self, evidence: str) -> None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
@@ -6,14 +6,19 @@
 so that its loss moves few replicas to other issuers. If the fleet is
 partitioned, the issuer of each part uses the part of the limit that corresponds
 to the number of its entries.
+
+Replicas may have further limits (permit_limits.py), such as the bound on a cold
+replica. Permits for these are valid only for a moment.
 """
 
 import asyncio
+import dataclasses
 import heapq
 import itertools
 from collections.abc import Callable, Mapping
 
 from chicoryplank.admission import (
+    PERMIT_VALIDITY_S,
     HoldReason,
     LimitReport,
     LimitSource,
@@ -45,6 +50,18 @@
 Document = Mapping[str, object]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permit:
+    """Permit for one request.
+
+    Attributes:
+        asked_s: Time of the question, in seconds; minus infinity if the replica
+            had none of the limits for which the age of a permit counts.
+    """
+
+    asked_s: float
+
+
 class Permits:
     """Asks for permits of one entry, and issues permits to others.
 
@@ -81,16 +98,37 @@
         """Returns whether a request to a replica needs a permit now."""
         if self._state.server_limits.get(instance) is not None:
             return True
+        return self._is_bounded(instance, self._state.now_s())
+
+    def is_usable(self, instance: InstanceId, permit: Permit) -> bool:
+        """Returns whether a request may be written with a permit now.
+
+        The replica may have become limited since, or the permit may be so old
+        that too many requests with permits would arrive together.
+        """
         now_s = self._state.now_s()
+        if not self._is_bounded(instance, now_s):
+            return True
+        is_usable = now_s - permit.asked_s <= PERMIT_VALIDITY_S
+        if not is_usable:
+            METRICS.count_permit("expired")
+        return is_usable
+
+    def _is_bounded(self, instance: InstanceId, now_s: float) -> bool:
         return any(limit.is_limited(instance, now_s) for limit in self.limits)
 
-    async def acquire(self, instance: InstanceId) -> bool:
-        """Returns whether a request may be sent to a replica now.
+    async def acquire(self, instance: InstanceId) -> Permit | None:
+        """Returns a permit for a request to a replica now.
 
-        If not, the replica is held until the limit allows a request.
+        Returns:
+            None if there is none; the replica is then held until the limit
+            allows a request.
         """
+        asked_s = self._state.now_s()
+        if not self._is_bounded(instance, asked_s):
+            asked_s = float("-inf")
         if not self.is_limited(instance):
-            return True
+            return Permit(asked_s)
         answered = asyncio.get_running_loop().create_future()
 
         def set_wait(wait_s: float) -> None:
@@ -111,7 +149,7 @@
             self._pending.pop(number, None)
         is_granted = self.apply_wait(instance, wait_s)
         METRICS.count_permit("granted" if is_granted else result)
-        return is_granted
+        return Permit(asked_s) if is_granted else None
 
     def apply_wait(self, instance: InstanceId, wait_s: float) -> bool:
         """Holds a replica unless the wait is 0; returns whether it is 0."""
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -10,6 +10,7 @@
 from chicoryplank.admission import (
     UNUSABLE,
     CircuitBreaker,
+    ColdReplicas,
     EntryCount,
     HoldReason,
     Occupancy,
@@ -148,6 +149,7 @@
         entry_count: Number of entries that are visible now, with this one.
         entry_bound: Number of entries among which an allowance is divided.
         server_limits: Limits that replicas name for all entries together.
+        cold_replicas: Replicas that have just started and take few requests.
         holds: Replicas that get no new request now.
         replica_words: Feeds the holds from what replicas say of themselves.
         quarantine: Crashes of replicas, and the requests that cause them.
@@ -174,6 +176,7 @@
         self.entry_count = 1
         self.entry_bound = EntryCount()
         self.server_limits = ServerLimits()
+        self.cold_replicas = ColdReplicas()
         self.holds = ReplicaHolds()
         self.replica_words = ReplicaWords(
             self.holds, self.registry, self.now_s, rng
@@ -245,12 +248,19 @@
         records = self.registry.list_all()
         for record in records:
             self.replica_words.observe_registration(record)
+            self._observe_temperature(record, now_s)
         known = {record.instance for record in records}
         self.holds.retain(known, now_s)
         self.server_limits.retain(known)
+        self.cold_replicas.retain(known, now_s)
         for service, state in self._services.items():
             self._refresh_service(service, state)
 
+    def _observe_temperature(self, record: ReplicaRecord, now_s: float) -> None:
+        if self.configuration is not None:
+            service = self.configuration.services.get(record.service)
+            self.cold_replicas.observe_registration(record, service, now_s)
+
     def readmit(self, instance: InstanceId) -> None:
         """Forgets what was observed of a replica that registered again."""
         self.holds.release(instance, HoldReason.MISDIRECTED)
@@ -328,12 +338,21 @@
         excluded: Iterable[InstanceId],
         now_s: float,
     ) -> ReplicaRecord | None:
-        """Chooses the replica for a request; None if there is no candidate."""
-        instance = state.policy.choose(
-            RoutingRequest(excluded=frozenset(excluded)),
-            state.candidates,
-            self.to_datetime(now_s),
-        )
+        """Chooses the replica for a request; None if there is no candidate.
+
+        A cold replica is chosen only if there is no other candidate.
+        """
+        excluded = frozenset(excluded)
+        instance = None
+        cold = self.cold_replicas.list_cold(now_s)
+        for avoided in (excluded | cold, excluded) if cold else (excluded,):
+            instance = state.policy.choose(
+                RoutingRequest(excluded=avoided),
+                state.candidates,
+                self.to_datetime(now_s),
+            )
+            if instance is not None:
+                break
         return None if instance is None else self.registry.get(instance)
 
     def begin_request(
@@ -402,6 +421,7 @@
 
     def check_services(self, now_s: float) -> None:
         """Detects stalls, and settles requests that wait for a slot."""
+        self.cold_replicas.check_warm(now_s)
         for state in self._services.values():
             if state.is_lockstep and state.circuit_breaker.check_stalled(
                 state.in_flight, now_s
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -4,6 +4,12 @@
 """
 
 from chicoryplank.admission._circuit_breaker import CircuitBreaker
+from chicoryplank.admission._cold_replicas import (
+    PERMIT_VALIDITY_S,
+    ColdBoundParameters,
+    ColdReplicas,
+    compute_issue_rate,
+)
 from chicoryplank.admission._entry_count import EntryCount
 from chicoryplank.admission._occupancy import Occupancy
 from chicoryplank.admission._output_times import OutputTimes
@@ -33,9 +39,12 @@
 from chicoryplank.admission._slow_groups import SlowReplicas, find_slow_replicas
 
 __all__ = [
+    "PERMIT_VALIDITY_S",
     "UNUSABLE",
     "WITHDRAWN",
     "CircuitBreaker",
+    "ColdBoundParameters",
+    "ColdReplicas",
     "EntryCount",
     "HoldReason",
     "Occupancy",
@@ -53,6 +62,7 @@
     "SlotQueue",
     "SlowReplicas",
     "Waiter",
+    "compute_issue_rate",
     "find_slow_replicas",
     "parse_limit",
     "parse_pause",
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -254,6 +254,22 @@
         "replica {replica} asks for a pause that is not plausible: {value}; "
         "{applied_s} s are used",
     )
+    REPLICA_COLD = (
+        1227,
+        logbook.INFO,
+        "replica {replica} is cold for {for_s} s (source: {cause})",
+    )
+    REPLICA_WARM = (
+        1228,
+        logbook.INFO,
+        "replica {replica} is warm",
+    )
+    COLD_TIME_UNREADABLE = (
+        1229,
+        logbook.WARNING,
+        "the registration of replica {replica} has no readable remaining cold "
+        "time; {applied_s} s are used",
+    )
     STORE_LOST = (
         1304,
         logbook.WARNING,
--- a/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
@@ -40,6 +40,8 @@
         cold_remaining: Time for which the replica stays cold, as of this
             registration; None if unknown. Not compared, since it differs
             between registrations of the same process.
+        revision: Store revision of this registration; 0 if unknown. Not
+            compared, for the same reason.
     """
 
     instance: InstanceId
@@ -54,6 +56,7 @@
     cold_remaining: timedelta | None = dataclasses.field(
         default=None, compare=False
     )
+    revision: int = dataclasses.field(default=0, compare=False)
 
     @property
     def start_order(self) -> tuple[int, int]:
