Ramp replicas up over all entries with one controller each

Cause: a single entry sees too few responses of a replica to find how many requests it can take after a start or a return from an ejection. Change: Pacing, a permit limit, keeps the controller of a replica at the issuer of its permits; entries report the outcome of each attempt at a ramping replica by datagram. The policy tells when a replica returns from an ejection. Log lines 1230 and 1231 and a counter tell of ramps.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -176,7 +176,9 @@
             self._pool,
             self.peers.permits,
             trials=Trials(adapter.store),
+            pacing=self.peers.pacing,
         )
+        self.state.on_replica_returned = self.peers.pacing.observe_return
         self.quarantine = QuarantineRecords(
             adapter.store,
             self.state.quarantine,
@@ -241,6 +243,7 @@
             }
         )
         self.exchange.crashes.retain(set(records))
+        self.peers.pacing.observe_replicas(records)
 
     def _make_controller(self, service: ModelGroupId) -> MapController:
         return MapController(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -3,11 +3,17 @@
 import dataclasses
 import enum
 
+from chicoryplank.admission import PaceOutcome
 from chicoryplank.traffic import ReplicaRecord
 from chicoryplank.verdict import NOT_RUN_STATUSES, Verdict
 from chicoryplank_entry.forwarding.backends import BackendAddress
 from chicoryplank_entry.forwarding.fields import HeaderNames
-from chicoryplank_wire.client_connection import ClientConnection, Response
+from chicoryplank_wire.client_connection import (
+    BreakReason,
+    ClientConnection,
+    ConnectionBrokenError,
+    Response,
+)
 
 _MISDIRECTED = 421
 _FIRST_SERVER_ERROR = 500
@@ -57,6 +63,7 @@
         earlier_verdict: Verdict on the attempts before this one.
         first_output_s: Time when the replica began to respond with a success;
             None before.
+        pace_outcome: What is still to be reported for the ramp of the replica.
     """
 
     replica: ReplicaRecord
@@ -68,6 +75,7 @@
     has_carried_call: bool
     earlier_verdict: Verdict
     first_output_s: float | None = None
+    pace_outcome: PaceOutcome | None = PaceOutcome.UNFINISHED
 
 
 class EchoedId(enum.Enum):
@@ -113,3 +121,17 @@
     if status in NOT_RUN_STATUSES:
         return Outcome.UNSTATED
     return Outcome.FAILURE if status >= _FIRST_SERVER_ERROR else Outcome.FINAL
+
+
+def is_idle_connection_closed(
+    attempt: Attempt, error: ConnectionBrokenError
+) -> bool:
+    """Returns whether a replica most likely closed an idle connection.
+
+    It then has not read the request, and may work well.
+    """
+    return (
+        attempt.is_connection_reused
+        and not attempt.response.status
+        and error.reason in (BreakReason.CLOSED, BreakReason.RESET)
+    )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -17,12 +17,15 @@
     Attempt,
     Outcome,
     classify,
+    is_idle_connection_closed,
 )
 from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
 from chicoryplank_entry.forwarding.calls import Call, make_call
 from chicoryplank_entry.forwarding.crashes import Condition, CrashDetector
 from chicoryplank_entry.forwarding.fields import HeaderNames
 from chicoryplank_entry.forwarding.metrics import METRICS
+from chicoryplank_entry.forwarding.pace_reports import PaceReports
+from chicoryplank_entry.forwarding.pacing import Pacing
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.permits import Permit, Permits
 from chicoryplank_entry.forwarding.refusals import send_error
@@ -61,6 +64,7 @@
         permits: Permits for requests to replicas with a limit.
         parameters: Time limits.
         trials: Grants trials of requests in quarantine; None for no trials.
+        pacing: Ramps of replicas; None if no replica ramps.
 
     Attributes:
         crashes: Tells crashes of replicas from broken connections.
@@ -77,11 +81,13 @@
         parameters: ExchangeParameters | None = None,
         *,
         trials: Trials | None = None,
+        pacing: Pacing | None = None,
     ) -> None:
         self._state = state
         self._names = names
         self._pool = pool
         self._permits = permits
+        self._pace_reports = PaceReports(pacing, permits, state.now_s)
         self._parameters = parameters or ExchangeParameters()
         self._admission = CallAdmission(state, self._parameters)
         self._log = AttemptLog(names, state.now_s)
@@ -262,7 +268,9 @@
                 call.service_state, replica.instance, now_s
             )
             try:
-                permit = await self._permits.acquire(replica.instance)
+                permit = await self._pace_reports.acquire_permit(
+                    replica.instance
+                )
                 if permit is None:
                     self._end_attempt(call, replica.instance, None)
                     continue
@@ -275,6 +283,9 @@
                 self._end_attempt(call, replica.instance, False)
                 call.tried_replicas.add(replica.instance)
                 self._log.record_connection_failure(call, backend, error)
+                self._pace_reports.observe_connection_failure(
+                    call, replica.instance
+                )
                 connection_failed = True
                 if error.reason is BreakReason.REFUSED:
                     self.crashes.observe_refusal(replica)
@@ -371,7 +382,9 @@
                 call.verdict = Verdict.RAN
                 if attempt.response.status in SUCCESS:
                     attempt.first_output_s = self._state.now_s()
+                self._pace_reports.observe_head(call, attempt, outcome)
                 await relay.relay_response(attempt, reply)
+                self._pace_reports.observe_complete(attempt)
                 if attempt.response.ends_at_close:
                     self.crashes.observe_break(call, attempt, None)
                 elif attempt.first_output_s is not None:
@@ -383,15 +396,18 @@
                 )
                 succeeded = outcome is Outcome.FINAL
                 return True
+            self._pace_reports.observe_head(call, attempt, outcome)
             succeeded = self._handle_failure_response(call, attempt, outcome)
         except ConnectionBrokenError as error:
             succeeded = False
+            self._pace_reports.observe_break(attempt, error)
             self._handle_broken_connection(call, attempt, error)
             if reply.started:
                 self._prepare_resume(call, relay, error)
         finally:
             self._log.record_skipped_responses(call, attempt)
             self._pool.release(attempt.backend, attempt.connection)
+            self._pace_reports.report(call, attempt)
             self._end_attempt(call, instance, succeeded)
         return False
 
@@ -477,11 +493,7 @@
         call.possible_runs += 1
         self._log.record_failure(call, attempt, "break", str(error))
         self.crashes.observe_break(call, attempt, error)
-        if (
-            attempt.is_connection_reused
-            and not attempt.response.status
-            and error.reason in (BreakReason.CLOSED, BreakReason.RESET)
-        ):
+        if is_idle_connection_closed(attempt, error):
             # Most likely the replica closed an idle connection before it read
             # the request, so the same replica may be chosen again. Its other
             # idle connections may be closed as well.
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
@@ -47,6 +47,7 @@
             collections.Counter()
         )
         self._permits: collections.Counter[str] = collections.Counter()
+        self._ramps: collections.Counter[str] = collections.Counter()
         self._quarantined: collections.Counter[str] = collections.Counter()
         self._crashes: collections.Counter[str] = collections.Counter()
         self._holds: collections.Counter[str] = collections.Counter()
@@ -84,6 +85,14 @@
         """
         self._permits[result] += 1
 
+    def count_ramp(self, result: str) -> None:
+        """Counts a ramp that ended at its issuer.
+
+        Args:
+            result: "steady", "expired", "gone" or "disabled".
+        """
+        self._ramps[result] += 1
+
     def count_crash(self, evidence: str) -> None:
         """Counts a crash of a replica: refused, restarted or known."""
         self._crashes[evidence] += 1
@@ -140,6 +149,12 @@
             ["result"],
             _wrap_keys(self._permits),
         )
+        yield (
+            f"{prefix}_ramps",
+            "Slow starts of replicas that ended, by result.",
+            ["result"],
+            _wrap_keys(self._ramps),
+        )
         yield (
             f"{prefix}_holds",
             "Replicas that began to get no new request, by reason.",
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -10,6 +10,11 @@
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
 from chicoryplank_entry.forwarding.members import Member
+from chicoryplank_entry.forwarding.pacing import (
+    PACE_KIND,
+    RAMP_FIELD,
+    Pacing,
+)
 from chicoryplank_entry.forwarding.permits import PERMIT_KINDS, Permits
 from chicoryplank_entry.forwarding.quarantine_exchange import (
     QUARANTINE_KIND,
@@ -108,6 +113,7 @@
     Attributes:
         revision: Store revision that this entry has read.
         permits: Permits for requests to replicas with a limit.
+        pacing: Ramps of replicas that have started or recovered.
         quarantine: Exchange of crashes, and of requests that cause them.
     """
 
@@ -135,6 +141,14 @@
         self.permits = Permits(
             own.instance, state, self.list_live_members, self._send_document
         )
+        self.pacing = Pacing(
+            own.instance,
+            state,
+            self.permits.choose_issuer,
+            self._send_document,
+        )
+        self.permits.limits.append(self.pacing)
+        self.permits.carried[RAMP_FIELD] = self.pacing
         self.quarantine = QuarantineGossip(
             own.instance, state, rng, self.list_members, self._send_document
         )
@@ -435,6 +449,9 @@
             if document.get("kind") in PERMIT_KINDS:
                 self.permits.handle(document)
                 return
+            if document.get("kind") == PACE_KIND:
+                self.pacing.handle(document)
+                return
             if document.get("kind") == QUARANTINE_KIND:
                 self.quarantine.handle(document)
                 return
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
@@ -173,7 +173,7 @@
             Number of the question.
         """
         number = next(self._numbers)
-        issuer = self._choose_issuer(instance)
+        issuer = self.choose_issuer(instance)
         if issuer == self._own:
             on_reply(self._issue(instance))
             return number
@@ -228,7 +228,8 @@
         }
         self._send(reply, member)
 
-    def _choose_issuer(self, instance: InstanceId) -> InstanceId:
+    def choose_issuer(self, instance: InstanceId) -> InstanceId:
+        """Returns the entry that issues the permits for a replica."""
         members = self._list_live_members()
         if self._state.is_draining and len(members) > 1:
             members = [name for name in members if name != self._own]
@@ -236,7 +237,7 @@
 
     def _issue(self, instance: InstanceId) -> float:
         """Grants a permit if all limits agree; returns the wait in seconds."""
-        if self._choose_issuer(instance) != self._own:
+        if self.choose_issuer(instance) != self._own:
             self._buckets.pop(instance, None)
             return _UNKNOWN_WAIT_S
         now_s = self._state.now_s()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -4,7 +4,7 @@
 import dataclasses
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import UTC, datetime, timedelta
 
 from chicoryplank.admission import (
@@ -153,6 +153,8 @@
         holds: Replicas that get no new request now.
         replica_words: Feeds the holds from what replicas say of themselves.
         quarantine: Crashes of replicas, and the requests that cause them.
+        on_replica_returned: Called with a replica that returns from an
+            ejection.
     """
 
     def __init__(
@@ -182,6 +184,7 @@
             self.holds, self.registry, self.now_s, rng
         )
         self.quarantine = Quarantine()
+        self.on_replica_returned: Callable[[InstanceId], None] = _ignore
         self.is_draining = False
         self._configured = asyncio.Event()
         self._services: dict[ServiceId, ServiceState] = {}
@@ -234,7 +237,12 @@
             replica_count = len(self.registry.list_service(service))
             parameters = make_routing_parameters(replica_count)
             state = ServiceState(
-                make_balanced_policy(self.zone, parameters, self.rng),
+                make_balanced_policy(
+                    self.zone,
+                    parameters,
+                    self.rng,
+                    self._notify_return,
+                ),
                 SlotQueue(_MAX_QUEUED_REQUESTS),
                 RetryBudget(self.retry_budget_parameters, self.started_s),
             )
@@ -242,6 +250,9 @@
             self._refresh_service(service, state)
         return state
 
+    def _notify_return(self, instance: InstanceId) -> None:
+        self.on_replica_returned(instance)
+
     def refresh_candidates(self) -> None:
         """Updates the candidates of all services from the registry."""
         now_s = self.now_s()
@@ -435,6 +446,11 @@
                 self._grant_slots(state, now_s)
 
 
+def _ignore(instance: InstanceId) -> None:
+    """Does nothing."""
+    del instance
+
+
 def make_candidate(record: ReplicaRecord) -> Candidate:
     """Returns the routing candidate of a registered replica."""
     return Candidate(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
@@ -224,6 +224,7 @@
         parameters=None,
         engine=None,
         is_configured=True,
+        pacing=None,
         **route,
     ):
         self.replicas = replicas
@@ -244,6 +245,7 @@
             self.pool,
             Permits(own, self.state, lambda: [own], lambda *message: None),
             parameters or ExchangeParameters(),
+            pacing=pacing,
         )
         service = Service(SERVICE, engine=engine)
         self.configuration = TrafficConfiguration(
--- a/packages/chicoryplank/src/chicoryplank/admission/_replica_pace.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_replica_pace.py
@@ -280,7 +280,8 @@
         Args:
             outcome: What became of the request.
             elapsed_s: Time to the first output of a stream, or to the complete
-                response, or to the end of the attempt, in seconds.
+                response, or to the end of the attempt, in seconds; 0 for a
+                broken connection, which does not depend on the request.
             slow_s: Time above which a response of the service is slow now, in
                 seconds; None if unknown.
             now_s: Current time in seconds.
@@ -315,9 +316,10 @@
 
     def _observe_loss(self, outcome: PaceOutcome, now_s: float) -> None:
         if outcome is PaceOutcome.BROKEN:
-            # Most likely the replica has crashed.
+            # Most likely the replica has crashed, with all its requests.
             self._pause(now_s)
             self._back_off(1, _SLOW_HOLD_S, now_s)
+            self._settled_s = self._paused_until_s
             return
         if outcome is PaceOutcome.TIMEOUT or self.limit == 1:
             self._pause(now_s)
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/pace_model.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/pace_model.py
@@ -88,9 +88,9 @@
     def run_tick(self, now_s, slowdown):
         """Processes requests, and sends those that the controller permits."""
         if not self._get_capacity(now_s):
-            for job in self._jobs:
+            for _ in self._jobs:
                 self.lost += 1
-                self._report(PaceOutcome.BROKEN, now_s - job.sent_s, now_s)
+                self._report(PaceOutcome.BROKEN, 0.0, now_s)
             self._jobs.clear()
         for job in list(self._jobs):
             job.left_s -= TICK_S / slowdown
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -270,6 +270,16 @@
         "the registration of replica {replica} has no readable remaining cold "
         "time; {applied_s} s are used",
     )
+    RAMP_BEGUN = (
+        1230,
+        logbook.INFO,
+        "slow start of replica {replica} begins (cause: {cause})",
+    )
+    RAMP_ENDED = (
+        1231,
+        logbook.INFO,
+        "slow start of replica {replica} ended after {taken_s} s ({result})",
+    )
     STORE_LOST = (
         1304,
         logbook.WARNING,
--- a/packages/chicoryplank/src/chicoryplank/routing/_balanced.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_balanced.py
@@ -6,7 +6,7 @@
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import datetime
 
 from chicoryplank.ids import InstanceId, ZoneId
@@ -46,11 +46,15 @@
     """Implementation of the balanced policy; see make_balanced_policy."""
 
     def __init__(
-        self, zone: ZoneId, parameters: RoutingParameters, rng: random.Random
+        self,
+        zone: ZoneId,
+        parameters: RoutingParameters,
+        rng: random.Random,
+        on_returned: Callable[[InstanceId], None],
     ) -> None:
         self._parameters = parameters
         self._rng = rng
-        self._replica_index = ReplicaIndex(zone, parameters)
+        self._replica_index = ReplicaIndex(zone, parameters, on_returned)
         self._prefixes = PrefixIndex(
             parameters.max_prefixes, parameters.affinity_ttl.total_seconds()
         )
@@ -194,7 +198,10 @@
 
 
 def make_balanced_policy(
-    zone: ZoneId, parameters: RoutingParameters, rng: random.Random
+    zone: ZoneId,
+    parameters: RoutingParameters,
+    rng: random.Random,
+    on_returned: Callable[[InstanceId], None] = lambda instance: None,
 ) -> Policy:
     """Returns the balanced policy for one deployment at one entry.
 
@@ -202,6 +209,7 @@
         zone: Availability zone of the entry.
         parameters: Parameters of the policy.
         rng: Random number generator for the choices.
+        on_returned: Called with a replica that returns from an ejection.
 
     Returns:
         The policy; its functions share state and are not thread-safe.
@@ -215,5 +223,5 @@
         ...     ZoneId("hall-a"), RoutingParameters(), random.Random(1)
         ... )
     """
-    policy = _BalancedPolicy(zone, parameters, rng)
+    policy = _BalancedPolicy(zone, parameters, rng, on_returned)
     return Policy(policy.choose, policy.observe, policy.begin, policy.end)
--- a/packages/chicoryplank/src/chicoryplank/routing/_replica_index.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_replica_index.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+from collections.abc import Callable
 
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId, ZoneId
@@ -43,10 +44,17 @@
     Args:
         zone: Availability zone of this entry.
         parameters: Parameters of the policy.
+        on_returned: Called with a replica that returns from an ejection.
     """
 
-    def __init__(self, zone: ZoneId, parameters: RoutingParameters) -> None:
+    def __init__(
+        self,
+        zone: ZoneId,
+        parameters: RoutingParameters,
+        on_returned: Callable[[InstanceId], None],
+    ) -> None:
         self._zone = zone
+        self._on_returned = on_returned
         self._parameters = parameters
         self._sweep_interval_s = parameters.sweep_interval.total_seconds()
         self._candidates: tuple[Candidate, ...] = ()
@@ -132,6 +140,7 @@
             if replica.ejected:
                 replica.return_to_service(now)
                 emit(Event.REPLICA_RETURNED, replica=replica.name)
+                self._on_returned(replica.name)
             else:
                 replica.ejected = True
                 emit(Event.REPLICA_EJECTED, replica=replica.name)
