Keep ramps of ranks going while another rank slows the group down

Cause: compared with the times before the last increase, every rank of a group that something else slows down backs off to one request; and references that follow each increase let a cold rank slow its group down step by step. Change: a rank compares with the fastest times since its start, and adopts the present ones if a lower limit does not make the group faster. Responses much slower than usual reduce a limit in proportion. Result: in the model a rank beside another one that holds the group back reaches its slots; a cold rank leaves no stream of its group late.

--- a/packages/chicoryplank/src/chicoryplank/admission/_replica_pace.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_replica_pace.py
@@ -42,6 +42,13 @@
 _MAX_LOSSES = 8
 # Number of slow responses in a row that reduce a limit that was good before.
 _MAX_SLOW_IN_ROW = 2
+# Ratio of response times after and before a reduction up to which the reduction
+# has helped. One request less of five at a rank that holds its group back gives
+# 0.8.
+_MIN_RELIEF = 0.9
+# Ratio to a slow response time from which a limit is reduced in proportion
+# rather than by one.
+_COLLAPSE = 1.2
 # Time in seconds without any outcome after which the outcomes count as lost:
 # a multiple of a slow response time.
 _SILENCE_FACTOR = 4.0
@@ -149,8 +156,10 @@
 
     A rank of a lock-step group slows all ranks alike, so its responses are as
     fast as those of the service whatever its limit is. They are compared with
-    the times of the service before the last increase instead, and its limit
-    grows by one only, since too high a limit costs all ranks.
+    the fastest times of the service since the start of the ramp instead, and
+    its limit grows by one only, since too high a limit costs all ranks. If a
+    lower limit does not make the group faster, the rank is not the cause, and
+    the present times become the ones to compare with.
 
     Args:
         slots: Number of requests that the replica processes concurrently.
@@ -209,6 +218,8 @@
         # Limit at which the responses were last too slow.
         self._too_slow = self._slots + 1
         self._slow_in_row = 0
+        # Response time of a rank before its limit was last reduced.
+        self._slow_before_s = float("inf")
         self._hold_until_s = now_s
         self._paused_until_s = now_s
         # Time since which the requests fill the limit.
@@ -297,13 +308,15 @@
                 return
             self.slow += 1
             if is_news:
-                self._observe_slowness(now_s)
+                self._observe_slowness(elapsed_s, slow_s, now_s)
             return
         self.rejected += 1
         if is_news:
             self._observe_loss(outcome, now_s)
 
-    def _observe_slowness(self, now_s: float) -> None:
+    def _observe_slowness(
+        self, elapsed_s: float, slow_s: float | None, now_s: float
+    ) -> None:
         if self.limit > self._proven:
             self._too_slow = self.limit
             self._back_off(self._proven, _SLOW_HOLD_S, now_s)
@@ -311,8 +324,21 @@
         # One slow response at a limit that was good may be a large request.
         self._slow_in_row += 1
         self._hold_until_s = now_s + _SLOW_HOLD_S
-        if self._slow_in_row >= _MAX_SLOW_IN_ROW:
-            self._back_off(self.limit - 1, _SLOW_HOLD_S, now_s)
+        if self._slow_in_row < _MAX_SLOW_IN_ROW:
+            return
+        if self._is_lockstep and (
+            self.limit == 1 or elapsed_s > _MIN_RELIEF * self._slow_before_s
+        ):
+            # Another rank or the load holds the group back.
+            self._slow_s = max(elapsed_s, slow_s or 0.0)
+            self._slow_before_s = float("inf")
+            self._slow_in_row = 0
+            return
+        self._slow_before_s = elapsed_s
+        reduced = self.limit - 1
+        if self._slow_s is not None and elapsed_s > _COLLAPSE * self._slow_s:
+            reduced = int(self.limit * self._slow_s / elapsed_s)
+        self._back_off(reduced, _SLOW_HOLD_S, now_s)
 
     def _observe_loss(self, outcome: PaceOutcome, now_s: float) -> None:
         if outcome is PaceOutcome.BROKEN:
@@ -373,7 +399,8 @@
             else PaceState.RAMPING
         )
         if self._is_lockstep and slow_s is not None:
-            self._slow_s = slow_s
+            # Not upwards, or each step could slow the group down a little.
+            self._slow_s = min(self._slow_s, slow_s)
         self._set_limit(min(limit, self._slots))
 
     def _back_off(self, limit: int, hold_s: float, now_s: float) -> None:
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/pace_model.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/pace_model.py
@@ -2,7 +2,12 @@
 
 import random
 
-from chicoryplank.admission import PaceOutcome, PaceState, ReplicaPace
+from chicoryplank.admission import (
+    PaceOutcome,
+    PaceState,
+    ReplicaPace,
+    ServiceTimes,
+)
 
 TICK_S = 0.01
 SERVICE_S = 0.2
@@ -73,6 +78,7 @@
         self.finished = []
         self.sent = self.rejected = self.lost = 0
         self.ramp_end_s = None
+        self.times = None
         self._get_capacity = get_capacity
         self._queue = queue
         self._loss = loss
@@ -100,6 +106,8 @@
                 elapsed_s = now_s - job.sent_s
                 self.finished.append((now_s, elapsed_s))
                 self._report(PaceOutcome.RESPONSE, elapsed_s, now_s)
+                if self.times and isinstance(self.pace, NoRamp):
+                    self.times.observe(elapsed_s, now_s)
         self._send(now_s)
         self.history.append((now_s, self.pace.limit, len(self._jobs)))
         if self.pace.state is PaceState.STEADY and self.ramp_end_s is None:
@@ -129,9 +137,8 @@
 
     def _report(self, outcome, elapsed_s, now_s):
         if self._rng.random() >= self._loss:
-            self.pace.observe(outcome, elapsed_s, self.slow_s, now_s)
-
-    slow_s = SLOW_S
+            slow_s = self.times and self.times.get_slow_s(now_s)
+            self.pace.observe(outcome, elapsed_s, slow_s or SLOW_S, now_s)
 
     # Results.
 
@@ -165,6 +172,10 @@
 def run(replicas, duration_s, *, is_lockstep=False, restarts=()):
     """Runs replicas side by side; in lock-step the slowest one delays all."""
     due_s = sorted(restarts)
+    if is_lockstep:
+        times = ServiceTimes()
+        for replica in replicas:
+            replica.times = times
     for tick in range(round(duration_s / TICK_S)):
         now_s = tick * TICK_S
         while due_s and now_s >= due_s[0]:
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/test_replica_pace.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/test_replica_pace.py
@@ -196,22 +196,54 @@
                         replica.find_bad_share(), _MAX_BAD_SHARE
                     )
 
+    def test_group_that_another_rank_holds_back(self):
+        """Guards against ramps that stop while the whole group is slow."""
+        for begin_s in (0.0, 0.5, 1.5):
+            rank = Replica(lambda now_s: 5, make_pace(5, is_lockstep=True))
+            slow = Replica(
+                lambda now_s, begin_s=begin_s: 2 if now_s >= begin_s else 5,
+                NoRamp(5),
+            )
+            others = [Replica(lambda now_s: 5, NoRamp(5)) for _ in range(6)]
+            run([rank, slow, *others], 8.0, is_lockstep=True)
+            self.assertEqual(5, rank.history[-1][1], begin_s)
+
 
 class TestMisleadingReplicas(testtools.TestCase):
     """The first responses or the registered slots mislead the ramp."""
 
-    def test_queue_that_fills_late(self):
-        """Guards against a ramp that ends with the first fast responses."""
+    def _check_queue(self, capacity, is_lockstep):
+        slots = 5 if is_lockstep else 6
+        for filled_s in (0.3, 0.5, 0.8, 1.2):
 
-        def get_capacity(now_s):
-            return 6 if now_s < 0.5 or now_s >= 4 else 2
+            def get_capacity(now_s, filled_s=filled_s):
+                return capacity if filled_s <= now_s < 4 else slots
 
-        replica = Replica(get_capacity, make_pace(6))
-        run([replica], 8.0)
-        self.assertLessEqual(
-            replica.find_bad_share(replica.ramp_end_s), _MAX_BAD_SHARE
-        )
-        self.assertLessEqual(replica.find_full_use_s(4.0, 6), _MAX_FULL_USE_S)
+            replica = Replica(
+                get_capacity, make_pace(slots, is_lockstep=is_lockstep)
+            )
+            others = [Replica(lambda now_s: 5, NoRamp(5)) for _ in range(7)]
+            run([replica, *others], 8.0, is_lockstep=is_lockstep)
+            case = (capacity, is_lockstep, filled_s)
+            self.assertLessEqual(
+                replica.find_bad_share(replica.ramp_end_s or 8.0),
+                _MAX_BAD_SHARE,
+                case,
+            )
+            self.assertLessEqual(
+                replica.find_full_use_s(4.0, slots), _MAX_FULL_USE_S, case
+            )
+
+    def test_queue_that_fills_late(self):
+        """Guards against a ramp that ends with the first fast responses."""
+        for capacity in (2, 3):
+            self._check_queue(capacity, is_lockstep=False)
+            self._check_queue(capacity, is_lockstep=True)
+
+    def test_queue_of_a_replica_with_little_capacity(self):
+        """Guards against a slow reaction to a collapse to one request."""
+        self._check_queue(1, is_lockstep=False)
+        self._check_queue(1, is_lockstep=True)
 
     def test_registered_slots_are_too_many(self):
         """Guards against trust in the number of slots of a registration."""
