--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/harness.py
@@ -238,11 +238,15 @@
         self.state.started_s -= 60.0
         self.pool = BackendPool(NAMES.request_id, self.state.now_s)
         own = InstanceId("entry")
+        self.members = [own]
+        self.permits = Permits(
+            own, self.state, lambda: self.members, lambda *message: None
+        )
         self.exchange = Exchange(
             self.state,
             NAMES,
             self.pool,
-            Permits(own, self.state, lambda: [own], lambda *message: None),
+            self.permits,
             parameters or ExchangeParameters(),
         )
         service = Service(SERVICE, engine=engine)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_reload.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_reload.py
@@ -8,7 +8,7 @@
 
 import testtools
 
-from chicoryplank.admission import RetryBudgetParameters
+from chicoryplank.admission import ColdBoundParameters, RetryBudgetParameters
 from chicoryplank.clock import SystemClock
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.fakes import MemoryStore
@@ -116,6 +116,17 @@
         later = entry.state.get_service(ServiceId("notes"))
         self.assertEqual(10, later.retry_budget.parameters.extra)
 
+    def test_cold_bound_changes_at_once(self):
+        """Guards against a bound that has no effect on a running entry."""
+        entry = _make_entry()
+        limit = entry.cold_starts
+        self.assertEqual([limit], entry.peers.permits.limits)
+        bound = ColdBoundParameters(1.5, 5.0)
+        changed = dataclasses.replace(_PARAMETERS, cold_bound=bound)
+        with mock.patch.object(limit, "configure") as configure:
+            self.assertEqual([], entry.apply_parameters(changed))
+        configure.assert_called_once_with(bound)
+
     def test_addresses_need_a_restart(self):
         """Guards against reporting a change as active that is not."""
         entry = _make_entry()
