Ignore older registrations at the end of an evacuation

Cause: registrations are applied at the end of a batch of changes, so one written before the end of an evacuation could make a replica warm again.

Change: observe_readmission takes the store revision of the end, and registrations up to it are not later ones. The model also loses the store, and tests of old permits and of a minority wait long enough for a permit.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_cold_model.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_cold_model.py
@@ -71,7 +71,10 @@
         rng = fleet.rng
         names = sorted(fleet.processes)
         names = rng.sample(names, rng.randint(0, (len(names) + 1) // 2))
-        fleet.disturb(rng.choice(("kill", "drain", "freeze", "cut")), names)
+        kind = rng.choice(("kill", "drain", "freeze", "cut", "lose_store"))
+        if kind == "lose_store":
+            fleet.lose_store(rng.uniform(0.2, 3.0))
+        fleet.disturb(kind, names)
 
     def _split(self, fleet):
         """Cuts all entries off from each other; they reach the store."""
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_cold_starts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_cold_starts.py
@@ -141,7 +141,7 @@
             fixture.members = [_OTHER]
             return mock.MagicMock()
 
-        status, body, requests = self._send_to_one(prepare, left_ms=600)
+        status, body, requests = self._send_to_one(prepare, left_ms=1500)
         self.assertEqual((503, 0), (status, requests))
         self.assertEqual("not_run", self.get_verdict(body))
 
@@ -153,7 +153,7 @@
             fixture.state.entry_bound.observe(2, fixture.state.now_s())
             return mock.MagicMock()
 
-        status, _, requests = self._send_to_one(prepare, left_ms=600)
+        status, _, requests = self._send_to_one(prepare, left_ms=1500)
         self.assertEqual((503, 0), (status, requests))
 
     def test_old_permit(self):
@@ -163,7 +163,7 @@
             _bound_cold_replicas(fixture, 0)
             return _delay_connections(fixture, 0.12)
 
-        status, _, requests = self._send_to_one(prepare, left_ms=600)
+        status, _, requests = self._send_to_one(prepare, left_ms=1500)
         self.assertEqual((503, 0), (status, requests))
 
     def test_replica_turns_cold_while_the_connection_is_made(self):
@@ -180,5 +180,5 @@
                 lambda: cold.observe_report(name, 3.0, fixture.state.now_s()),
             )
 
-        status, _, requests = self._send_to_one(prepare, left_ms=600)
+        status, _, requests = self._send_to_one(prepare, left_ms=1500)
         self.assertEqual((503, 0), (status, requests))
--- a/packages/chicoryplank/src/chicoryplank/admission/_cold_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_cold_replicas.py
@@ -104,6 +104,8 @@
         service: Service of the registration.
         started_ms: Latest start, Unix time in milliseconds.
         known_since_s: Time since which this start is known, in seconds.
+        readmitted_revision: Store revision of the end of the evacuation of its
+            zone; 0 for none.
         unregistered_s: Time when the registration was found missing.
         is_unreadable_logged: Whether its unreadable time was logged.
     """
@@ -112,6 +114,7 @@
     service: Service | None = None
     started_ms: int = 0
     known_since_s: float = 0.0
+    readmitted_revision: int = 0
     unregistered_s: float | None = None
     is_unreadable_logged: bool = False
 
@@ -187,7 +190,10 @@
             self._set_cold(instance, cold_start, ColdCause.UNREADABLE, now_s)
         elif remaining > timedelta():
             self._set_cold(instance, remaining, ColdCause.REGISTRATION, now_s)
-        elif now_s - replica.known_since_s >= cold_start.total_seconds():
+        elif (
+            now_s - replica.known_since_s >= cold_start.total_seconds()
+            and not 0 < replica.record.revision <= replica.readmitted_revision
+        ):
             self._set_warm(instance)
 
     def observe_report(
@@ -216,21 +222,25 @@
         self._set_cold(instance, duration, ColdCause.PEER, now_s)
 
     def observe_readmission(
-        self, instances: Iterable[InstanceId], now_s: float
+        self, instances: Iterable[InstanceId], now_s: float, revision: int = 0
     ) -> None:
         """Records that the evacuation of a zone has ended.
 
-        Its replicas are cold, unless a registration that is read later says
-        that one is warm.
+        Its replicas are cold, unless a later registration says that one is
+        warm.
 
         Args:
             instances: Replicas of the zone; those of services whose replicas
                 are never cold are left out.
             now_s: Current time in seconds.
+            revision: Store revision of the end of the evacuation, or of the
+                list of items that lacks the evacuation. Registrations up to it
+                are not later ones. 0 if unknown.
         """
         for instance in instances:
             replica = self._replicas.get(instance)
             if replica is not None and replica.service is not None:
+                replica.readmitted_revision = revision
                 duration = replica.service.cold_start
                 self._set_cold(instance, duration, ColdCause.READMISSION, now_s)
 
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/test_cold_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/test_cold_replicas.py
@@ -103,6 +103,13 @@
         self.assertEqual(2.0, self._read(21.0))
         self.assertEqual(0.0, self._read(21.0, revision=2))
 
+    def test_registration_in_the_batch_that_ends_an_evacuation(self):
+        """Guards against an older registration that is applied later."""
+        self._read(10.0)
+        self.cold.observe_readmission([_REPLICA], 20.0, revision=7)
+        self.assertEqual(3.0, self._read(20.0, revision=6))
+        self.assertEqual(0.0, self._read(20.0, revision=8))
+
     def test_report_of_another_entry(self):
         """Guards against an issuer that does not know the replica yet."""
         self.cold.observe_report(_REPLICA, 2.0, 10.0)
