Leave ranks out of ramps while their group is down

Cause: when a held group resumes, each entry returns up to half of its ranks from ejection at once, and ranks reject requests while another one is down. Change: such returns begin no ramp, and such rejections are not reported. The log shows when a ramp begins again after a further start.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -479,6 +479,7 @@
             now_s = self._state.now_s()
             self._state.replica_words.observe_full(attempt.replica)
             if call.service_state.is_lockstep and at_fault is not None:
+                self._pace_reports.observe_group_down(attempt, at_fault)
                 emit(Event.SERVICE_DOWN, replica=at_fault)
                 call.service_state.circuit_breaker.observe_outage(now_s)
             return None
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/pace_reports.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/pace_reports.py
@@ -77,6 +77,11 @@
             attempt.pace_outcome = PaceOutcome.RESPONSE
             self.report(call, attempt, has_ended=False)
 
+    def observe_group_down(self, attempt: Attempt, at_fault: str) -> None:
+        """Records that a rank rejected a request since another one is down."""
+        if at_fault not in (attempt.replica.instance, attempt.replica.address):
+            attempt.pace_outcome = None
+
     def observe_complete(self, attempt: Attempt) -> None:
         """Records that a response is complete."""
         if attempt.pace_outcome is PaceOutcome.UNFINISHED:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/pacing.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/pacing.py
@@ -34,6 +34,9 @@
 # Age in seconds up to which no issuer has issued permits for a new process yet,
 # so that requests in progress belong to the previous one.
 _NEW_PROCESS_S = 0.5
+# Time in seconds after an outage of a group in which its ranks return from
+# ejections that began during it.
+_OUTAGE_MEMORY_S = 5.0
 _MAX_ELAPSED_S = 3_600.0
 # Time in seconds after which an issuer that does not know a replica is asked
 # again.
@@ -138,10 +141,21 @@
             del self._starts_ms[name]
 
     def observe_return(self, instance: InstanceId) -> None:
-        """Begins the ramp of a replica that returns from an ejection."""
+        """Begins the ramp of a replica that returns from an ejection.
+
+        Ranks that were ejected while their whole group was down have not failed
+        themselves, and would all ramp at once.
+        """
         now_s = self._state.now_s()
-        if self._get_ramp(instance, now_s) is None:
-            self._begin(instance, now_s, is_start=False)
+        record = self._state.registry.get(instance)
+        if record is None or self._get_ramp(instance, now_s) is not None:
+            return
+        service = self._state.get_service(record.service)
+        breaker = service.circuit_breaker
+        was_down = now_s - breaker.closed_s < _OUTAGE_MEMORY_S
+        if service.is_lockstep and (breaker.is_open or was_down):
+            return
+        self._begin(instance, now_s, is_start=False)
 
     def _begin(
         self, instance: InstanceId, began_s: float, *, is_start: bool
@@ -150,12 +164,15 @@
             return
         ramp = _Ramp(began_s, is_start)
         previous = self._ramps.get(instance)
-        if previous is not None and previous.pace is not None:
-            # The controller still knows how often the replica was lost.
-            ramp.pace = previous.pace
-            ramp.pace.reset(self._state.now_s())
+        slots = self._state.registry.get(instance).slots
         self._ramps[instance] = ramp
         self._ended_s.pop(instance, None)
+        pace = None if previous is None else previous.pace
+        if pace is not None and pace.slots == slots:
+            # The controller still knows how often the replica was lost.
+            ramp.pace = pace
+            pace.reset(self._state.now_s())
+            self._log_begin(instance, ramp)
 
     def _get_service(self, instance: InstanceId) -> Service | None:
         """Returns the service of a replica, if its replicas ramp."""
@@ -253,14 +270,17 @@
             is_lockstep=self._state.get_service(record.service).is_lockstep,
             slow_s=self._get_slow_s(record.service, now_s),
         )
+        self._log_begin(instance, ramp)
+        return ramp.pace
+
+    def _log_begin(self, instance: InstanceId, ramp: _Ramp) -> None:
         emit(
             Event.RAMP_BEGUN,
             replica=instance,
             cause="start" if ramp.is_start else "return",
-            age_s=round(now_s - ramp.began_s, 2),
+            age_s=round(self._state.now_s() - ramp.began_s, 2),
             limit=ramp.pace.limit,
         )
-        return ramp.pace
 
     def _count_in_progress(
         self, instance: InstanceId, ramp: _Ramp, now_s: float
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_pacing.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_pacing.py
@@ -24,6 +24,7 @@
 )
 from chicoryplank_entry.forwarding.pacing import Pacing
 from chicoryplank_entry.forwarding.tests.harness import (
+    LOCKSTEP_ENGINE,
     EntryFixture,
     Replica,
     drop,
@@ -281,6 +282,20 @@
         pacing.observe_replicas([self._make_record(0)])
         self.assertTrue(self._is_limited(pacing))
 
+    def test_ranks_that_return_after_an_outage_of_their_group(self):
+        """Guards against ramps of half of a group that was held for a while."""
+        record = self._make_record(60)
+        pacing = self._make_pacing([record])
+        service = self._state.get_service(SERVICE)
+        service.is_lockstep = True
+        service.circuit_breaker.observe_outage(self._fleet.now_s)
+        service.circuit_breaker.observe_progress(self._fleet.now_s)
+        pacing.observe_return(_REPLICA)
+        self.assertFalse(self._is_limited(pacing))
+        self._fleet.run(6, 0)
+        pacing.observe_return(_REPLICA)
+        self.assertTrue(self._is_limited(pacing))
+
     def test_malformed_messages(self):
         """Guards against a message that stops the exchange."""
         pacing = self._make_pacing([self._make_record(5)])
@@ -330,12 +345,15 @@
 class TestReportedOutcomes(testtools.TestCase):
     """The outcome of each attempt is reported once."""
 
-    def _send(self, *scripts, kind=RequestKind.IDEMPOTENT):
+    def _send(self, *scripts, kind=RequestKind.IDEMPOTENT, engine=None):
         recorder = _Recorder()
 
         async def run():
             async with EntryFixture(
-                *map(Replica, scripts), kind=kind, pacing=recorder
+                *map(Replica, scripts),
+                kind=kind,
+                engine=engine,
+                pacing=recorder,
             ) as fixture:
                 await fixture.send_request()
 
@@ -358,3 +376,8 @@
             PaceOutcome.REJECTED, self._send(reject(), reject())[0]
         )
         self.assertEqual(PaceOutcome.BROKEN, self._send(drop(), drop())[0])
+
+    def test_rejection_for_another_rank(self):
+        """Guards against ranks that slow down since their group is down."""
+        down = reject(extra=("X-At-Fault: rank-9",))
+        self.assertEqual([], self._send(down, engine=LOCKSTEP_ENGINE))
--- a/packages/chicoryplank/src/chicoryplank/admission/_circuit_breaker.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_circuit_breaker.py
@@ -20,6 +20,10 @@
 class CircuitBreaker:
     """Circuit breaker of one service.
 
+    Attributes:
+        closed_s: Time when it was last closed, in seconds; minus infinity if it
+            never was.
+
     Example:
         >>> breaker = CircuitBreaker()
         >>> breaker.observe_outage(now_s=0.0)
@@ -35,6 +39,7 @@
         self._last_progress_s = float("-inf")
         self._waiting_since_s: float | None = None
         self._mean_outage_s: float | None = None
+        self.closed_s = float("-inf")
 
     @property
     def is_open(self) -> bool:
@@ -59,6 +64,7 @@
             return False
         self._observe_duration(now_s - self._opened_at_s)
         self._opened_at_s = None
+        self.closed_s = now_s
         return True
 
     def _observe_duration(self, outage_s: float) -> None:
--- a/packages/chicoryplank/src/chicoryplank/admission/_replica_pace.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_replica_pace.py
@@ -170,6 +170,7 @@
             None if unknown.
 
     Attributes:
+        slots: Number of requests that the replica processes concurrently.
         limit: Number of requests that all entries together may have in
             progress at the replica.
         state: State of the ramp.
@@ -202,7 +203,7 @@
     ) -> None:
         if slots < 1:
             raise ValueError(f"slots {slots} is below 1")
-        self._slots = slots
+        self.slots = slots
         self._is_lockstep = is_lockstep
         self.rejected = 0
         self.slow = 0
@@ -214,9 +215,9 @@
 
     def _begin(self, now_s: float, in_progress: int) -> None:
         self.state = PaceState.UNKNOWN
-        self.limit = self._proven = min(max(1, in_progress), self._slots)
+        self.limit = self._proven = min(max(1, in_progress), self.slots)
         # Limit at which the responses were last too slow.
-        self._too_slow = self._slots + 1
+        self._too_slow = self.slots + 1
         self._slow_in_row = 0
         # Response time of a rank before its limit was last reduced.
         self._slow_before_s = float("inf")
@@ -385,7 +386,7 @@
         ):
             return
         self._proven = self.limit
-        if self.limit == self._slots:
+        if self.limit == self.slots:
             if now_s - self._full_s >= _DWELL_S:
                 self.state = PaceState.STEADY
                 self._losses = self._rejections = 0
@@ -401,7 +402,7 @@
         if self._is_lockstep and slow_s is not None:
             # Not upwards, or each step could slow the group down a little.
             self._slow_s = min(self._slow_s, slow_s)
-        self._set_limit(min(limit, self._slots))
+        self._set_limit(min(limit, self.slots))
 
     def _back_off(self, limit: int, hold_s: float, now_s: float) -> None:
         self.state = PaceState.BACKING_OFF
