--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/pacing.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/pacing.py
@@ -8,8 +8,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping
-from datetime import UTC, datetime, timedelta
+from collections.abc import Callable, Mapping, Sequence
 
 from chicoryplank.admission import (
     PaceOutcome,
@@ -21,6 +20,7 @@
 from chicoryplank.ids import InstanceId, ServiceId
 from chicoryplank.traffic import ReplicaRecord, Service
 from chicoryplank_entry.forwarding.metrics import METRICS
+from chicoryplank_entry.forwarding.replica_starts import ReplicaStarts
 from chicoryplank_entry.forwarding.state import EntryState
 
 PACE_KIND = "pace-report"
@@ -41,11 +41,8 @@
 # Time in seconds after which an issuer that does not know a replica is asked
 # again.
 _UNKNOWN_WAIT_S = 0.1
-# Number of starts that are remembered beyond those of registered replicas.
-_MAX_UNREGISTERED_STARTS = 1_000
 # Outcome in the message that tells an entry that a ramp is over.
 _STEADY = "steady"
-_ORIGIN = datetime(1970, 1, 1, tzinfo=UTC)
 
 Document = Mapping[str, object]
 
@@ -95,7 +92,7 @@
         self._send = send
         self._ramps: dict[InstanceId, _Ramp] = {}
         self._ended_s: dict[InstanceId, float] = {}
-        self._starts_ms: dict[InstanceId, int] | None = None
+        self._starts = ReplicaStarts()
         self._questions: collections.Counter[InstanceId] = collections.Counter()
         self._times: dict[ServiceId, ServiceTimes] = {}
         # Replicas of which only the entry that asks now knows a registration.
@@ -103,42 +100,16 @@
 
     # Which replicas ramp.
 
-    def observe_replicas(self, records: Iterable[ReplicaRecord]) -> None:
-        """Begins the ramps of replicas that have started.
-
-        Those that this entry finds when it starts ramp only if they are new.
-        """
+    def observe_replicas(self, records: Sequence[ReplicaRecord]) -> None:
+        """Begins the ramps of replicas that have started."""
         now_s = self._state.now_s()
-        registered = {record.instance: record for record in records}
-        is_first = self._starts_ms is None
-        starts_ms = self._starts_ms = self._starts_ms or {}
-        for instance, record in registered.items():
-            known_ms = starts_ms.get(instance)
-            starts_ms[instance] = max(record.started_ms, known_ms or 0)
-            if is_first:
-                age_s = self._get_age_s(record)
-                if age_s < _MAX_RAMP_S:
-                    self._begin(instance, now_s - age_s, is_start=True)
-            elif known_ms is None or record.started_ms > known_ms:
-                self._begin(instance, now_s, is_start=True)
-        for instance in self._ramps.keys() - registered.keys():
+        ages_s = self._starts.find_started(records, self._state.clock.now())
+        for instance, age_s in ages_s.items():
+            if age_s < _MAX_RAMP_S:
+                self._begin(instance, now_s - age_s, is_start=True)
+        registered = {record.instance for record in records}
+        for instance in self._ramps.keys() - registered:
             self._end(instance, "gone")
-        self._remove_old_starts(registered.keys())
-
-    def _get_age_s(self, record: ReplicaRecord) -> float:
-        """Returns the time since the start of a replica by the wall clock."""
-        now_ms = (self._state.clock.now() - _ORIGIN) / timedelta(milliseconds=1)
-        if record.started_ms <= 0:
-            return float("inf")
-        return max(0.0, (now_ms - record.started_ms) / 1000)
-
-    def _remove_old_starts(self, registered: Iterable[InstanceId]) -> None:
-        registered = set(registered)
-        unregistered = [
-            name for name in self._starts_ms if name not in registered
-        ]
-        for name in unregistered[:-_MAX_UNREGISTERED_STARTS]:
-            del self._starts_ms[name]
 
     def observe_return(self, instance: InstanceId) -> None:
         """Begins the ramp of a replica that returns from an ejection.
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -26,7 +26,6 @@
     PaceOutcome,
     PaceState,
     ReplicaPace,
-    ServiceTimes,
 )
 from chicoryplank.admission._retry_after import RetryAfterJitter
 from chicoryplank.admission._retry_budget import (
@@ -41,6 +40,7 @@
     ServerLimits,
     parse_limit,
 )
+from chicoryplank.admission._service_times import ServiceTimes
 from chicoryplank.admission._slot_queue import SlotQueue, Waiter
 from chicoryplank.admission._slow_groups import SlowReplicas, find_slow_replicas
 
