--- a/packages/chicoryplank/src/chicoryplank/admission/tests/pace_model.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/pace_model.py
@@ -1,5 +1,6 @@
 """Model in virtual time of replicas that ramp up while a backlog waits."""
 
+import math
 import random
 
 from chicoryplank.admission import (
@@ -56,9 +57,9 @@
 
 
 class _Job:
-    def __init__(self, sent_s):
+    def __init__(self, sent_s, service_s):
         self.sent_s = sent_s
-        self.left_s = SERVICE_S
+        self.left_s = service_s
 
 
 class Replica:
@@ -70,9 +71,12 @@
         pace: Controller or baseline.
         queue: Requests beyond its capacity that it accepts.
         loss: Share of the outcomes that are lost on the way to the controller.
+        spread: Standard deviation of the logarithm of the service time.
     """
 
-    def __init__(self, get_capacity, pace, *, queue=6, loss=0.0, seed=1):
+    def __init__(
+        self, get_capacity, pace, *, queue=6, loss=0.0, spread=0.0, seed=1
+    ):
         self.pace = pace
         self.history = []
         self.finished = []
@@ -82,6 +86,7 @@
         self._get_capacity = get_capacity
         self._queue = queue
         self._loss = loss
+        self._spread = spread
         self._rng = random.Random(seed)
         self._jobs = []
         self._ended_s = []
@@ -133,7 +138,10 @@
                 self._report(PaceOutcome.REJECTED, 0.0, now_s)
                 self._ended_s.append(now_s)
             else:
-                self._jobs.append(_Job(now_s))
+                service_s = SERVICE_S * math.exp(
+                    self._rng.gauss(0.0, self._spread)
+                )
+                self._jobs.append(_Job(now_s, service_s))
 
     def _report(self, outcome, elapsed_s, now_s):
         if self._rng.random() >= self._loss:
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/test_replica_pace.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/test_replica_pace.py
@@ -4,6 +4,9 @@
 the limit permits is sent at once.
 """
 
+import math
+import random
+
 import testtools
 
 from chicoryplank.admission import (
@@ -65,6 +68,28 @@
                         case,
                     )
 
+    def test_varying_service_times(self):
+        """Guards against growth on the fastest of several responses."""
+        rng = random.Random(1)
+        for capacity in (1, 2, 3):
+            shares = []
+            for seed in range(10):
+                replica = Replica(
+                    lambda now_s, value=capacity: value if now_s < 3 else 6,
+                    make_pace(6),
+                    spread=0.2,
+                    seed=seed,
+                )
+                replica.times = ServiceTimes()
+                for _ in range(200):
+                    replica.times.observe(
+                        SERVICE_S * math.exp(rng.gauss(0.0, 0.2)), 0.0
+                    )
+                run([replica], 8.0)
+                shares.append(replica.find_bad_share(replica.ramp_end_s or 8.0))
+            mean = sum(shares) / len(shares)
+            self.assertLessEqual(mean, _MAX_BAD_SHARE, capacity)
+
     def test_baselines_miss_the_targets(self):
         """Guards against a model that any ramp passes."""
         flooded = _run_cold(NoRamp(6), 2, 6)
