--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/permits.py
@@ -6,14 +6,19 @@
 so that its loss moves few replicas to other issuers. If the fleet is
 partitioned, the issuer of each part uses the part of the limit that corresponds
 to the number of its entries.
+
+Replicas may have further limits (permit_limits.py), such as the bound on a cold
+replica. Permits for these are valid only for a moment.
 """
 
 import asyncio
+import dataclasses
 import heapq
 import itertools
 from collections.abc import Callable, Mapping
 
 from chicoryplank.admission import (
+    PERMIT_VALIDITY_S,
     HoldReason,
     LimitReport,
     LimitSource,
@@ -22,6 +27,10 @@
 from chicoryplank.ids import InstanceId
 from chicoryplank.rendezvous import rank_members
 from chicoryplank_entry.forwarding.metrics import METRICS
+from chicoryplank_entry.forwarding.permit_limits import (
+    CarriedLimit,
+    PermitLimit,
+)
 from chicoryplank_entry.forwarding.state import EntryState
 
 REQUEST_KIND = "permit-request"
@@ -41,6 +50,18 @@
 Document = Mapping[str, object]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permit:
+    """Permit for one request.
+
+    Attributes:
+        asked_s: Time of the question, in seconds; minus infinity if the replica
+            had none of the limits for which the age of a permit counts.
+    """
+
+    asked_s: float
+
+
 class Permits:
     """Asks for permits of one entry, and issues permits to others.
 
@@ -49,6 +70,11 @@
         state: Shared state of this entry.
         list_live_members: Returns all live entries, with this one.
         send: Sends a document to another entry.
+
+    Attributes:
+        limits: Limits besides the Server-Limit. A replica needs permits if any
+            limit applies to it, and a permit is granted only if all agree.
+        carried: Limits whose state the questions carry, by field.
     """
 
     def __init__(
@@ -65,14 +91,44 @@
         self._buckets: dict[InstanceId, RateBucket] = {}
         self._numbers = itertools.count(1)
         self._pending: dict[int, Callable[[float], None]] = {}
+        self.limits: list[PermitLimit] = []
+        self.carried: dict[str, CarriedLimit] = {}
+
+    def is_limited(self, instance: InstanceId) -> bool:
+        """Returns whether a request to a replica needs a permit now."""
+        if self._state.server_limits.get(instance) is not None:
+            return True
+        return self._is_bounded(instance, self._state.now_s())
 
-    async def acquire(self, instance: InstanceId) -> bool:
-        """Returns whether a request may be sent to a replica now.
+    def is_usable(self, instance: InstanceId, permit: Permit) -> bool:
+        """Returns whether a request may be written with a permit now.
 
-        If not, the replica is held until the limit allows a request.
+        The replica may have become limited since, or the permit may be so old
+        that too many requests with permits would arrive together.
         """
-        if self._state.server_limits.get(instance) is None:
+        now_s = self._state.now_s()
+        if not self._is_bounded(instance, now_s):
             return True
+        is_usable = now_s - permit.asked_s <= PERMIT_VALIDITY_S
+        if not is_usable:
+            METRICS.count_permit("expired")
+        return is_usable
+
+    def _is_bounded(self, instance: InstanceId, now_s: float) -> bool:
+        return any(limit.is_limited(instance, now_s) for limit in self.limits)
+
+    async def acquire(self, instance: InstanceId) -> Permit | None:
+        """Returns a permit for a request to a replica now.
+
+        Returns:
+            None if there is none; the replica is then held until the limit
+            allows a request.
+        """
+        asked_s = self._state.now_s()
+        if not self._is_bounded(instance, asked_s):
+            asked_s = float("-inf")
+        if not self.is_limited(instance):
+            return Permit(asked_s)
         answered = asyncio.get_running_loop().create_future()
 
         def set_wait(wait_s: float) -> None:
@@ -93,7 +149,7 @@
             self._pending.pop(number, None)
         is_granted = self.apply_wait(instance, wait_s)
         METRICS.count_permit("granted" if is_granted else result)
-        return is_granted
+        return Permit(asked_s) if is_granted else None
 
     def apply_wait(self, instance: InstanceId, wait_s: float) -> bool:
         """Holds a replica unless the wait is 0; returns whether it is 0."""
@@ -117,7 +173,7 @@
             Number of the question.
         """
         number = next(self._numbers)
-        issuer = self._choose_issuer(instance)
+        issuer = self.choose_issuer(instance)
         if issuer == self._own:
             on_reply(self._issue(instance))
             return number
@@ -132,6 +188,10 @@
         }
         if report is not None:
             document["limit"] = [report.limit, now_s - report.seen_s]
+        for field, limit in self.carried.items():
+            carried = limit.encode_report(instance, now_s)
+            if carried is not None:
+                document[field] = carried
         self._send(document, issuer)
         return number
 
@@ -155,6 +215,11 @@
         if document.get("limit") is not None:
             # An issuer that has just started may not know the limit yet.
             self.apply_reports({instance: document["limit"]})
+        for field, limit in self.carried.items():
+            if document.get(field) is not None:
+                limit.apply_report(
+                    instance, document[field], self._state.now_s()
+                )
         reply = {
             "kind": REPLY_KIND,
             "member": self._own,
@@ -163,30 +228,52 @@
         }
         self._send(reply, member)
 
-    def _choose_issuer(self, instance: InstanceId) -> InstanceId:
+    def choose_issuer(self, instance: InstanceId) -> InstanceId:
+        """Returns the entry that issues the permits for a replica."""
         members = self._list_live_members()
         if self._state.is_draining and len(members) > 1:
             members = [name for name in members if name != self._own]
         return rank_members(instance, members)[0]
 
     def _issue(self, instance: InstanceId) -> float:
-        """Takes a request from the bucket of a replica; returns the wait."""
-        rate = self._state.server_limits.get_rate(instance)
-        if self._choose_issuer(instance) != self._own:
+        """Grants a permit if all limits agree; returns the wait in seconds."""
+        if self.choose_issuer(instance) != self._own:
             self._buckets.pop(instance, None)
             return _UNKNOWN_WAIT_S
+        now_s = self._state.now_s()
+        rate = self._get_rate(instance, now_s)
+        bucket = None
+        waits_s = [limit.get_wait_s(instance, now_s) for limit in self.limits]
         if rate is None:
-            # Withdrawn, as this entry knows, but the other one does not yet.
+            # Withdrawn, as this entry knows, but the other one does not yet;
+            # or the replica has only other limits.
             self._buckets.pop(instance, None)
-            return 0.0
-        now_s = self._state.now_s()
+        else:
+            bucket = self._get_bucket(instance, now_s)
+            waits_s.append(bucket.get_wait_s(rate, now_s))
+        wait_s = max(waits_s, default=0.0)
+        if wait_s > 0:
+            return wait_s
+        if bucket is not None:
+            bucket.try_take(rate, now_s)
+        for limit in self.limits:
+            limit.record_permit(instance, now_s)
+        return 0.0
+
+    def _get_rate(self, instance: InstanceId, now_s: float) -> float | None:
+        """Returns the share of a Server-Limit that this issuer may grant."""
+        rate = self._state.server_limits.get_rate(instance)
+        if rate is None:
+            return None
         live = len(self._list_live_members())
-        share = min(1.0, live / self._state.entry_bound.get_bound(now_s))
+        return rate * min(1.0, live / self._state.entry_bound.get_bound(now_s))
+
+    def _get_bucket(self, instance: InstanceId, now_s: float) -> RateBucket:
         bucket = self._buckets.get(instance)
         if bucket is None:
             self._remove_unused_buckets()
             bucket = self._buckets[instance] = RateBucket(now_s)
-        return bucket.try_take(rate * share, now_s)
+        return bucket
 
     def _remove_unused_buckets(self) -> None:
         """Removes the buckets of replicas that no longer have a limit."""
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -4,13 +4,14 @@
 import dataclasses
 import math
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from datetime import UTC, datetime, timedelta
 
 from chicoryplank.admission import (
     UNUSABLE,
     WITHOUT_RETURN,
     CircuitBreaker,
+    ColdReplicas,
     EntryCount,
     HoldReason,
     Occupancy,
@@ -151,10 +152,13 @@
         entry_count: Number of entries that are visible now, with this one.
         entry_bound: Number of entries among which an allowance is divided.
         server_limits: Limits that replicas name for all entries together.
+        cold_replicas: Replicas that have just started and take few requests.
         holds: Replicas that get no new request now.
         replica_words: Feeds the holds from what replicas say of themselves.
         evacuations: Zones whose replicas get no new request.
         quarantine: Crashes of replicas, and the requests that cause them.
+        on_replica_returned: Called with a replica that returns from an
+            ejection.
     """
 
     def __init__(
@@ -178,12 +182,15 @@
         self.entry_count = 1
         self.entry_bound = EntryCount()
         self.server_limits = ServerLimits()
+        self.cold_replicas = ColdReplicas()
         self.holds = ReplicaHolds()
         self.replica_words = ReplicaWords(
             self.holds, self.registry, self.now_s, rng
         )
         self.evacuations = EvacuationHolds(self.holds)
+        self.evacuations.on_ended = self._observe_readmission
         self.quarantine = Quarantine()
+        self.on_replica_returned: Callable[[InstanceId], None] = _ignore
         self.is_draining = False
         self._configured = asyncio.Event()
         self._services: dict[ServiceId, ServiceState] = {}
@@ -236,7 +243,12 @@
             replica_count = len(self.registry.list_service(service))
             parameters = make_routing_parameters(replica_count)
             state = ServiceState(
-                make_balanced_policy(self.zone, parameters, self.rng),
+                make_balanced_policy(
+                    self.zone,
+                    parameters,
+                    self.rng,
+                    self._notify_return,
+                ),
                 SlotQueue(_MAX_QUEUED_REQUESTS),
                 RetryBudget(self.retry_budget_parameters, self.started_s),
             )
@@ -244,19 +256,33 @@
             self._refresh_service(service, state)
         return state
 
+    def _notify_return(self, instance: InstanceId) -> None:
+        self.on_replica_returned(instance)
+
     def refresh_candidates(self) -> None:
         """Updates the candidates of all services from the registry."""
         now_s = self.now_s()
         records = self.registry.list_all()
         for record in records:
             self.replica_words.observe_registration(record)
+            self._observe_temperature(record, now_s)
         self.evacuations.apply(records)
         known = {record.instance for record in records}
         self.holds.retain(known, now_s)
         self.server_limits.retain(known)
+        self.cold_replicas.retain(known, now_s)
         for service, state in self._services.items():
             self._refresh_service(service, state)
 
+    def _observe_temperature(self, record: ReplicaRecord, now_s: float) -> None:
+        if self.configuration is not None:
+            service = self.configuration.services.get(record.service)
+            self.cold_replicas.observe_registration(record, service, now_s)
+
+    def _observe_readmission(self, instances: Collection[InstanceId]) -> None:
+        """Counts the replicas of a zone as cold after its evacuation."""
+        self.cold_replicas.observe_readmission(instances, self.now_s())
+
     def readmit(self, instance: InstanceId) -> None:
         """Forgets what was observed of a replica that registered again."""
         self.holds.release(instance, HoldReason.MISDIRECTED)
@@ -357,12 +383,21 @@
         excluded: Iterable[InstanceId],
         now_s: float,
     ) -> ReplicaRecord | None:
-        """Chooses the replica for a request; None if there is no candidate."""
-        instance = state.policy.choose(
-            RoutingRequest(excluded=frozenset(excluded)),
-            state.candidates,
-            self.to_datetime(now_s),
-        )
+        """Chooses the replica for a request; None if there is no candidate.
+
+        A cold replica is chosen only if there is no other candidate.
+        """
+        excluded = frozenset(excluded)
+        instance = None
+        cold = self.cold_replicas.list_cold(now_s)
+        for avoided in (excluded | cold, excluded) if cold else (excluded,):
+            instance = state.policy.choose(
+                RoutingRequest(excluded=avoided),
+                state.candidates,
+                self.to_datetime(now_s),
+            )
+            if instance is not None:
+                break
         return None if instance is None else self.registry.get(instance)
 
     def begin_request(
@@ -431,6 +466,7 @@
 
     def check_services(self, now_s: float) -> None:
         """Detects stalls, and settles requests that wait for a slot."""
+        self.cold_replicas.check_warm(now_s)
         for state in self._services.values():
             if state.is_lockstep and state.circuit_breaker.check_stalled(
                 state.in_flight, now_s
@@ -446,6 +482,11 @@
                 self._grant_slots(state, now_s)
 
 
+def _ignore(instance: InstanceId) -> None:
+    """Does nothing."""
+    del instance
+
+
 def make_candidate(
     record: ReplicaRecord, evacuated_zones: Collection[ZoneId] = ()
 ) -> Candidate:
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -4,6 +4,12 @@
 """
 
 from chicoryplank.admission._circuit_breaker import CircuitBreaker
+from chicoryplank.admission._cold_replicas import (
+    PERMIT_VALIDITY_S,
+    ColdBoundParameters,
+    ColdReplicas,
+    compute_issue_rate,
+)
 from chicoryplank.admission._entry_count import EntryCount
 from chicoryplank.admission._occupancy import Occupancy
 from chicoryplank.admission._output_times import OutputTimes
@@ -17,6 +23,11 @@
     parse_pause,
     read_pause,
 )
+from chicoryplank.admission._replica_pace import (
+    PaceOutcome,
+    PaceState,
+    ReplicaPace,
+)
 from chicoryplank.admission._retry_after import RetryAfterJitter
 from chicoryplank.admission._retry_budget import (
     RetryBudget,
@@ -30,14 +41,18 @@
     ServerLimits,
     parse_limit,
 )
+from chicoryplank.admission._service_times import ServiceTimes
 from chicoryplank.admission._slot_queue import SlotQueue, Waiter
 from chicoryplank.admission._slow_groups import SlowReplicas, find_slow_replicas
 
 __all__ = [
+    "PERMIT_VALIDITY_S",
     "UNUSABLE",
     "WITHDRAWN",
     "WITHOUT_RETURN",
     "CircuitBreaker",
+    "ColdBoundParameters",
+    "ColdReplicas",
     "EntryCount",
     "HoldReason",
     "Occupancy",
@@ -46,15 +61,20 @@
     "LimitSource",
     "MalformedLimitError",
     "MalformedPauseError",
+    "PaceOutcome",
+    "PaceState",
     "RateBucket",
     "ReplicaHolds",
+    "ReplicaPace",
     "RetryAfterJitter",
     "RetryBudget",
     "RetryBudgetParameters",
     "ServerLimits",
+    "ServiceTimes",
     "SlotQueue",
     "SlowReplicas",
     "Waiter",
+    "compute_issue_rate",
     "find_slow_replicas",
     "parse_limit",
     "parse_pause",
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -276,6 +276,32 @@
         "the evacuation of zone {zone} is missing in the restored store; the "
         "zone stays evacuated for now",
     )
+    REPLICA_COLD = (
+        1227,
+        logbook.INFO,
+        "replica {replica} is cold for {for_s} s (source: {cause})",
+    )
+    REPLICA_WARM = (
+        1228,
+        logbook.INFO,
+        "replica {replica} is warm",
+    )
+    COLD_TIME_UNREADABLE = (
+        1229,
+        logbook.WARNING,
+        "the registration of replica {replica} has no readable remaining cold "
+        "time; {applied_s} s are used",
+    )
+    RAMP_BEGUN = (
+        1230,
+        logbook.INFO,
+        "slow start of replica {replica} begins (cause: {cause})",
+    )
+    RAMP_ENDED = (
+        1231,
+        logbook.INFO,
+        "slow start of replica {replica} ended after {taken_s} s ({result})",
+    )
     STORE_LOST = (
         1304,
         logbook.WARNING,
