Discard all state of a replica that restarts under its id

Cause: a reload of the store did not end holds and limits of a replica that had restarted, and ejections, counts of requests, last progress and idle connections outlasted the process in every case. Requests that the restart ended counted as failures of the new process and could eject it.

Change: the registry reports replicas that registered or restarted, and EntryState.readmit discards their state for watch and reload alike. Routing statistics end with the start in the candidate; the end of a request at a former process is not attributed to the new one.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -15,7 +15,10 @@
 from chicoryplank.ids import ModelGroupId, ZoneId
 from chicoryplank.lifecycle import Application
 from chicoryplank.store import Store
-from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
+from chicoryplank_entry.forwarding.backends import (
+    BackendPool,
+    make_backend_address,
+)
 from chicoryplank_entry.forwarding.election import Election
 from chicoryplank_entry.forwarding.exchange import Exchange
 from chicoryplank_entry.forwarding.feed import FeedServer, FeedSource
@@ -220,12 +223,7 @@
 
     def _retain_backends(self) -> None:
         records = self.state.registry.list_all()
-        self._pool.retain(
-            {
-                BackendAddress(record.instance, record.address)
-                for record in records
-            }
-        )
+        self._pool.retain({make_backend_address(record) for record in records})
         self.exchange.crashes.retain(set(records))
 
     def _make_controller(self, service: ModelGroupId) -> MapController:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/backends.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/backends.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Collection
 
 from chicoryplank.ids import InstanceId
+from chicoryplank.traffic import ReplicaRecord
 from chicoryplank_wire.client_connection import (
     ClientConnection,
     ConnectionBrokenError,
@@ -28,10 +29,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendAddress:
-    """A replica and its address."""
+    """A replica and its address.
+
+    Attributes:
+        instance: Id of the replica.
+        address: Host and port.
+        started_ms: Unix time of its start in milliseconds; 0 if unknown.
+            Idle connections to a process that has ended are not used.
+    """
 
     instance: InstanceId
     address: str
+    started_ms: int = 0
+
+
+def make_backend_address(replica: ReplicaRecord) -> BackendAddress:
+    """Returns the address of a registered replica."""
+    return BackendAddress(replica.instance, replica.address, replica.started_ms)
 
 
 class BackendPool:
@@ -138,4 +152,9 @@
             connection.abort()
 
 
-__all__ = ["BackendAddress", "BackendPool", "ConnectionBrokenError"]
+__all__ = [
+    "BackendAddress",
+    "BackendPool",
+    "ConnectionBrokenError",
+    "make_backend_address",
+]
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/crashes.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/crashes.py
@@ -18,7 +18,10 @@
 from chicoryplank.quarantine import CrashTimes, SuspectAttempt
 from chicoryplank.traffic import ReplicaRecord, ReplicaState
 from chicoryplank_entry.forwarding.attempts import Attempt
-from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
+from chicoryplank_entry.forwarding.backends import (
+    BackendPool,
+    make_backend_address,
+)
 from chicoryplank_entry.forwarding.calls import Call
 from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.state import EntryState
@@ -188,7 +191,7 @@
                 proxy, or a replica with too many connections, accepts and
                 closes it, which says nothing.
         """
-        backend = BackendAddress(replica.instance, replica.address)
+        backend = make_backend_address(replica)
         try:
             connection = await self._pool.open(backend)
         except ConnectionBrokenError as error:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -6,7 +6,6 @@
 from chicoryplank.admission import WITHDRAWN, HoldReason
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.events import Event, emit
-from chicoryplank.ids import InstanceId
 from chicoryplank.traffic import ReplicaRecord
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry.forwarding.admission import CallAdmission
@@ -18,7 +17,11 @@
     Outcome,
     classify,
 )
-from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
+from chicoryplank_entry.forwarding.backends import (
+    BackendAddress,
+    BackendPool,
+    make_backend_address,
+)
 from chicoryplank_entry.forwarding.calls import Call, make_call
 from chicoryplank_entry.forwarding.crashes import Condition, CrashDetector
 from chicoryplank_entry.forwarding.fields import HeaderNames
@@ -257,21 +260,21 @@
             must_wait = replica is None
             if replica is None:
                 continue
-            backend = BackendAddress(replica.instance, replica.address)
+            backend = make_backend_address(replica)
             self._state.begin_request(
                 call.service_state, replica.instance, now_s
             )
             try:
                 if not await self._permits.acquire(replica.instance):
-                    self._end_attempt(call, replica.instance, None)
+                    self._end_attempt(call, replica, None)
                     continue
                 connection = await self._connect(call, backend)
                 if self._has_withdrawn(replica):
                     self._pool.release(backend, connection)
-                    self._end_attempt(call, replica.instance, None)
+                    self._end_attempt(call, replica, None)
                     continue
             except ConnectionBrokenError as error:
-                self._end_attempt(call, replica.instance, False)
+                self._end_attempt(call, replica, False)
                 call.tried_replicas.add(replica.instance)
                 self._log.record_connection_failure(call, backend, error)
                 connection_failed = True
@@ -279,7 +282,7 @@
                     self.crashes.observe_refusal(replica)
                 continue
             except BaseException:
-                self._end_attempt(call, replica.instance, None)
+                self._end_attempt(call, replica, None)
                 raise
             return self._write_request(call, replica, backend, connection)
 
@@ -346,7 +349,6 @@
     ) -> bool:
         """Relays the response; returns False if another attempt is needed."""
         succeeded = None
-        instance = attempt.replica.instance
         try:
             await relay.wait_head(attempt)
             outcome = classify(self._names, attempt.response, call.request_id)
@@ -380,7 +382,7 @@
         finally:
             self._log.record_skipped_responses(call, attempt)
             self._pool.release(attempt.backend, attempt.connection)
-            self._end_attempt(call, instance, succeeded)
+            self._end_attempt(call, attempt.replica, succeeded)
         return False
 
     async def _check_unframed_end(self, call: Call, attempt: Attempt) -> None:
@@ -503,8 +505,12 @@
         )
 
     def _end_attempt(
-        self, call: Call, instance: InstanceId, succeeded: bool | None
+        self, call: Call, replica: ReplicaRecord, succeeded: bool | None
     ) -> None:
         self._state.end_request(
-            call.service_state, instance, succeeded, self._state.now_s()
+            call.service_state,
+            replica.instance,
+            succeeded,
+            self._state.now_s(),
+            started_ms=replica.started_ms,
         )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -180,6 +180,8 @@
         )
         self.quarantine = Quarantine()
         self.is_draining = False
+        # Start of the process that the state of each replica belongs to.
+        self._starts_ms: dict[InstanceId, int] = {}
         self._configured = asyncio.Event()
         self._services: dict[ServiceId, ServiceState] = {}
 
@@ -243,19 +245,50 @@
         """Updates the candidates of all services from the registry."""
         now_s = self.now_s()
         records = self.registry.list_all()
+        for instance in self.registry.take_registered():
+            self.readmit(instance)
         for record in records:
             self.replica_words.observe_registration(record)
         known = {record.instance for record in records}
+        self._forget_starts(known)
         self.holds.retain(known, now_s)
         self.server_limits.retain(known)
         for service, state in self._services.items():
             self._refresh_service(service, state)
 
     def readmit(self, instance: InstanceId) -> None:
-        """Forgets what was observed of a replica that registered again."""
+        """Discards what was observed of a replica that registered again.
+
+        If it has restarted, all state of the former process is discarded. The
+        holds and the routing statistics follow from the start in the
+        registration (ReplicaHolds.observe_start, Candidate.started_ms).
+        """
         self.holds.release(instance, HoldReason.MISDIRECTED)
         self.holds.release(instance, HoldReason.LIMIT)
         self.server_limits.reset(instance, self.now_s())
+        record = self.registry.get(instance)
+        if record is None:
+            return
+        former_ms = self._starts_ms.get(instance)
+        self._starts_ms[instance] = record.started_ms
+        if former_ms is None or former_ms == record.started_ms:
+            return
+        discarded = self.occupancy.discard(instance)
+        for service in self._services.values():
+            service.replica_last_progress_s.pop(instance, None)
+        emit(
+            Event.REPLICA_RESTARTED,
+            replica=instance,
+            started_ms=record.started_ms,
+            former_ms=former_ms,
+            in_flight=discarded,
+        )
+
+    def _forget_starts(self, registered: set[InstanceId]) -> None:
+        """Forgets the starts of replicas without registration and requests."""
+        for instance in self._starts_ms.keys() - registered:
+            if not self.occupancy.count(instance):
+                del self._starts_ms[instance]
 
     def _refresh_service(self, service: ServiceId, state: ServiceState) -> None:
         records = self.registry.list_service(service)
@@ -350,11 +383,24 @@
         instance: InstanceId,
         succeeded: bool | None,
         now_s: float,
+        *,
+        started_ms: int | None = None,
     ) -> None:
-        """Counts the end of a request and grants its slot to a waiting one."""
-        self.occupancy.end(instance)
+        """Counts the end of a request and grants its slot to a waiting one.
+
+        Args:
+            state: The service.
+            instance: The replica.
+            succeeded: See Policy.
+            now_s: Current time in seconds.
+            started_ms: Start of the process that the request was sent to. The
+                end says nothing about a process that started later. None if it
+                is the current one.
+        """
         state.in_flight -= 1
-        state.policy.end(instance, 1.0, self.to_datetime(now_s), succeeded)
+        if started_ms in (None, self._starts_ms.get(instance, started_ms)):
+            self.occupancy.end(instance)
+            state.policy.end(instance, 1.0, self.to_datetime(now_s), succeeded)
         if len(state.slot_queue) and not state.circuit_breaker.is_open:
             self._grant_slots(state, now_s)
 
@@ -421,4 +467,5 @@
         record.instance,
         record.zone,
         leaving=record.state is ReplicaState.DRAINING,
+        started_ms=record.started_ms,
     )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
@@ -302,9 +302,6 @@
             if record is None:
                 self._state.registry.remove(instance, now_s)
             else:
-                known = self._state.registry.get(instance)
-                if known is None or known.started_ms != record.started_ms:
-                    self._state.readmit(instance)
                 self._state.registry.put(record)
         self._finish_update(revision, replicas_changed)
         self._feed.append(changes, revision)
--- a/packages/chicoryplank/src/chicoryplank/admission/_occupancy.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_occupancy.py
@@ -45,6 +45,17 @@
         if self._own_counts[instance] <= 0:
             del self._own_counts[instance]
 
+    def discard(self, instance: InstanceId) -> int:
+        """Discards the requests of a replica that has restarted.
+
+        Returns:
+            Number of requests of this entry that were discarded.
+        """
+        for _, counts in self._peer_counts.values():
+            counts.pop(instance, None)
+        self._peer_total.pop(instance, None)
+        return self._own_counts.pop(instance, 0)
+
     def observe_peer(
         self, peer: str, counts: Mapping[InstanceId, int], now_s: float
     ) -> None:
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -286,6 +286,12 @@
         logbook.WARNING,
         "item {key} at revision {revision} ignored: {error}",
     )
+    REPLICA_RESTARTED = (
+        1320,
+        logbook.INFO,
+        "replica {replica} restarted: started at {started_ms}, before at "
+        "{former_ms}; {in_flight} requests of the former process discarded",
+    )
     REGISTRATION_FAILED = (
         1308,
         logbook.WARNING,
--- a/packages/chicoryplank/src/chicoryplank/routing/_replica_index.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_replica_index.py
@@ -65,7 +65,8 @@
     ) -> list[InstanceId]:
         """Replaces the candidates and returns the replicas that were dropped.
 
-        A removed replica that still has requests of this entry in flight is
+        A replica that has restarted is dropped and added as a new one. A
+        removed replica that still has requests of this entry in flight is
         kept until they end, so that its counts are right if it is added again.
         """
         if candidates is self._candidates:
@@ -73,8 +74,15 @@
         self._candidates = candidates
         self._pools.clear()
         self._last_sweep_s = float("-inf")
+        gone = []
         for candidate in candidates:
             replica = self._replicas.get(candidate.instance)
+            if (
+                replica is not None
+                and replica.candidate.started_ms != candidate.started_ms
+            ):
+                gone.append(candidate.instance)
+                replica = None
             if replica is None:
                 replica = Replica(candidate, self._parameters)
                 self._replicas[candidate.instance] = replica
@@ -88,14 +96,14 @@
         # None makes the next check apply its result to every replica.
         self._ejected = None
         names = {candidate.instance for candidate in candidates}
-        gone = [
+        removed = [
             name
             for name, replica in self._replicas.items()
             if name not in names and replica.in_flight == 0
         ]
-        for name in gone:
+        for name in removed:
             del self._replicas[name]
-        return gone
+        return gone + removed
 
     def update_ejections(self, now: float) -> None:
         """Ejects replicas with faults, those with the oldest faults first.
--- a/packages/chicoryplank/src/chicoryplank/routing/_types.py
+++ b/packages/chicoryplank/src/chicoryplank/routing/_types.py
@@ -38,6 +38,8 @@
         capacity: Capacity relative to a normal replica.
         joined_at: When it entered service, for the slow start; None if it was
             in service before this process started.
+        started_ms: Unix time of the start of its process in milliseconds; 0 if
+            unknown. The state of a replica ends with its process.
     """
 
     instance: InstanceId
@@ -47,6 +49,7 @@
     leaving: bool = False
     capacity: float = 1.0
     joined_at: datetime | None = None
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
@@ -93,6 +93,7 @@
         self._ended: dict[InstanceId, tuple[float, ReplicaRecord]] = {}
         self._held_back: dict[InstanceId, tuple[float, ReplicaRecord]] = {}
         self._services: dict[ServiceId, tuple[ReplicaRecord, ...]] = {}
+        self._registered: set[InstanceId] = set()
         self._grace_end_s = float("-inf")
         self.is_connected = False
 
@@ -201,6 +202,11 @@
             if now_s - ended_s >= _ENDED_MEMORY_S:
                 del self._ended[name]
 
+    def take_registered(self) -> set[InstanceId]:
+        """Returns the replicas that registered or restarted since last time."""
+        registered, self._registered = self._registered, set()
+        return registered
+
     def list_service(self, service: ServiceId) -> tuple[ReplicaRecord, ...]:
         """Returns the replicas of a service, ordered by id."""
         return self._services.get(service, ())
@@ -217,6 +223,8 @@
 
     def _store_record(self, record: ReplicaRecord) -> None:
         known = self._records.get(record.instance)
+        if known is None or known.started_ms != record.started_ms:
+            self._registered.add(record.instance)
         if (
             known is not None
             and known.state is ReplicaState.DRAINING
