Reject hostile registrations without effect on others

Cause: deeply nested JSON raised RecursionError and an infinite version OverflowError out of the decoder, which ended the watch of the store. Slots without bound, starts in the far future, ports above 65535 and ids with line breaks were accepted; a port above 65535 raised in every connection attempt and in the exchange between entries. A registration for a service that is not configured displaced the replica at the same address.

Registrations for unknown services are logged (event 1321) and take no address.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/members.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/members.py
@@ -4,6 +4,7 @@
 import json
 
 from chicoryplank.ids import InstanceId
+from chicoryplank.traffic import check_address
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,14 +34,15 @@
     Raises:
         ValueError: If the registration is malformed.
     """
-    document = json.loads(value)
+    try:
+        document = json.loads(value)
+    except RecursionError as error:
+        raise ValueError("too deeply nested") from error
     names = [field.name for field in dataclasses.fields(Member)]
     if not isinstance(document, dict) or any(
         not isinstance(document.get(name), str) for name in names
     ):
         raise ValueError("malformed registration of an entry")
     for name in ("caller_address", "peer_address"):
-        host, _, port = document[name].rpartition(":")
-        if not host or not port.isdigit():
-            raise ValueError(f"{name} is not an address")
+        check_address(document[name])
     return Member(**{name: document[name] for name in names})
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -455,6 +455,7 @@
             AttributeError,
             KeyError,
             OverflowError,
+            RecursionError,
         ) as error:
             self._malformed_count += 1
             if self._malformed_count & (self._malformed_count - 1) == 0:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -206,6 +206,12 @@
             return False
         self.configuration = configuration
         self.routes = RouteIndex(configuration)
+        used = {
+            share.service
+            for route in configuration.routes
+            for share in route.shares
+        }
+        self.registry.set_services(used.union(configuration.services))
         self.refresh_candidates()
         self._configured.set()
         return True
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
@@ -163,7 +163,7 @@
         ):
             data = json.dumps({**message, **change}).encode()
             peers.datagram_received(data, ("10.0.0.9", 1))
-        for data in (b"", b"\xff", b"[]", b"{}", b"null"):
+        for data in (b"", b"\xff", b"[]", b"{}", b"null", b"[" * 50_000):
             peers.datagram_received(data, ("10.0.0.9", 1))
 
     def test_newer_revision_is_reported(self):
@@ -260,6 +260,9 @@
             b"{}",
             member.encode().replace(b"10.0.0.1:1", b"10.0.0.1"),
             member.encode().replace(b'"z"', b"5"),
+            member.encode().replace(b"10.0.0.1:2", b"10.0.0.1:65536"),
+            member.encode().replace(b"10.0.0.1:2", b"10.0.0.1:\xc2\xb2"),
+            b"[" * 100_000,
         ):
             self.assertRaises(ValueError, decode_member, value)
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
@@ -301,7 +301,7 @@
             items = json.loads(value)
             self._quarantine.merge(items, self._now_s(), "store")
             self._saved = _index(items)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             emit(
                 Event.ITEM_REJECTED,
                 key=QUARANTINE_KEY,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_quarantine.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_quarantine.py
@@ -214,7 +214,8 @@
         """Guards against a document that blocks all later ones."""
         store = MemoryStore(ManualClock())
         quarantine, records = self.make_records(store)
-        for value in (b"{", b"{}", b"[1]", b'[{"crash":1}]', b"\xff"):
+        nested = b"[" * 100_000
+        for value in (b"{", b"{}", b"[1]", b'[{"crash":1}]', b"\xff", nested):
             records.observe(value, 5)
         self.assertEqual([], quarantine.list_verdicts())
 
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -292,6 +292,12 @@
         "replica {replica} restarted: started at {started_ms}, before at "
         "{former_ms}; {in_flight} requests of the former process discarded",
     )
+    REPLICA_SERVICE_UNKNOWN = (
+        1321,
+        logbook.WARNING,
+        "replica {replica} is not used: its service {service} is not "
+        "configured",
+    )
     REGISTRATION_FAILED = (
         1308,
         logbook.WARNING,
--- a/packages/chicoryplank/src/chicoryplank/traffic/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/__init__.py
@@ -1,5 +1,6 @@
 """Routes, services and replicas for forwarding plain HTTP requests."""
 
+from chicoryplank.traffic._addresses import check_address
 from chicoryplank.traffic._model import (
     ClientLimits,
     EngineProfile,
@@ -28,5 +29,6 @@
     "Service",
     "Share",
     "TrafficConfiguration",
+    "check_address",
     "choose_service",
 ]
--- a/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
+from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId, ServiceId, ZoneId
 
 # Time for which the end of a replica is remembered, in seconds; longer than the
@@ -94,9 +95,19 @@
         self._held_back: dict[InstanceId, tuple[float, ReplicaRecord]] = {}
         self._services: dict[ServiceId, tuple[ReplicaRecord, ...]] = {}
         self._registered: set[InstanceId] = set()
+        self._known_services: frozenset[ServiceId] | None = None
+        self._reported: dict[InstanceId, ServiceId] = {}
         self._grace_end_s = float("-inf")
         self.is_connected = False
 
+    def set_services(self, services: Iterable[ServiceId]) -> None:
+        """Sets the services of the active configuration.
+
+        Until then, all services count as known.
+        """
+        self._known_services = frozenset(services)
+        self._index_by_service()
+
     def observe_outage(self) -> None:
         """Records that the store does not respond."""
         self.is_connected = False
@@ -245,16 +256,44 @@
 
     def _index_by_service(self) -> None:
         latest: dict[str, ReplicaRecord] = {}
-        for record in self._records.values():
+        for record in self._list_with_known_service():
             other = latest.get(record.address)
             if other is None or record.start_order >= other.start_order:
                 latest[record.address] = record
         services: dict[ServiceId, list[ReplicaRecord]] = {}
         for instance in sorted(self._records):
             record = self._records[instance]
-            if latest[record.address] is not record:
+            if latest.get(record.address) is not record:
                 continue
             services.setdefault(record.service, []).append(record)
         self._services = {
             service: tuple(records) for service, records in services.items()
         }
+
+    def _list_with_known_service(self) -> list[ReplicaRecord]:
+        """Returns the registrations whose service is configured.
+
+        Another one must not displace a replica at the same address. It is
+        logged once.
+        """
+        services = self._known_services
+        if services is None:
+            return list(self._records.values())
+        unknown = {
+            instance: record.service
+            for instance, record in self._records.items()
+            if record.service not in services
+        }
+        for instance, service in unknown.items():
+            if self._reported.get(instance) != service:
+                emit(
+                    Event.REPLICA_SERVICE_UNKNOWN,
+                    replica=instance,
+                    service=service,
+                )
+        self._reported = unknown
+        return [
+            record
+            for instance, record in self._records.items()
+            if instance not in unknown
+        ]
--- a/packages/chicoryplank/src/chicoryplank/traffic/tests/test_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/tests/test_replicas.py
@@ -187,3 +187,37 @@
         self.registry.observe_outage()
         self.assertFalse(self.registry.remove_expired(60.0))
         self.assertEqual(["a", "b"], self._list())
+
+
+class TestUnknownServices(testtools.TestCase):
+    """A registration for a service that is not configured has no effect."""
+
+    def setUp(self):
+        super().setUp()
+        self.registry = ReplicaRegistry(registration_grace_s=2.0)
+        self.registry.observe_recovery(0.0)
+        own = _make_record("a", address="10.0.0.1:80", started_ms=5)
+        other = _make_record("b", address="10.0.0.1:80", started_ms=9)
+        self.registry.put(own)
+        self.registry.put(
+            dataclasses.replace(other, service=ServiceId("unknown"))
+        )
+
+    def _list(self):
+        return [
+            record.instance for record in self.registry.list_service(_SERVICE)
+        ]
+
+    def test_address_stays_with_the_known_service(self):
+        """Guards against a registration that takes a replica's address."""
+        self.assertEqual([], self._list())
+        self.registry.set_services({_SERVICE})
+        self.assertEqual(["a"], self._list())
+
+    def test_service_that_becomes_known_is_used(self):
+        """Guards against replicas that are ignored after a new version."""
+        self.registry.set_services({_SERVICE})
+        self.registry.set_services({_SERVICE, ServiceId("unknown")})
+        self.assertEqual([], self._list())
+        found = self.registry.list_service(ServiceId("unknown"))
+        self.assertEqual(["b"], [record.instance for record in found])
