Omit the addresses of a zone whose entries have all ended

Cause: with hubs, an entry of another zone counted as dead only if the last report of its zone said so. After the end of a whole zone the last report stayed in force, and the hubs of the other zones renewed the liveness of its entries for ever; an entry that started without any report from a zone did the same.

Change: a hub reports an entry of another zone as dead if it has not heard of it for the silence timeout, as it already decides for its own responses.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -126,7 +126,6 @@
         self._registered_s: dict[InstanceId, float] = {}
         self._statuses: dict[InstanceId, _PeerStatus] = {}
         self._counts_by_zone: dict[str, tuple[float, Counts]] = {}
-        self._absent_by_zone: dict[str, frozenset[str]] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._task: asyncio.Task | None = None
         self._malformed_count = 0
@@ -362,7 +361,9 @@
             if member.zone == self._own.zone:
                 is_absent = not self._is_neighbour_alive(name, now_s)
             else:
-                is_absent = name in self._absent_by_zone.get(member.zone, ())
+                # Without reports from a hub of the zone, its entries count as
+                # dead after a time, since all of them may have ended.
+                is_absent = not self._is_alive(name, now_s)
             if is_absent:
                 absent.append(name)
         return absent
@@ -506,8 +507,6 @@
     ) -> None:
         """Applies the liveness that a hub reports."""
         member = self._members.get(hub)
-        if kind == _ZONE and member is not None:
-            self._absent_by_zone[member.zone] = absent
         for name, other in self._members.items():
             if name == hub or (
                 kind == _ZONE and (member is None or other.zone != member.zone)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
@@ -42,21 +42,28 @@
         self.dead = set()
         self.peers = {}
         self.states = {}
-        members = {}
-        number = 0
+        self.members = {}
         for zone in zones:
             for index in range(entries_per_zone):
-                number += 1
+                number = len(self.members) + 1
                 name = InstanceId(f"{zone}-{index}")
                 address = f"10.0.0.1:{number}"
-                members[name] = Member(
+                self.members[name] = Member(
                     name, zone, f"10.0.1.1:{number}", address
                 )
-        for name, member in members.items():
+        self._by_address = {
+            member.peer_address: name for name, member in self.members.items()
+        }
+        self.restart(self.members)
+
+    def restart(self, names):
+        """Starts entries that read the registrations of all entries."""
+        for name in list(names):
+            member = self.members[name]
             state = EntryState(
                 self.clock,
                 ZoneId(member.zone),
-                random.Random(number),
+                random.Random(len(self.members)),
                 RetryBudgetParameters(),
                 2.0,
             )
@@ -64,13 +71,10 @@
                 member, state, random.Random(1), self.newer_revisions.append
             )
             peers.connection_made(_Transport(self, member.peer_address))
+            peers.set_members(self.members)
             self.peers[name] = peers
             self.states[name] = state
-        self._by_address = {
-            member.peer_address: name for name, member in members.items()
-        }
-        for peers in self.peers.values():
-            peers.set_members(members)
+            self.dead.discard(name)
 
     def deliver(self, data, sender, receiver):
         name = self._by_address[receiver]
@@ -316,3 +320,98 @@
         )
         network.run(1)
         self.assertEqual(6, self._count_avoiding(network))
+
+
+class TestAddressesOfEndedEntries(testtools.TestCase):
+    """The address of an entry that ended is omitted within 7 s.
+
+    Load pattern: entries are killed, also a whole zone or all of them, while
+    the store keeps their registrations for up to 15 s or does not respond.
+    """
+
+    _LIMIT_TICKS = 70
+
+    def _kill(self, network, names):
+        """Kills entries; returns the listed addresses after the limit."""
+        network.dead.update(names)
+        network.run(self._LIMIT_TICKS)
+        return {
+            name: set(network.peers[name].list_addresses("a", 64))
+            for name in network.peers
+            if name not in network.dead
+        }
+
+    def _check(self, entries_per_zone, choose):
+        network = _Network(["a", "b", "c"], entries_per_zone)
+        network.run(30)
+        killed = {name for name in network.peers if choose(name)}
+        stale = {network.members[name].caller_address for name in killed}
+        for name, listed in self._kill(network, killed).items():
+            self.assertEqual(set(), listed & stale, name)
+            self.assertEqual(
+                len(network.peers) - len(killed), len(listed), name
+            )
+
+    def test_one_entry(self):
+        """Guards against a stale address after the end of one entry."""
+        for size in (2, 6):
+            self._check(size, lambda name: name == "b-1")
+
+    def test_hubs(self):
+        """Guards against a stale address of a hub, or of all hubs."""
+        self._check(6, lambda name: name == "b-0")
+        self._check(6, lambda name: name.endswith("-0"))
+
+    def test_both_hub_candidates(self):
+        """Guards against a zone whose hub and next hub end together."""
+        self._check(6, lambda name: name in ("b-0", "b-1"))
+
+    def test_whole_zone(self):
+        """Guards against a zone that nobody reports as absent any more."""
+        for size in (2, 6):
+            self._check(size, lambda name: name.startswith("b-"))
+
+    def test_all_but_one_entry(self):
+        """Guards against addresses that one entry keeps alone."""
+        for size in (2, 6):
+            self._check(size, lambda name: name != "c-1")
+
+    def test_killed_and_restarted_entries(self):
+        """Guards against addresses of former processes after a restart.
+
+        All entries are killed; some of them are started again, under the same
+        names and while the store lists all former registrations.
+        """
+        for size in (2, 6):
+            network = _Network(["a", "b", "c"], size)
+            network.run(30)
+            stale = {
+                member.caller_address
+                for name, member in network.members.items()
+                if name.startswith("b-")
+            }
+            network.dead.update(network.peers)
+            network.run(5)
+            network.restart(
+                name for name in network.peers if not name.startswith("b-")
+            )
+            network.run(self._LIMIT_TICKS)
+            for name in network.peers.keys() - network.dead:
+                listed = network.peers[name].list_addresses("a", 64)
+                self.assertEqual(set(), stale & set(listed), name)
+                self.assertEqual(2 * size, len(listed), name)
+
+    def test_store_reloads_do_not_renew_an_address(self):
+        """Guards against an address that each reload of the store renews."""
+        for size in (2, 6):
+            network = _Network(["a", "b", "c"], size)
+            network.run(30)
+            network.dead.add("b-1")
+            for _ in range(7):
+                network.run(10)
+                for name in network.peers.keys() - network.dead:
+                    network.peers[name].set_members(network.members)
+            stale = network.members["b-1"].caller_address
+            for name in network.peers.keys() - network.dead:
+                listed = network.peers[name].list_addresses("a", 64)
+                self.assertNotIn(stale, listed, name)
