Bound the bytes held for callers that read slowly

Cause: a caller that pipelines requests without reading got response after response into the write buffer (30 MB after 120 requests of 250 kB), the bodies of up to 16 pipelined requests were held (15 MB of 1 MB each), and the sum over many slow callers had no bound (83 MB for 400 callers with one response each).

Change: the next pipelined request waits until the response before it is read, at most for the idle timeout; reading pauses while more than 64 KiB wait behind the request in progress; above 32 MiB of unread responses the connection that has been slow for the longest time is aborted (event 1322, counter slow_callers). A caller counts as slow above 16 KiB.

An endless response (610 kB) and a replica that does not read bodies (the bodies in its slots) were bounded before.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -26,7 +26,7 @@
 from chicoryplank_entry.forwarding.logs import LineWriter
 from chicoryplank_entry.forwarding.maps import MapController, RankPortFactory
 from chicoryplank_entry.forwarding.members import Member
-from chicoryplank_entry.forwarding.metrics import render_metrics
+from chicoryplank_entry.forwarding.metrics import METRICS, render_metrics
 from chicoryplank_entry.forwarding.peers import Peers
 from chicoryplank_entry.forwarding.registration import Registration
 from chicoryplank_entry.forwarding.reload import SettingsReload
@@ -124,6 +124,11 @@
     )
 
 
+def _observe_unread(unread_bytes: int) -> None:
+    emit(Event.SLOW_CALLER_ABORTED, unread_bytes=unread_bytes)
+    METRICS.count_slow_caller()
+
+
 class ForwardingEntry:
     """One entry with all its components.
 
@@ -281,6 +286,7 @@
             self.state.now_s,
             lambda: self.state.is_draining,
             connections,
+            on_unread=_observe_unread,
         )
         listener = self._adapter.listeners.get(address)
         if listener is None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
@@ -51,6 +51,7 @@
         self._crashes: collections.Counter[str] = collections.Counter()
         self._holds: collections.Counter[str] = collections.Counter()
         self._skipped_responses = 0
+        self._slow_callers = 0
         self._first_output: dict[str, _Latencies] = {}
         self._total: dict[str, _Latencies] = {}
 
@@ -99,6 +100,10 @@
         """Counts a response of a replica to another request."""
         self._skipped_responses += 1
 
+    def count_slow_caller(self) -> None:
+        """Counts a connection aborted for the memory of unread responses."""
+        self._slow_callers += 1
+
     def observe_first_output(self, route: str, elapsed_s: float) -> None:
         """Records the time to the first output."""
         _get_latencies(self._first_output, route).observe(elapsed_s)
@@ -179,6 +184,11 @@
             "Responses of replicas to other requests, which were skipped.",
             value=self._skipped_responses,
         )
+        yield CounterMetricFamily(
+            "chicoryplank_forwarding_slow_callers",
+            "Connections of slow callers aborted for the memory they took.",
+            value=self._slow_callers,
+        )
         for name, text, label, table in (
             (
                 "chicoryplank_forwarding_first_seconds",
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
@@ -11,10 +11,19 @@
 from chicoryplank.traffic import ClientLimits
 from chicoryplank_wire.client_connection import set_socket_options
 
-# Number of pipelined requests that may be queued on one connection.
 # Bytes of a head beside target and headers: method, version, line ends.
 _REQUEST_LINE_BYTES = 1_024
+# Number of pipelined requests that may be queued on one connection.
 _MAX_PIPELINED = 16
+# Bytes of their bodies above which reading pauses until the request in progress
+# has ended.
+_MAX_QUEUED_BYTES = 65_536
+# Unread bytes above which a caller counts as reading slowly. At 2,000
+# connections, the bytes below it take 33 MB.
+_SLOW_CALLER_BYTES = 16_384
+# Unread bytes of all slow callers above which the connection of the slowest one
+# is aborted. The smallest instances have 200 MB.
+_MAX_UNREAD_BYTES = 33_554_432
 # Additional time before an idle connection is closed, so that a request sent
 # just before the idle timeout still arrives.
 _IDLE_SLACK_S = 1.0
@@ -146,6 +155,9 @@
         now_s: Returns the current time in seconds.
         is_draining: Whether connections close after their next response.
         connections: All open connections, which a shutdown has to close.
+        slow_connections: Those whose callers read slowly, the slowest first.
+        on_unread: Called with the number of unread bytes before the connection
+            of a caller is aborted because slow callers use too much memory.
     """
 
     handle: Handler
@@ -153,6 +165,10 @@
     now_s: Callable[[], float]
     is_draining: Callable[[], bool]
     connections: set["CallerConnection"]
+    slow_connections: dict["CallerConnection", None] = dataclasses.field(
+        default_factory=dict
+    )
+    on_unread: Callable[[int], None] = lambda unread_bytes: None
 
 
 class CallerConnection(asyncio.Protocol):
@@ -183,6 +199,8 @@
         self._bytes_outside_body = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._queued_bytes = 0
+        self._is_reading_paused = False
         self._receive_started_s: float | None = None
         self._last_active_s = 0.0
 
@@ -195,9 +213,15 @@
             and self._receive_started_s is None
         )
 
+    @property
+    def unread_bytes(self) -> int:
+        """Number of bytes that the caller has not read yet."""
+        return self._transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Registers the connection and starts its timeout checks."""
         self._transport = transport
+        transport.set_write_buffer_limits(high=_SLOW_CALLER_BYTES)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             set_socket_options(sock)
@@ -293,6 +317,7 @@
             self.reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         elif not self._rejected:
             self._body.append(data)
+            self._limit_queue()
 
     def on_message_complete(self) -> None:
         """Queues the complete request and starts it if none is in progress."""
@@ -312,6 +337,9 @@
             self._parser.get_http_version() == _KEEP_ALIVE_VERSION,
         )
         self._receive_started_s = None
+        self._body = []
+        self._body_bytes = 0
+        self._queued_bytes += len(request.body)
         self._queued.append((request, reply))
         if len(self._queued) > _MAX_PIPELINED:
             self.reject(http.HTTPStatus.BAD_REQUEST)
@@ -320,20 +348,55 @@
 
     def _start_next(self) -> None:
         request, reply = self._queued.popleft()
+        self._queued_bytes -= len(request.body)
         self._task = asyncio.get_running_loop().create_task(
             self._handle_request(request, reply)
         )
 
+    def _limit_queue(self) -> None:
+        """Pauses reading if requests behind the current one are large."""
+        queued_bytes = self._queued_bytes + self._body_bytes
+        if self._task is not None and queued_bytes > _MAX_QUEUED_BYTES:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        queued_bytes = self._queued_bytes + self._body_bytes
+        if self._is_reading_paused and (
+            self._task is None or queued_bytes <= _MAX_QUEUED_BYTES
+        ):
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+
+    async def _wait_until_read(self) -> bool:
+        """Waits until the caller has read the response before this one.
+
+        Returns:
+            False if it did not within the idle timeout.
+        """
+        if self._write_resumed is None:
+            return True
+        limit = self._hooks.get_limits().idle_timeout.total_seconds()
+        try:
+            async with asyncio.timeout(limit):
+                await self.drain()
+        except TimeoutError:
+            return False
+        return True
+
     async def _handle_request(
         self, request: ReceivedRequest, reply: Reply
     ) -> None:
         try:
-            await self._hooks.handle(request, reply)
+            # Without a response, the connection is aborted below.
+            if await self._wait_until_read():
+                await self._hooks.handle(request, reply)
         finally:
             self._task = None
             self._last_active_s = self._hooks.now_s()
             if not self._closed:
                 self._finish_response(reply)
+                self._resume_reading()
 
     def _finish_response(self, reply: Reply) -> None:
         """Closes the connection or starts the next queued request."""
@@ -355,6 +418,7 @@
             return
         self._rejected = True
         self._queued.clear()
+        self._queued_bytes = 0
         if self._task is None:
             Reply(self, False, True).send(status, (), b"")
             self._transport.close()
@@ -365,12 +429,30 @@
             self._transport.write(data)
 
     def pause_writing(self) -> None:
-        """Makes drain wait, as the write buffer is full."""
+        """Makes drain wait, as the write buffer is full.
+
+        Aborts the connections that have been slow for the longest time while
+        the unread bytes of all slow callers exceed the limit.
+        """
         if self._write_resumed is None:
             self._write_resumed = asyncio.get_running_loop().create_future()
+        slow = self._hooks.slow_connections
+        slow[self] = None
+        unread_bytes = sum(connection.unread_bytes for connection in slow)
+        while unread_bytes > _MAX_UNREAD_BYTES and slow:
+            connection = next(iter(slow))
+            del slow[connection]
+            unread_bytes -= connection.unread_bytes
+            self._hooks.on_unread(connection.unread_bytes)
+            connection.abort()
+
+    def abort(self) -> None:
+        """Closes the connection immediately and discards unsent data."""
+        self._transport.abort()
 
     def resume_writing(self) -> None:
         """Wakes the task that waits in drain."""
+        self._hooks.slow_connections.pop(self, None)
         waiter, self._write_resumed = self._write_resumed, None
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -298,6 +298,12 @@
         "replica {replica} is not used: its service {service} is not "
         "configured",
     )
+    SLOW_CALLER_ABORTED = (
+        1322,
+        logbook.WARNING,
+        "connection of a slow caller aborted with {unread_bytes} unread bytes, "
+        "since unread responses take too much memory",
+    )
     REGISTRATION_FAILED = (
         1308,
         logbook.WARNING,
