--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
@@ -10,7 +10,12 @@
     make_part_feature,
     make_request_feature,
 )
-from chicoryplank.traffic import RequestKind, Route, choose_service
+from chicoryplank.traffic import (
+    RequestKind,
+    Route,
+    TrafficConfiguration,
+    choose_service,
+)
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry.forwarding.fields import (
     HOP_BY_HOP,
@@ -33,6 +38,7 @@
 _MAX_URGENCY = 9
 _RESUME_URGENCY = 0
 _MAX_PROMPT_PARTS = 64
+_MAX_COUNT_DIGITS = 12
 _MAX_PART_ID_LENGTH = 64
 
 
@@ -204,6 +210,8 @@
     left_s = _parse_time_left(names, request)
     timeout_s = route.timeout.total_seconds()
     service = choose_service(route, state.rng)
+    prompt = request.get(names.prompt_parts) or ""
+    _check_memory(configuration, service, prompt)
     priority = route.priority
     if account is not None:
         priority = configuration.priorities.get(account, priority)
@@ -218,10 +226,36 @@
         priority,
         request.received_s + min(left_s, timeout_s),
         request.received_s + left_s,
-        prompt=request.get(names.prompt_parts) or "",
+        prompt=prompt,
     )
 
 
+def _check_memory(
+    configuration: TrafficConfiguration, service: ServiceId, prompt: str
+) -> None:
+    """Refuses a prompt that no replica of the service can hold.
+
+    The token counts of the parts are cumulative. A replica crashes if its
+    requests exceed its memory, and so would the next one after a retry.
+
+    Raises:
+        ChicoryplankError: If the prompt is too long.
+    """
+    known = configuration.services.get(service)
+    if known is None or known.engine is None or not known.engine.memory_tokens:
+        return
+    text = prompt.rpartition(",")[2].rpartition(":")[2].strip()
+    # Other text does not tell the length of the prompt.
+    if not text.isdecimal() or len(text) > _MAX_COUNT_DIGITS:
+        return
+    if int(text) > known.engine.memory_tokens:
+        raise ChicoryplankError(
+            ErrorCode.REQUEST_TOO_LARGE,
+            f"the prompt has {text} tokens; a replica of {service} holds "
+            f"{known.engine.memory_tokens}",
+        )
+
+
 def _authenticate(
     state: EntryState, request: ReceivedRequest, route: Route
 ) -> AccountId | None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -273,6 +273,7 @@
                     self._pool.release(backend, connection)
                     self._end_attempt(call, replica, None)
                     continue
+                return self._write_request(call, replica, backend, connection)
             except ConnectionBrokenError as error:
                 self._end_attempt(call, replica, False)
                 call.tried_replicas.add(replica.instance)
@@ -284,7 +285,6 @@
             except BaseException:
                 self._end_attempt(call, replica, None)
                 raise
-            return self._write_request(call, replica, backend, connection)
 
     def _has_withdrawn(self, replica: ReplicaRecord) -> bool:
         """Returns whether a chosen replica takes no request any more.
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from chicoryplank.traffic import RequestKind
+from chicoryplank.traffic import EngineProfile, RequestKind
 from chicoryplank_entry.forwarding.parameters import ExchangeParameters
 from chicoryplank_entry.forwarding.tests.harness import (
     LOCKSTEP_ENGINE,
@@ -51,6 +51,36 @@
         self.assertEqual("signed", headers["x-proof"])
         self.assertEqual("5", headers["x-other"])
 
+    def test_prompt_beyond_the_memory_is_refused(self):
+        """Guards against a prompt that crashes one replica after another."""
+        for prompt, expected in (
+            ("shared:40,own:1000", 200),
+            ("shared:40,own:1001", 413),
+            ("shared:40,own:x", 200),
+            ("own:" + "9" * 2000, 200),
+        ):
+            replica = Replica(respond())
+            status, _, _ = self.send_request(
+                replica,
+                request={"Prompt-Parts": prompt},
+                engine=EngineProfile(slots=2, memory_tokens=1000),
+            )
+            self.assertEqual(expected, status, prompt[:50])
+            self.assertEqual(status == 200, bool(replica.requests))
+
+    def test_request_that_cannot_be_encoded_holds_no_slot(self):
+        """Guards against slots that are lost to an account's name."""
+
+        async def run():
+            async with EntryFixture(Replica(respond())) as fixture:
+                fixture.configuration.accounts["key-1"] = "\u0434"
+                status, _, _ = await fixture.send_request()
+                return status, fixture.state.occupancy.get_own_counts()
+
+        status, counts = asyncio.run(run())
+        self.assertEqual({}, counts)
+        self.assertEqual(503, status)
+
     def test_request_is_forwarded_unchanged(self):
         """Guards against an altered request or a leaked API key."""
         replica = Replica(respond())
