Find warnings and differences in config check

Cause: config check lists only errors, without line and column.

Change: the library adds positions, warnings about values that never take effect or contradict each other, and differences from a version in force or from other settings, with the effect on callers. Exit code 1 for warnings.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/_output.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/_output.py
@@ -10,6 +10,7 @@
 
 from chicoryplank.configuration import (
     ChangeRecord,
+    CheckReport,
     GroupNeed,
     InsufficientCapacityError,
     InvalidInputError,
@@ -40,6 +41,32 @@
     click.echo(json.dumps(document, indent=2) if as_json else text)
 
 
+def write_check_report(
+    file: str, kind: str, report: CheckReport, as_json: bool
+) -> None:
+    """Writes the result of a check and exits with its code."""
+    document: dict[str, object] = {
+        "file": file,
+        "kind": kind,
+        "valid": report.error is None,
+        "findings": [
+            {**dataclasses.asdict(item), "severity": item.severity.value}
+            for item in report.findings
+        ],
+        "changes": list(report.changes),
+    }
+    lines = [f"{file}:{finding}" for finding in report.findings]
+    lines += [f"{file}: {change}" for change in report.changes]
+    if report.error is None:
+        lines.append(f"{file}: valid ({kind})")
+    else:
+        document.update(encode_error(report.error))
+    write_result(document, "\n".join(lines), as_json)
+    if report.error is not None and not as_json:
+        click.echo(str(report.error).partition("\n")[0], err=True)
+    sys.exit(report.exit_code)
+
+
 def encode_change_record(record: ChangeRecord) -> dict[str, object]:
     """Returns the JSON form of a change record."""
     return {
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/cli.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/cli.py
@@ -10,13 +10,18 @@
     ChangeRecord,
     Confirmation,
     Intent,
+    InvalidInputError,
     Plan,
     PlanSupersededError,
     SettingsKind,
+    Snapshot,
     SnapshotReader,
+    check_intent,
+    check_settings,
     confirm_plan,
     create_plan,
     decode_plan,
+    decode_shown_version,
     delete_unreferenced_parts,
     detect_file_kind,
     diff_snapshots,
@@ -28,7 +33,7 @@
     parse_settings,
     read_history,
 )
-from chicoryplank.errors import ErrorCode
+from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.ids import ConfigVersion, OperationId
 from chicoryplank.store import Store
 from chicoryplank_entry._options import (
@@ -42,9 +47,10 @@
 from chicoryplank_entry._output import (
     encode_change_record,
     handle_errors,
+    write_check_report,
     write_result,
 )
-from chicoryplank_entry._platform import Platform, Target
+from chicoryplank_entry._platform import Platform, Target, make_target
 from chicoryplank_entry._status import format_status, read_status
 
 
@@ -230,18 +236,75 @@
     type=click.Choice(["entry", "agent", "intent"]),
     help="Kind of the file; detected from its fields by default.",
 )
+@click.option(
+    "--against",
+    help="Version in force (its number, or the output of config show --json), "
+    "or for settings another file; shows the differences.",
+)
+@click.option(
+    "--memory-mb",
+    type=click.IntRange(1),
+    help="Memory of the smallest instance.",
+)
+@click.option(
+    "--settings",
+    type=click.Path(),
+    help="Settings of any entry of the site, to read a version in force.",
+)
 @JSON_OPTION
+@click.pass_obj
 @handle_errors
-def check_command(*, file, kind, as_json):
-    """Checks a settings or intent file and lists every error."""
+def check_command(
+    platform, *, file, kind, against, memory_mb, settings, as_json
+):
+    """Checks a settings or intent FILE and lists all errors and warnings.
+
+    Exits with 0 if nothing was found, 1 for warnings and 2 for errors.
+    """
     text = read_text(file, ErrorCode.INVALID_SETTINGS)
-    kind = kind or detect_file_kind(text)
+    kind = kind or _detect_kind(text)
+    memory_bytes = None if memory_mb is None else memory_mb * 1_000_000
     if kind == "intent":
-        parse_intent(text)
+        version = None
+        if against is not None:
+            version = _read_version(platform, against, settings)
+        report = check_intent(text, version)
     else:
-        parse_settings(text, SettingsKind(kind))
-    document = {"file": file, "kind": kind, "valid": True}
-    write_result(document, f"{file}: valid ({kind})", as_json)
+        known = None
+        if against is not None:
+            against_text = read_text(against, ErrorCode.INVALID_SETTINGS)
+            known = parse_settings(against_text, SettingsKind(kind))
+        report = check_settings(text, SettingsKind(kind), memory_bytes, known)
+    write_check_report(file, kind, report, as_json)
+
+
+def _detect_kind(text: str) -> str:
+    """Returns the kind of a file; that of an entry if it is unreadable."""
+    try:
+        return detect_file_kind(text)
+    except InvalidInputError:
+        return SettingsKind.ENTRY.value
+
+
+def _read_version(
+    platform: Platform, against: str, settings: str | None
+) -> Snapshot:
+    """Returns the version in force, from a file or from the store."""
+    if not against.isdecimal():
+        return decode_shown_version(
+            read_text(against, ErrorCode.INVALID_INTENT)
+        )
+    if settings is None:
+        raise click.UsageError("a version number needs --settings")
+    reader = SnapshotReader()
+    target = make_target(platform, read_settings(settings))
+    _run_with_store(target, reader.refresh)
+    if reader.snapshot.version != int(against):
+        raise ChicoryplankError(
+            ErrorCode.INVALID_INTENT,
+            f"version {against} is not in force, but {reader.snapshot.version}",
+        )
+    return reader.snapshot
 
 
 @config_group.command("show")
--- a/packages/chicoryplank/src/chicoryplank/configuration/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/__init__.py
@@ -34,6 +34,16 @@
     encode_intent,
     parse_intent,
 )
+from chicoryplank.configuration._lint import (
+    CheckCode,
+    CheckReport,
+    Finding,
+    Severity,
+    check_intent,
+    check_settings,
+    decode_shown_version,
+    locate_findings,
+)
 from chicoryplank.configuration._parts import (
     PART_PREFIX,
     ROOT_KEY,
@@ -79,6 +89,12 @@
     ServiceConfiguration,
     Snapshot,
 )
+from chicoryplank.configuration._traffic_lint import (
+    TrafficDocument,
+    TrafficEnvironment,
+    describe_traffic_changes,
+    find_traffic_warnings,
+)
 from chicoryplank.configuration._validators import (
     InvalidInputError,
     Problem,
@@ -86,6 +102,17 @@
 )
 
 __all__ = [
+    "locate_findings",
+    "find_traffic_warnings",
+    "describe_traffic_changes",
+    "check_settings",
+    "check_intent",
+    "TrafficEnvironment",
+    "TrafficDocument",
+    "Severity",
+    "Finding",
+    "CheckReport",
+    "CheckCode",
     "PART_PREFIX",
     "ROOT_KEY",
     "AccountConfiguration",
@@ -123,6 +150,7 @@
     "create_plan",
     "decode_plan",
     "decode_root",
+    "decode_shown_version",
     "delete_unreferenced_parts",
     "describe_settings",
     "detect_file_kind",
