Check the platform's configuration and describe the check

Cause: a document of the platform's configuration could not be checked before it was sent; entries ignore it as a whole at its first error.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/_output.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/_output.py
@@ -16,7 +16,9 @@
     InvalidInputError,
     PlanSupersededError,
     encode_changes,
+    encode_check_report,
     encode_plan,
+    format_check_report,
     format_plan,
 )
 from chicoryplank.errors import ChicoryplankError, ErrorCode
@@ -45,23 +47,11 @@
     file: str, kind: str, report: CheckReport, as_json: bool
 ) -> None:
     """Writes the result of a check and exits with its code."""
-    document: dict[str, object] = {
-        "file": file,
-        "kind": kind,
-        "valid": report.error is None,
-        "findings": [
-            {**dataclasses.asdict(item), "severity": item.severity.value}
-            for item in report.findings
-        ],
-        "changes": list(report.changes),
-    }
-    lines = [f"{file}:{finding}" for finding in report.findings]
-    lines += [f"{file}: {change}" for change in report.changes]
-    if report.error is None:
-        lines.append(f"{file}: valid ({kind})")
-    else:
+    document = encode_check_report(file, kind, report)
+    if report.error is not None:
         document.update(encode_error(report.error))
-    write_result(document, "\n".join(lines), as_json)
+    text = format_check_report(file, kind, report)
+    write_result(document, text, as_json)
     if report.error is not None and not as_json:
         click.echo(str(report.error).partition("\n")[0], err=True)
     sys.exit(report.exit_code)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_cli.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_cli.py
@@ -218,6 +218,31 @@
         problems = json.loads(result.stdout)["error"]["problems"]
         self.assertEqual(6, len(problems))
 
+    def test_check_against_the_version_in_force(self):
+        """Guards against a check that compares with another version."""
+        self.confirm_example()
+        path = self.write_intent(leaving={"add": ["toolroom-llm-00"]})
+        settings = str(_ROOT / "examples/kwinana/entry.json5")
+        arguments = ("config", "check", path, "--settings", settings)
+        result = self.run_command(*arguments, "--against", "1", "--json")
+        self.assertEqual(
+            ["instance toolroom-llm-00 drains; it gets no new requests"],
+            json.loads(result.stdout)["changes"],
+        )
+        result = self.run_command(*arguments, "--against", "7", code=2)
+        self.assertIn("version 7 is not in force, but 1", result.stderr)
+        shown = pathlib.Path(self.make_path("shown.json"))
+        shown.write_text(json.dumps(self.run_json("config", "show")))
+        result = self.run_command(
+            "config", "check", path, "--against", str(shown)
+        )
+        self.assertIn("toolroom-llm-00 drains", result.stdout)
+        again = self.write_intent(leaving={"remove": ["toolroom-llm-00"]})
+        result = self.run_command(
+            "config", "check", again, "--against", str(shown), code=2
+        )
+        self.assertIn("error CP1101", result.stdout)
+
     def test_history_and_collection(self):
         """Guards against a history without the operator of each change."""
         self.confirm_example()
--- a/packages/chicoryplank/src/chicoryplank/configuration/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/__init__.py
@@ -42,7 +42,10 @@
     check_intent,
     check_settings,
     decode_shown_version,
+    encode_check_report,
+    format_check_report,
     locate_findings,
+    make_warning,
 )
 from chicoryplank.configuration._parts import (
     PART_PREFIX,
@@ -103,6 +106,7 @@
 
 __all__ = [
     "locate_findings",
+    "make_warning",
     "find_traffic_warnings",
     "describe_traffic_changes",
     "check_settings",
@@ -156,12 +160,14 @@
     "detect_file_kind",
     "diff_snapshots",
     "encode_changes",
+    "encode_check_report",
     "encode_intent",
     "encode_plan",
     "encode_resource",
     "encode_resources",
     "encode_root",
     "format_changes",
+    "format_check_report",
     "format_plan",
     "is_address",
     "parse_intent",
--- a/packages/chicoryplank/src/chicoryplank/configuration/_lint.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_lint.py
@@ -109,6 +109,31 @@
         return 1 if severities else 0
 
 
+def encode_check_report(
+    file: str, kind: str, report: CheckReport
+) -> dict[str, object]:
+    """Returns the JSON form of the result of a check."""
+    return {
+        "file": file,
+        "kind": kind,
+        "valid": report.exit_code < 2,
+        "findings": [
+            {**dataclasses.asdict(item), "severity": item.severity.value}
+            for item in report.findings
+        ],
+        "changes": list(report.changes),
+    }
+
+
+def format_check_report(file: str, kind: str, report: CheckReport) -> str:
+    """Returns the result of a check as text, a line for each finding."""
+    lines = [f"{file}:{finding}" for finding in report.findings]
+    lines += [f"{file}: {change}" for change in report.changes]
+    if report.exit_code < 2:
+        lines.append(f"{file}: valid ({kind})")
+    return "\n".join(lines)
+
+
 def make_warning(code: CheckCode, path: str, message: str) -> Finding:
     """Returns a warning without a position."""
     return Finding(Severity.WARNING, code.value, path, f"{path}: {message}")
--- a/packages/chicoryplank/src/chicoryplank/configuration/_traffic_lint.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_traffic_lint.py
@@ -34,8 +34,8 @@
         services: Services.
         accounts: Accounts and their API keys.
         limits: Limits on requests.
-        fields: Name in the file of each attribute of a route, a service or the
-            limits that has another one there.
+        fields: Name in the file of each section, or attribute of a route, a
+            service or the limits, that has another one there.
     """
 
     routes: Sequence[Route]
@@ -46,6 +46,7 @@
 
     def make_path(self, section: str, index: int, attribute: str) -> str:
         """Returns the path of an attribute in the file."""
+        section = self.fields.get(section, section)
         return f"{section}[{index}].{self.fields.get(attribute, attribute)}"
 
 
@@ -254,14 +255,6 @@
             f"limits.{name}",
             f"an entry has {memory} bytes, and one body takes {body_bytes}",
         )
-    longest = max((route.timeout for route in document.routes), default=None)
-    if longest is not None and limits.head_timeout > longest:
-        name = document.fields.get("head_timeout", "head_timeout")
-        yield make_warning(
-            CheckCode.WITHOUT_EFFECT,
-            f"limits.{name}",
-            "is longer than the timeout of every route",
-        )
 
 
 def describe_traffic_changes(
