Do not eject replicas that cut off unread responses

Cause: a replica cuts off a response that stays unread for some seconds. If a slow caller was the reason, the end still counted as a failure of the replica, so three slow callers could eject it.

Change: the time for which a response waited for its caller is recorded; from 1 s on, a broken response says nothing about the replica in the routing statistics. The check for a crash is unchanged. Relaying also waits for the caller after the first 256 KiB of a response.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
@@ -209,6 +209,12 @@
         )
         METRICS.observe_first_output(self._call.route.name, self.first_output_s)
 
+    async def _wait_for_caller(self, attempt: Attempt, reply: Reply) -> None:
+        """Waits until the caller has read enough of the response."""
+        started_s = self._state.now_s()
+        await reply.drain()
+        attempt.caller_wait_s += self._state.now_s() - started_s
+
     async def _relay_body(self, attempt: Attempt, reply: Reply) -> None:
         response = attempt.response
         buffered: list[bytes] = []
@@ -216,7 +222,7 @@
         while data := await response.read():
             if reply.started:
                 reply.write(data)
-                await reply.drain()
+                await self._wait_for_caller(attempt, reply)
                 continue
             buffered.append(data)
             size += len(data)
@@ -224,6 +230,7 @@
                 self._start_reply(attempt, reply, response.content_length)
                 reply.write(b"".join(buffered))
                 buffered.clear()
+                await self._wait_for_caller(attempt, reply)
         if response.ends_at_close:
             await self._check_unframed_end(self._call, attempt)
         now_s = self._state.now_s()
@@ -268,7 +275,7 @@
                 self._start_reply(attempt, reply, None)
             reply.write(b"".join(events))
             self.last_event_id = splitter.last_event_id or self.last_event_id
-            await reply.drain()
+            await self._wait_for_caller(attempt, reply)
         if splitter.has_partial_event:
             raise ConnectionBrokenError(
                 BreakReason.CLOSED, "stream ended in the middle of an event"
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -57,6 +57,8 @@
         earlier_verdict: Verdict on the attempts before this one.
         first_output_s: Time when the replica began to respond with a success;
             None before.
+        caller_wait_s: Time for which its response was not read since the
+            caller read slowly, in seconds.
     """
 
     replica: ReplicaRecord
@@ -68,6 +70,7 @@
     has_carried_call: bool
     earlier_verdict: Verdict
     first_output_s: float | None = None
+    caller_wait_s: float = 0.0
 
 
 class EchoedId(enum.Enum):
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -49,6 +49,10 @@
 # Delay before a replica that can't be reached is tried again, if no other one
 # is left, in seconds.
 _CONNECTION_RETRY_DELAY_S = 0.05
+# Time in seconds for which a slow caller may keep a response unread until the
+# end of its connection is no longer held against the replica. Replicas cut off
+# such responses after some seconds.
+_MAX_CALLER_WAIT_S = 1.0
 _UNAVAILABLE = 503
 _RETRY_AFTER = "retry-after"
 _IS_LEAVING = "1"
@@ -375,7 +379,10 @@
                 return True
             succeeded = self._handle_failure_response(call, attempt, outcome)
         except ConnectionBrokenError as error:
-            succeeded = False
+            # A replica cuts off a response that stays unread, which says
+            # nothing about the replica.
+            if attempt.caller_wait_s < _MAX_CALLER_WAIT_S:
+                succeeded = False
             self._handle_broken_connection(call, attempt, error)
             if reply.started:
                 self._prepare_resume(call, relay, error)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_slow_readers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_slow_readers.py
@@ -29,6 +29,8 @@
 _TIMEOUT_S = 20.0
 # The two largest parts of a response that are written at once.
 _MAX_BYTES_PER_CALLER = 1_100_000
+# These, and the part that the replica has sent in the meantime.
+_MAX_BYTES_PER_RESPONSE = 1_400_000
 # At 4,100 descriptors, the callers of a small entry leave it a third of its
 # 200 MB.
 _MAX_BYTES = 66_000_000
@@ -62,6 +64,18 @@
         )
         return self
 
+    def record_connections(self):
+        """Returns a list to which each connection to a replica is added."""
+        opened = []
+        open_connection = self.pool.open
+
+        async def record(backend):
+            opened.append(await open_connection(backend))
+            return opened[-1]
+
+        self.pool.open = record
+        return opened
+
     async def connect_idle(self):
         """Returns the transport of a caller that does not read."""
         sock = socket.socket()
@@ -114,6 +128,65 @@
         greatest, _ = self._hold(_send_endlessly, make_request(), b"", b"")
         self.assertLess(greatest, _MAX_BYTES_PER_CALLER)
 
+    def test_unread_part_of_a_response(self):
+        """Guards against collecting what a replica sends meanwhile."""
+
+        async def run():
+            async with _Entry(Replica(_send_endlessly)) as entry:
+                opened = entry.record_connections()
+                transport = await entry.connect_idle()
+                transport.write(make_request())
+                greatest = 0
+                for _ in range(30):
+                    await asyncio.sleep(0.02)
+                    held = sum(
+                        connection._response._buffered
+                        for connection in opened
+                        if connection._response is not None
+                    )
+                    greatest = max(greatest, held + sum(entry.count_held()))
+                transport.abort()
+                return greatest
+
+        greatest = asyncio.run(asyncio.wait_for(run(), _TIMEOUT_S))
+        self.assertGreater(greatest, 0)
+        self.assertLess(greatest, _MAX_BYTES_PER_RESPONSE)
+
+    def test_replica_that_cuts_off_an_unread_response(self):
+        """Guards against ejecting replicas because of callers."""
+
+        async def cut_off(recorded, writer):
+            head = make_head(recorded, extra=("Transfer-Encoding: chunked",))
+            writer.write("\r\n".join([*head, "", ""]).encode())
+            with contextlib.suppress(TimeoutError):
+                while True:
+                    writer.write(_CHUNK)
+                    await asyncio.wait_for(writer.drain(), 1.2)
+            writer.transport.abort()
+            return False
+
+        async def run():
+            outcomes = []
+            async with _Entry(Replica(cut_off)) as entry:
+                end_request = entry.state.end_request
+
+                def record(state, instance, succeeded, *arguments, **more):
+                    outcomes.append(succeeded)
+                    end_request(state, instance, succeeded, *arguments, **more)
+
+                entry.state.end_request = record
+                transport = await entry.connect_idle()
+                transport.write(make_request(left_ms=5000))
+                await asyncio.sleep(1.6)
+                transport.resume_reading()
+                while not outcomes:
+                    await asyncio.sleep(0.02)
+                transport.abort()
+            return outcomes
+
+        outcomes = asyncio.run(asyncio.wait_for(run(), _TIMEOUT_S))
+        self.assertEqual([None], outcomes)
+
     def test_pipelined_responses(self):
         """Guards against responses that pile up behind an unread one."""
         data = make_request() * 15
@@ -184,14 +257,7 @@
             async with _Entry(
                 _IdleReplica(), kind=RequestKind.NON_IDEMPOTENT
             ) as entry:
-                opened = []
-                open_connection = entry.pool.open
-
-                async def record(backend):
-                    opened.append(await open_connection(backend))
-                    return opened[-1]
-
-                entry.pool.open = record
+                opened = entry.record_connections()
                 tasks = [
                     asyncio.create_task(
                         entry.send_request(
