--- a/packages/chicoryplank-entry/src/chicoryplank_entry/_output.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/_output.py
@@ -10,12 +10,15 @@
 
 from chicoryplank.configuration import (
     ChangeRecord,
+    CheckReport,
     GroupNeed,
     InsufficientCapacityError,
     InvalidInputError,
     PlanSupersededError,
     encode_changes,
+    encode_check_report,
     encode_plan,
+    format_check_report,
     format_plan,
 )
 from chicoryplank.errors import ChicoryplankError, ErrorCode
@@ -40,6 +43,20 @@
     click.echo(json.dumps(document, indent=2) if as_json else text)
 
 
+def write_check_report(
+    file: str, kind: str, report: CheckReport, as_json: bool
+) -> None:
+    """Writes the result of a check and exits with its code."""
+    document = encode_check_report(file, kind, report)
+    if report.error is not None:
+        document.update(encode_error(report.error))
+    text = format_check_report(file, kind, report)
+    write_result(document, text, as_json)
+    if report.error is not None and not as_json:
+        click.echo(str(report.error).partition("\n")[0], err=True)
+    sys.exit(report.exit_code)
+
+
 def encode_change_record(record: ChangeRecord) -> dict[str, object]:
     """Returns the JSON form of a change record."""
     return {
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -18,7 +18,10 @@
 from chicoryplank.ids import ModelGroupId, ZoneId
 from chicoryplank.lifecycle import Application
 from chicoryplank.store import Store
-from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
+from chicoryplank_entry.forwarding.backends import (
+    BackendPool,
+    make_backend_address,
+)
 from chicoryplank_entry.forwarding.cold_starts import add_cold_start_limit
 from chicoryplank_entry.forwarding.election import Election
 from chicoryplank_entry.forwarding.exchange import Exchange
@@ -27,7 +30,7 @@
 from chicoryplank_entry.forwarding.logs import LineWriter
 from chicoryplank_entry.forwarding.maps import MapController, RankPortFactory
 from chicoryplank_entry.forwarding.members import Member
-from chicoryplank_entry.forwarding.metrics import render_metrics
+from chicoryplank_entry.forwarding.metrics import METRICS, render_metrics
 from chicoryplank_entry.forwarding.peers import Peers
 from chicoryplank_entry.forwarding.registration import Registration
 from chicoryplank_entry.forwarding.reload import SettingsReload
@@ -129,6 +132,11 @@
     )
 
 
+def _observe_unread(unread_bytes: int) -> None:
+    emit(Event.SLOW_CALLER_ABORTED, unread_bytes=unread_bytes)
+    METRICS.count_slow_caller()
+
+
 class ForwardingEntry:
     """One entry with all its components.
 
@@ -236,12 +244,7 @@
 
     def _retain_backends(self) -> None:
         records = self.state.registry.list_all()
-        self._pool.retain(
-            {
-                BackendAddress(record.instance, record.address)
-                for record in records
-            }
-        )
+        self._pool.retain({make_backend_address(record) for record in records})
         self.exchange.crashes.retain(set(records))
         self.peers.pacing.observe_replicas(records)
 
@@ -300,6 +303,7 @@
             self.state.now_s,
             lambda: self.state.is_draining,
             connections,
+            on_unread=_observe_unread,
         )
         listener = self._adapter.listeners.get(address)
         if listener is None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -64,6 +64,8 @@
         first_output_s: Time when the replica began to respond with a success;
             None before.
         pace_outcome: What is still to be reported for the ramp of the replica.
+        caller_wait_s: Time for which its response was not read since the
+            caller read slowly, in seconds.
     """
 
     replica: ReplicaRecord
@@ -76,6 +78,7 @@
     earlier_verdict: Verdict
     first_output_s: float | None = None
     pace_outcome: PaceOutcome | None = PaceOutcome.UNFINISHED
+    caller_wait_s: float = 0.0
 
 
 class EchoedId(enum.Enum):
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -6,7 +6,6 @@
 from chicoryplank.admission import WITHDRAWN, HoldReason
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank.events import Event, emit
-from chicoryplank.ids import InstanceId
 from chicoryplank.traffic import ReplicaRecord
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry.forwarding.admission import CallAdmission
@@ -19,7 +18,11 @@
     classify,
     is_idle_connection_closed,
 )
-from chicoryplank_entry.forwarding.backends import BackendAddress, BackendPool
+from chicoryplank_entry.forwarding.backends import (
+    BackendAddress,
+    BackendPool,
+    make_backend_address,
+)
 from chicoryplank_entry.forwarding.calls import Call, make_call
 from chicoryplank_entry.forwarding.crashes import Condition, CrashDetector
 from chicoryplank_entry.forwarding.fields import HeaderNames
@@ -49,6 +52,10 @@
 # Delay before a replica that can't be reached is tried again, if no other one
 # is left, in seconds.
 _CONNECTION_RETRY_DELAY_S = 0.05
+# Time in seconds for which a slow caller may keep a response unread until the
+# end of its connection is no longer held against the replica. Replicas cut off
+# such responses after some seconds.
+_MAX_CALLER_WAIT_S = 1.0
 _UNAVAILABLE = 503
 _RETRY_AFTER = "retry-after"
 _IS_LEAVING = "1"
@@ -263,7 +270,7 @@
             must_wait = replica is None
             if replica is None:
                 continue
-            backend = BackendAddress(replica.instance, replica.address)
+            backend = make_backend_address(replica)
             self._state.begin_request(
                 call.service_state, replica.instance, now_s
             )
@@ -272,15 +279,16 @@
                     replica.instance
                 )
                 if permit is None:
-                    self._end_attempt(call, replica.instance, None)
+                    self._end_attempt(call, replica, None)
                     continue
                 connection = await self._connect(call, backend)
                 if not self._may_write(call, replica, permit):
                     self._pool.release(backend, connection)
-                    self._end_attempt(call, replica.instance, None)
+                    self._end_attempt(call, replica, None)
                     continue
+                return self._write_request(call, replica, backend, connection)
             except ConnectionBrokenError as error:
-                self._end_attempt(call, replica.instance, False)
+                self._end_attempt(call, replica, False)
                 call.tried_replicas.add(replica.instance)
                 self._log.record_connection_failure(call, backend, error)
                 self._pace_reports.observe_connection_failure(
@@ -291,9 +299,8 @@
                     self.crashes.observe_refusal(replica)
                 continue
             except BaseException:
-                self._end_attempt(call, replica.instance, None)
+                self._end_attempt(call, replica, None)
                 raise
-            return self._write_request(call, replica, backend, connection)
 
     def _may_write(
         self, call: Call, replica: ReplicaRecord, permit: Permit
@@ -369,7 +376,6 @@
     ) -> bool:
         """Relays the response; returns False if another attempt is needed."""
         succeeded = None
-        instance = attempt.replica.instance
         try:
             await relay.wait_head(attempt)
             outcome = classify(self._names, attempt.response, call.request_id)
@@ -399,7 +405,10 @@
             self._pace_reports.observe_head(call, attempt, outcome)
             succeeded = self._handle_failure_response(call, attempt, outcome)
         except ConnectionBrokenError as error:
-            succeeded = False
+            # A replica cuts off a response that stays unread, which says
+            # nothing about the replica.
+            if attempt.caller_wait_s < _MAX_CALLER_WAIT_S:
+                succeeded = False
             self._pace_reports.observe_break(attempt, error)
             self._handle_broken_connection(call, attempt, error)
             if reply.started:
@@ -408,7 +417,7 @@
             self._log.record_skipped_responses(call, attempt)
             self._pool.release(attempt.backend, attempt.connection)
             self._pace_reports.report(call, attempt)
-            self._end_attempt(call, instance, succeeded)
+            self._end_attempt(call, attempt.replica, succeeded)
         return False
 
     async def _check_unframed_end(self, call: Call, attempt: Attempt) -> None:
@@ -528,8 +537,12 @@
         )
 
     def _end_attempt(
-        self, call: Call, instance: InstanceId, succeeded: bool | None
+        self, call: Call, replica: ReplicaRecord, succeeded: bool | None
     ) -> None:
         self._state.end_request(
-            call.service_state, instance, succeeded, self._state.now_s()
+            call.service_state,
+            replica.instance,
+            succeeded,
+            self._state.now_s(),
+            started_ms=replica.started_ms,
         )
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_exchange.py
@@ -51,6 +51,19 @@
         self.assertEqual("signed", headers["x-proof"])
         self.assertEqual("5", headers["x-other"])
 
+    def test_request_that_cannot_be_encoded_holds_no_slot(self):
+        """Guards against slots that are lost to an account's name."""
+
+        async def run():
+            async with EntryFixture(Replica(respond())) as fixture:
+                fixture.configuration.accounts["key-1"] = "\u0434"
+                status, _, _ = await fixture.send_request()
+                return status, fixture.state.occupancy.get_own_counts()
+
+        status, counts = asyncio.run(run())
+        self.assertEqual({}, counts)
+        self.assertEqual(503, status)
+
     def test_request_is_forwarded_unchanged(self):
         """Guards against an altered request or a leaked API key."""
         replica = Replica(respond())
--- a/packages/chicoryplank/src/chicoryplank/configuration/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/__init__.py
@@ -35,6 +35,19 @@
     encode_intent,
     parse_intent,
 )
+from chicoryplank.configuration._lint import (
+    CheckCode,
+    CheckReport,
+    Finding,
+    Severity,
+    check_intent,
+    check_settings,
+    decode_shown_version,
+    encode_check_report,
+    format_check_report,
+    locate_findings,
+    make_warning,
+)
 from chicoryplank.configuration._parts import (
     PART_PREFIX,
     ROOT_KEY,
@@ -80,6 +93,14 @@
     ServiceConfiguration,
     Snapshot,
 )
+from chicoryplank.configuration._traffic_changes import (
+    describe_traffic_changes,
+)
+from chicoryplank.configuration._traffic_lint import (
+    TrafficDocument,
+    TrafficEnvironment,
+    find_traffic_warnings,
+)
 from chicoryplank.configuration._validators import (
     InvalidInputError,
     Problem,
@@ -87,6 +108,18 @@
 )
 
 __all__ = [
+    "locate_findings",
+    "make_warning",
+    "find_traffic_warnings",
+    "describe_traffic_changes",
+    "check_settings",
+    "check_intent",
+    "TrafficEnvironment",
+    "TrafficDocument",
+    "Severity",
+    "Finding",
+    "CheckReport",
+    "CheckCode",
     "PART_PREFIX",
     "ROOT_KEY",
     "AccountConfiguration",
@@ -125,17 +158,20 @@
     "create_plan",
     "decode_plan",
     "decode_root",
+    "decode_shown_version",
     "delete_unreferenced_parts",
     "describe_settings",
     "detect_file_kind",
     "diff_snapshots",
     "encode_changes",
+    "encode_check_report",
     "encode_intent",
     "encode_plan",
     "encode_resource",
     "encode_resources",
     "encode_root",
     "format_changes",
+    "format_check_report",
     "format_plan",
     "is_address",
     "parse_intent",
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -334,6 +334,24 @@
         logbook.WARNING,
         "item {key} at revision {revision} ignored: {error}",
     )
+    REPLICA_RESTARTED = (
+        1320,
+        logbook.INFO,
+        "replica {replica} restarted: started at {started_ms}, before at "
+        "{former_ms}; {in_flight} requests of the former process discarded",
+    )
+    REPLICA_SERVICE_UNKNOWN = (
+        1321,
+        logbook.WARNING,
+        "replica {replica} is not used: its service {service} is not "
+        "configured",
+    )
+    SLOW_CALLER_ABORTED = (
+        1322,
+        logbook.WARNING,
+        "connection of a slow caller aborted with {unread_bytes} unread bytes, "
+        "since unread responses take too much memory",
+    )
     REGISTRATION_FAILED = (
         1308,
         logbook.WARNING,
--- a/packages/chicoryplank/src/chicoryplank/traffic/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/__init__.py
@@ -1,5 +1,6 @@
 """Routes, services and replicas for forwarding plain HTTP requests."""
 
+from chicoryplank.traffic._addresses import check_address
 from chicoryplank.traffic._evacuations import ZoneEvacuations
 from chicoryplank.traffic._model import (
     ClientLimits,
@@ -30,5 +31,6 @@
     "Share",
     "TrafficConfiguration",
     "ZoneEvacuations",
+    "check_address",
     "choose_service",
 ]
--- a/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_replicas.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
+from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId, ServiceId, ZoneId
 
 # Time for which the end of a replica is remembered, in seconds; longer than the
@@ -96,9 +97,20 @@
         self._ended: dict[InstanceId, tuple[float, ReplicaRecord]] = {}
         self._held_back: dict[InstanceId, tuple[float, ReplicaRecord]] = {}
         self._services: dict[ServiceId, tuple[ReplicaRecord, ...]] = {}
+        self._registered: set[InstanceId] = set()
+        self._known_services: frozenset[ServiceId] | None = None
+        self._reported: dict[InstanceId, ServiceId] = {}
         self._grace_end_s = float("-inf")
         self.is_connected = False
 
+    def set_services(self, services: Iterable[ServiceId]) -> None:
+        """Sets the services of the active configuration.
+
+        Until then, all services count as known.
+        """
+        self._known_services = frozenset(services)
+        self._index_by_service()
+
     def observe_outage(self) -> None:
         """Records that the store does not respond."""
         self.is_connected = False
@@ -204,6 +216,11 @@
             if now_s - ended_s >= _ENDED_MEMORY_S:
                 del self._ended[name]
 
+    def take_registered(self) -> set[InstanceId]:
+        """Returns the replicas that registered or restarted since last time."""
+        registered, self._registered = self._registered, set()
+        return registered
+
     def list_service(self, service: ServiceId) -> tuple[ReplicaRecord, ...]:
         """Returns the replicas of a service, ordered by id."""
         return self._services.get(service, ())
@@ -220,6 +237,8 @@
 
     def _store_record(self, record: ReplicaRecord) -> None:
         known = self._records.get(record.instance)
+        if known is None or known.started_ms != record.started_ms:
+            self._registered.add(record.instance)
         if (
             known is not None
             and known.state is ReplicaState.DRAINING
@@ -240,16 +259,44 @@
 
     def _index_by_service(self) -> None:
         latest: dict[str, ReplicaRecord] = {}
-        for record in self._records.values():
+        for record in self._list_with_known_service():
             other = latest.get(record.address)
             if other is None or record.start_order >= other.start_order:
                 latest[record.address] = record
         services: dict[ServiceId, list[ReplicaRecord]] = {}
         for instance in sorted(self._records):
             record = self._records[instance]
-            if latest[record.address] is not record:
+            if latest.get(record.address) is not record:
                 continue
             services.setdefault(record.service, []).append(record)
         self._services = {
             service: tuple(records) for service, records in services.items()
         }
+
+    def _list_with_known_service(self) -> list[ReplicaRecord]:
+        """Returns the registrations whose service is configured.
+
+        Another one must not displace a replica at the same address. It is
+        logged once.
+        """
+        services = self._known_services
+        if services is None:
+            return list(self._records.values())
+        unknown = {
+            instance: record.service
+            for instance, record in self._records.items()
+            if record.service not in services
+        }
+        for instance, service in unknown.items():
+            if self._reported.get(instance) != service:
+                emit(
+                    Event.REPLICA_SERVICE_UNKNOWN,
+                    replica=instance,
+                    service=service,
+                )
+        self._reported = unknown
+        return [
+            record
+            for instance, record in self._records.items()
+            if instance not in unknown
+        ]
