--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/cold_starts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/cold_starts.py
@@ -45,8 +45,9 @@
         self._buckets: dict[InstanceId, RateBucket] = {}
 
     def configure(self, parameters: ColdBoundParameters) -> None:
-        """Changes the bound; permits already granted still count."""
+        """Changes the bound; the buckets of the former one are discarded."""
         self._parameters = parameters
+        self._buckets.clear()
 
     def is_limited(self, instance: InstanceId, now_s: float) -> bool:
         """Returns whether a replica is cold."""
