Bound the time for which a replica may count as cold

Cause: a cold-start-s above 600 s gave questions for permits that issuers reject as out of range, so the replica got no request.

Change: the time is limited to 600 s, as it is in registrations.

--- a/packages/chicoryplank/src/chicoryplank/admission/_cold_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_cold_replicas.py
@@ -33,7 +33,8 @@
 _UNREGISTERED_MEMORY_S = 60.0
 # Maximum number of replicas; reports on further ones are rejected.
 _MAX_REPLICAS = 65_536
-# Longer times are not plausible for the start of a replica.
+# Longer times are not plausible for the start of a replica, and entries reject
+# reports of them.
 _MAX_COLD_S = 600.0
 
 
@@ -251,7 +252,7 @@
         cause: ColdCause,
         now_s: float,
     ) -> None:
-        until_s = now_s + duration.total_seconds()
+        until_s = now_s + min(duration.total_seconds(), _MAX_COLD_S)
         if until_s <= now_s:
             return
         if not self.is_cold(instance, now_s):
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/test_cold_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/test_cold_replicas.py
@@ -122,6 +122,11 @@
                 ValueError, self.cold.observe_report, _REPLICA, value, 11.0
             )
 
+    def test_implausible_time(self):
+        """Guards against a time that other entries reject in a question."""
+        remaining_s = self._read(10.0, remaining_s=1e6)
+        ColdReplicas().observe_report(_REPLICA, remaining_s, 10.0)
+
     def test_services_without_a_bound(self):
         """Guards against limits on services that do not ask for any."""
         for rate in (0.0, -1.0, float("nan"), float("inf")):
