Test the return of a replica at the issuer of its permits

Cause: removing the deduction of the request that asks failed no test. Change: a test of a return at an entry that issues its own permits. Result: it passes, and fails without the deduction.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_pacing.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_pacing.py
@@ -233,6 +233,15 @@
         self.assertGreater(waits_s[1], 0.0)
         self.assertEqual(sorted({issuer, other}), fleet.list_limited())
 
+    def test_return_at_the_issuer(self):
+        """Guards against a request that waits for its own end."""
+        fleet = RampingFleet(1)
+        fleet.start_replica()
+        fleet.run(11, 0)
+        fleet.get_pacing(fleet.get_issuer()).observe_return(_REPLICA)
+        fleet.run_backlog(TICK_S)
+        self.assertEqual(1, len(fleet.running))
+
 
 class TestReplicasThatRamp(testtools.TestCase):
     """Which replicas an entry ramps up."""
