--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_reload.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_reload.py
@@ -120,7 +120,9 @@
         """Guards against a bound that has no effect on a running entry."""
         entry = _make_entry()
         limit = entry.cold_starts
-        self.assertIn(limit, entry.peers.permits.limits)
+        self.assertEqual(
+            [entry.peers.pacing, limit], entry.peers.permits.limits
+        )
         bound = ColdBoundParameters(1.5, 5.0)
         changed = dataclasses.replace(_PARAMETERS, cold_bound=bound)
         with mock.patch.object(limit, "configure") as configure:
