End ramps when most ranks of a group have started

After a loss of power all ranks of a lock-step group start together. Each would ramp up from one request in progress, by one at a time, and no other rank could take the requests meanwhile. Such ramps now end at once; the bound on cold replicas still holds.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
@@ -91,7 +91,7 @@
         """Counts a ramp that ended at its issuer.
 
         Args:
-            result: "steady", "expired", "gone" or "disabled".
+            result: "steady", "expired", "gone", "disabled" or "widespread".
         """
         self._ramps[result] += 1
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/pacing.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/pacing.py
@@ -37,6 +37,10 @@
 # Time in seconds after an outage of a group in which its ranks return from
 # ejections that began during it.
 _OUTAGE_MEMORY_S = 5.0
+# Largest fraction of the ranks of a lock-step service that may ramp at the same
+# time. If more have started, as after a loss of power, the group has formed
+# again, and no other ranks could take the requests that the ramps withhold.
+_MAX_RAMPING_SHARE = 0.5
 _MAX_ELAPSED_S = 3_600.0
 # Time in seconds after which an issuer that does not know a replica is asked
 # again.
@@ -110,6 +114,23 @@
         registered = {record.instance for record in records}
         for instance in self._ramps.keys() - registered:
             self._end(instance, "gone")
+        if self._ramps:
+            self._end_widespread_ramps(records)
+
+    def _end_widespread_ramps(self, records: Sequence[ReplicaRecord]) -> None:
+        """Ends the ramps of lock-step services most of whose ranks started."""
+        totals = collections.Counter(record.service for record in records)
+        ramping: dict[ServiceId, list[InstanceId]] = {}
+        for record in records:
+            if record.instance in self._ramps:
+                ramping.setdefault(record.service, []).append(record.instance)
+        for service, instances in ramping.items():
+            if (
+                self._state.get_service(service).is_lockstep
+                and len(instances) > _MAX_RAMPING_SHARE * totals[service]
+            ):
+                for instance in instances:
+                    self._end(instance, "widespread")
 
     def observe_return(self, instance: InstanceId) -> None:
         """Begins the ramp of a replica that returns from an ejection.
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_pacing.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_pacing.py
@@ -305,6 +305,30 @@
         pacing.observe_return(_REPLICA)
         self.assertTrue(self._is_limited(pacing))
 
+    def test_ranks_that_start_with_their_group(self):
+        """Guards against ramps that withhold a whole group after a power loss.
+
+        Load pattern: most ranks of a lock-step group start at the same time,
+        and the callers of all entries wait for the group.
+        """
+        self._state.get_service(SERVICE).is_lockstep = True
+        for started, limited in ((4, 0), (3, 0), (2, 2), (1, 1)):
+            records = [
+                dataclasses.replace(
+                    self._make_record(1 if rank < started else 60),
+                    instance=InstanceId(f"rank-{rank}"),
+                    address=f"10.0.2.{rank}:1",
+                )
+                for rank in range(4)
+            ]
+            pacing = self._make_pacing(records)
+            found = [
+                record.instance
+                for record in records
+                if pacing.is_limited(record.instance, self._fleet.now_s)
+            ]
+            self.assertEqual(limited, len(found), started)
+
     def test_malformed_messages(self):
         """Guards against a message that stops the exchange."""
         pacing = self._make_pacing([self._make_record(5)])
