Count ended ramps when a group has started

The ranks of a group register one after the other after a loss of power. Once more than half of them had started, the ramps ended, but each rank that registered later began one again.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/pacing.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/pacing.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Callable, Mapping, Sequence
 
 from chicoryplank.admission import (
@@ -118,16 +119,26 @@
             self._end_widespread_ramps(records)
 
     def _end_widespread_ramps(self, records: Sequence[ReplicaRecord]) -> None:
-        """Ends the ramps of lock-step services most of whose ranks started."""
+        """Ends the ramps of lock-step services most of whose ranks started.
+
+        Ranks whose ramps have ended lately count too, since the ranks of a
+        group register one after the other.
+        """
+        now_s = self._state.now_s()
         totals = collections.Counter(record.service for record in records)
+        recent: collections.Counter[ServiceId] = collections.Counter()
         ramping: dict[ServiceId, list[InstanceId]] = {}
         for record in records:
-            if record.instance in self._ramps:
-                ramping.setdefault(record.service, []).append(record.instance)
+            instance = record.instance
+            if instance in self._ramps:
+                ramping.setdefault(record.service, []).append(instance)
+                recent[record.service] += 1
+            elif now_s - self._ended_s.get(instance, -math.inf) <= _MAX_RAMP_S:
+                recent[record.service] += 1
         for service, instances in ramping.items():
             if (
                 self._state.get_service(service).is_lockstep
-                and len(instances) > _MAX_RAMPING_SHARE * totals[service]
+                and recent[service] > _MAX_RAMPING_SHARE * totals[service]
             ):
                 for instance in instances:
                     self._end(instance, "widespread")
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_pacing.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_pacing.py
@@ -329,6 +329,30 @@
             ]
             self.assertEqual(limited, len(found), started)
 
+    def test_ranks_that_register_one_after_the_other(self):
+        """Guards against ramps of the second half of a group that starts."""
+        self._state.get_service(SERVICE).is_lockstep = True
+        records = [
+            dataclasses.replace(
+                self._make_record(60),
+                instance=InstanceId(f"rank-{rank}"),
+                address=f"10.0.2.{rank}:1",
+            )
+            for rank in range(4)
+        ]
+        pacing = self._make_pacing(records)
+        for rank in range(4):
+            records[rank] = dataclasses.replace(
+                records[rank], started_ms=self._make_record(0).started_ms
+            )
+            pacing.observe_replicas(records)
+        limited = [
+            record.instance
+            for record in records
+            if pacing.is_limited(record.instance, self._fleet.now_s)
+        ]
+        self.assertEqual([], limited)
+
     def test_malformed_messages(self):
         """Guards against a message that stops the exchange."""
         pacing = self._make_pacing([self._make_record(5)])
