--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/pacing.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/pacing.py
@@ -41,7 +41,9 @@
 # Largest fraction of the ranks of a lock-step service that may ramp at the same
 # time. If more have started, as after a loss of power, the group has formed
 # again, and no other ranks could take the requests that the ramps withhold.
-_MAX_RAMPING_SHARE = 0.5
+# Replicas may start under new ids, so that a group that starts is only half of
+# the registrations until the old ones have lapsed.
+_MAX_RAMPING_SHARE = 1 / 3
 _MAX_ELAPSED_S = 3_600.0
 # Time in seconds after which an issuer that does not know a replica is asked
 # again.
@@ -119,7 +121,7 @@
             self._end_widespread_ramps(records)
 
     def _end_widespread_ramps(self, records: Sequence[ReplicaRecord]) -> None:
-        """Ends the ramps of lock-step services most of whose ranks started.
+        """Ends the ramps of lock-step services many of whose ranks started.
 
         Ranks whose ramps have ended lately count too, since the ranks of a
         group register one after the other.
