Decide on admission by class of priority

Cause: a lock-step group is too slow for its streams long before its slots are in use, and requests of all routes are late alike. Change: ClassAdmission extrapolates from the recent gaps the number of requests in progress at which they meet their target, and refuses a growing fraction of each class above its threshold, with a floor for each class. SlotQueue can prefer classes that are served too rarely.

--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -4,6 +4,10 @@
 """
 
 from chicoryplank.admission._circuit_breaker import CircuitBreaker
+from chicoryplank.admission._class_admission import (
+    ClassAdmission,
+    ClassCount,
+)
 from chicoryplank.admission._entry_count import EntryCount
 from chicoryplank.admission._occupancy import Occupancy
 from chicoryplank.admission._output_times import OutputTimes
@@ -36,6 +40,8 @@
     "UNUSABLE",
     "WITHDRAWN",
     "CircuitBreaker",
+    "ClassAdmission",
+    "ClassCount",
     "EntryCount",
     "HoldReason",
     "Occupancy",
--- /dev/null
+++ b/packages/chicoryplank/src/chicoryplank/admission/_class_admission.py
@@ -0,0 +1,356 @@
+"""Shares the capacity of a service between routes of several priorities.
+
+Load pattern: a lock-step group runs its steps more slowly the more requests are
+in progress, so the gaps between events exceed their target long before all
+slots are in use, and requests of all routes are late alike. The number of
+requests in progress at which the gaps meet their target is estimated from the
+recent gaps. Above a part of it that depends on the priority, a growing fraction
+of the requests of a class is refused at once.
+"""
+
+import dataclasses
+import math
+import random
+from collections.abc import Iterable, Mapping
+
+# Time constants of the means in seconds. Gaps arrive every few milliseconds;
+# an entry sees few first outputs, and their times depend on the prompt.
+_GAP_DECAY_S = 0.4
+_FIRST_OUTPUT_DECAY_S = 2.0
+_ADMITTED_DECAY_S = 2.0
+# Age in seconds after which measurements no longer count.
+_MAX_AGE_S = 1.0
+# Largest ratio of a time to its target that counts. A group that was held ends
+# the hold with one long gap in each stream, which says nothing about its load.
+_MAX_RATIO = 2.0
+# Ratio of the times to their targets that the limit aims at, and the inverse of
+# the assumed part of a step that grows with the load.
+_SET_POINT = 0.95
+_GAIN = 1.6
+# Bound on the limit, as a fraction of all slots. Below it, long gaps have
+# another cause than the number of requests. Half of the slots would be more
+# than a lock-step group can run within the target.
+_MIN_LIMIT_SHARE = 0.25
+# Largest increase of the limit per second, as a fraction of all slots.
+_MAX_RISE_PER_S = 0.5
+# Fraction of the limit above which a class is refused in part, for the most
+# urgent class with demand; each less urgent class begins lower by _CLASS_STEP.
+_FIRST_THRESHOLD = 1.0
+_CLASS_STEP = 0.06
+_MIN_THRESHOLD = 0.5
+# Fraction of the limit between the first refusals of a class and the refusal
+# of all its requests. Counts of other entries are 0.1 to 0.2 s old, so that a
+# sharp threshold would let all entries admit and refuse together.
+_BAND = 0.12
+# Least probability of admission, as a fraction of the recent share of all
+# requests that were admitted. Each class must be served at least a quarter as
+# often as all requests.
+_FLOOR_SHARE = 0.35
+# Least share of admitted requests that the floor assumes, so that an entry
+# which refuses everything still tries.
+_MIN_ADMITTED_SHARE = 0.2
+# Time in seconds for which a class keeps its demand after its last request.
+_DEMAND_HOLD_S = 1.0
+# Largest delay that a refused caller is told, in seconds.
+_MAX_RETURN_S = 10.0
+# Time in seconds without a refusal after which a shortage has ended.
+_SHORTAGE_HOLD_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class ClassCount:
+    """Requests of one class over all entries.
+
+    Attributes:
+        in_progress: Requests at replicas.
+        waiting: Requests that wait for a slot.
+    """
+
+    in_progress: int = 0
+    waiting: int = 0
+
+
+class _DecayedMean:
+    """Mean of samples whose weights decay exponentially with their age.
+
+    Args:
+        decay_s: Time constant of the decay in seconds.
+    """
+
+    def __init__(self, decay_s: float) -> None:
+        self._decay_s = decay_s
+        self._weight = 0.0
+        self._sum = 0.0
+        self._square_sum = 0.0
+        self._load_sum = 0.0
+        self.updated_s = float("-inf")
+
+    def add(self, value: float, now_s: float, load: float = 0.0) -> None:
+        """Adds a sample and the requests in progress at that time."""
+        if now_s > self.updated_s:
+            decay = math.exp((self.updated_s - now_s) / self._decay_s)
+            self._weight *= decay
+            self._sum *= decay
+            self._square_sum *= decay
+            self._load_sum *= decay
+            self.updated_s = now_s
+        self._weight += 1.0
+        self._sum += value
+        self._square_sum += value * value
+        self._load_sum += load
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Returns whether the last sample is recent."""
+        return now_s - self.updated_s <= _MAX_AGE_S
+
+    @property
+    def mean(self) -> float:
+        """Weighted mean of the samples."""
+        return self._sum / self._weight if self._weight else 0.0
+
+    @property
+    def deviation(self) -> float:
+        """Weighted standard deviation of the samples."""
+        if not self._weight:
+            return 0.0
+        square = self._square_sum / self._weight
+        return math.sqrt(max(0.0, square - self.mean**2))
+
+    @property
+    def load(self) -> float:
+        """Weighted mean of the requests in progress."""
+        return self._load_sum / self._weight if self._weight else 0.0
+
+
+def _extrapolate(load: float, pressure: float) -> float:
+    """Returns the load at which the pressure is at its set point."""
+    ratio = _SET_POINT / max(pressure, 0.01)
+    return load * max(0.0, 1.0 + _GAIN * (ratio - 1.0))
+
+
+class ClassAdmission:
+    """Decides which requests of a service with several priorities are admitted.
+
+    Args:
+        priorities: Priorities of the routes of the service; 0 is the most
+            urgent.
+        rng: Random number generator.
+
+    References:
+        K. W. Ross, "Multiservice Loss Models for Broadband Telecommunication
+        Networks", Springer 1995, chapter 4 (trunk reservation).
+
+    Example:
+        >>> admission = ClassAdmission([0, 2], random.Random(1))
+        >>> admission.classify(1), admission.classify(3)
+        (0, 2)
+        >>> admission.try_admit(2, {}, slots=10, now_s=0.0)
+        True
+    """
+
+    def __init__(self, priorities: Iterable[int], rng: random.Random) -> None:
+        self._rng = rng
+        self._priorities: tuple[int, ...] = ()
+        self._gaps = _DecayedMean(_GAP_DECAY_S)
+        self._first_outputs = _DecayedMean(_FIRST_OUTPUT_DECAY_S)
+        self._admitted = _DecayedMean(_ADMITTED_DECAY_S)
+        self._limit: float | None = None
+        self._limit_s = 0.0
+        self._demand_s: dict[int, float] = {}
+        self._refused: dict[int, int] = {}
+        self._return_s: dict[int, float] = {}
+        self._refused_s = float("-inf")
+        self._is_short = False
+        self.configure(priorities)
+
+    @property
+    def priorities(self) -> tuple[int, ...]:
+        """Priorities of the classes, the most urgent first."""
+        return self._priorities
+
+    def configure(self, priorities: Iterable[int]) -> None:
+        """Replaces the priorities; measurements are kept.
+
+        Raises:
+            ValueError: If there is no priority.
+        """
+        self._priorities = tuple(sorted(set(priorities)))
+        if not self._priorities:
+            raise ValueError("priorities is empty")
+
+    def classify(self, priority: int) -> int:
+        """Returns the class of a request, whose account may have a priority.
+
+        The class is the one with the same priority, or else the next more
+        urgent one.
+        """
+        below = [item for item in self._priorities if item <= priority]
+        return below[-1] if below else self._priorities[0]
+
+    def observe_gap(self, ratio: float, load: float, now_s: float) -> None:
+        """Adds a gap between two events.
+
+        Args:
+            ratio: The gap as a fraction of its target.
+            load: Requests in progress over all entries.
+            now_s: Current time in seconds.
+        """
+        self._gaps.add(min(ratio, _MAX_RATIO), now_s, load)
+
+    def observe_first_output(
+        self, ratio: float, load: float, now_s: float
+    ) -> None:
+        """Adds a time to the first output, as a fraction of its target."""
+        self._first_outputs.add(min(ratio, _MAX_RATIO), now_s, load)
+
+    def get_limit(self, slots: int, now_s: float) -> float:
+        """Returns the requests in progress at which times meet their targets.
+
+        Args:
+            slots: Slots of all replicas.
+            now_s: Current time in seconds.
+        """
+        found = min(float(slots), self._estimate_limit(slots, now_s))
+        if self._limit is not None:
+            rise = _MAX_RISE_PER_S * slots * max(0.0, now_s - self._limit_s)
+            found = min(found, self._limit + rise)
+        self._limit = found
+        self._limit_s = now_s
+        return found
+
+    def _estimate_limit(self, slots: int, now_s: float) -> float:
+        """Returns the limit that follows from the recent measurements.
+
+        The time of a step is a constant plus a part that grows with the load.
+        The load at which it meets its target is extrapolated from the present
+        load with an assumed size of that part; a wrong assumption changes how
+        fast repeated estimates approach that load, not the load itself.
+        """
+        limit = float(slots)
+        if self._gaps.is_fresh(now_s):
+            pressure = self._gaps.mean + self._gaps.deviation
+            limit = min(limit, _extrapolate(self._gaps.load, pressure))
+        if self._first_outputs.is_fresh(now_s):
+            pressure = self._first_outputs.mean
+            limit = min(limit, _extrapolate(self._first_outputs.load, pressure))
+        return max(limit, _MIN_LIMIT_SHARE * slots)
+
+    def try_admit(
+        self,
+        priority: int,
+        counts: Mapping[int, ClassCount],
+        slots: int,
+        now_s: float,
+    ) -> bool:
+        """Returns whether a new request is admitted.
+
+        Args:
+            priority: Class of the request.
+            counts: Requests over all entries by class.
+            slots: Slots of all replicas.
+            now_s: Current time in seconds.
+        """
+        self._demand_s[priority] = now_s
+        limit = self.get_limit(slots, now_s)
+        load = sum(count.in_progress for count in counts.values())
+        end = self._get_threshold(priority, counts, now_s) + _BAND
+        chance = (end * limit - load) / max(_BAND * limit, 1.0)
+        is_admitted = self._rng.random() < max(chance, self._get_floor())
+        self._admitted.add(1.0 if is_admitted else 0.0, now_s)
+        if not is_admitted:
+            self._refused[priority] = self._refused.get(priority, 0) + 1
+            self._refused_s = now_s
+        return is_admitted
+
+    def _get_threshold(
+        self, priority: int, counts: Mapping[int, ClassCount], now_s: float
+    ) -> float:
+        """Returns the fraction of the limit that a class may fill.
+
+        Capacity that more urgent classes do not ask for is lent to it.
+        """
+        for known, count in counts.items():
+            if count.in_progress + count.waiting > 0:
+                self._demand_s[known] = now_s
+        more_urgent = sum(
+            other < priority
+            and now_s - self._demand_s.get(other, float("-inf"))
+            <= _DEMAND_HOLD_S
+            for other in self._priorities
+        )
+        return max(_MIN_THRESHOLD, _FIRST_THRESHOLD - _CLASS_STEP * more_urgent)
+
+    def _get_floor(self) -> float:
+        """Returns the least probability with which a request is admitted."""
+        if self._admitted.updated_s == float("-inf"):
+            return _FLOOR_SHARE
+        return _FLOOR_SHARE * max(_MIN_ADMITTED_SHARE, self._admitted.mean)
+
+    def schedule_return_s(
+        self,
+        priority: int,
+        counts: Mapping[int, ClassCount],
+        *,
+        duration_s: float,
+        entries: int,
+        slots: int,
+        now_s: float,
+    ) -> float:
+        """Returns the delay after which a refused caller may try again.
+
+        The first caller is told when the requests in progress are expected to
+        be below the threshold of the class, and each further one of the class
+        the time at which this entry can admit one more.
+
+        Args:
+            priority: Class of the request.
+            counts: Requests over all entries by class.
+            duration_s: Mean time that a request is in progress.
+            entries: Number of entries.
+            slots: Slots of all replicas.
+            now_s: Current time in seconds.
+        """
+        limit = max(1.0, self.get_limit(slots, now_s))
+        load = sum(count.in_progress for count in counts.values())
+        allowed = self._get_threshold(priority, counts, now_s) * limit
+        forecast_s = max(0.0, load - allowed) / max(load, 1) * duration_s
+        return_s = max(now_s + forecast_s, self._return_s.get(priority, 0.0))
+        return_s = min(return_s, now_s + _MAX_RETURN_S)
+        self._return_s[priority] = return_s + duration_s * entries / limit
+        return return_s - now_s
+
+    def list_below_floor(
+        self, counts: Mapping[int, ClassCount]
+    ) -> frozenset[int]:
+        """Returns the classes with waiting requests that are served too rarely.
+
+        Their share of requests in progress, among those that are in progress
+        or wait, is less than a quarter of the share of all classes.
+        """
+        total = sum(count.in_progress for count in counts.values())
+        asked = total + sum(count.waiting for count in counts.values())
+        return frozenset(
+            priority
+            for priority, count in counts.items()
+            if count.waiting
+            and 4 * count.in_progress * asked
+            < total * (count.in_progress + count.waiting)
+        )
+
+    def check_shortage(
+        self, now_s: float
+    ) -> tuple[bool, dict[int, int]] | None:
+        """Returns a change between shortage and none since the last call.
+
+        Returns:
+            Whether there is a shortage, and the refused requests by class since
+            it began; None if nothing has changed.
+        """
+        is_short = now_s - self._refused_s <= _SHORTAGE_HOLD_S
+        if is_short == self._is_short:
+            return None
+        self._is_short = is_short
+        refused = dict(self._refused)
+        if not is_short:
+            self._refused.clear()
+        return is_short, refused
--- a/packages/chicoryplank/src/chicoryplank/admission/_occupancy.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_occupancy.py
@@ -64,6 +64,11 @@
         if silent:
             self._sum_peers()
 
+    @property
+    def has_peers(self) -> bool:
+        """Whether counts of any other entry were received recently."""
+        return bool(self._peer_counts)
+
     def count(self, instance: InstanceId) -> int:
         """Returns the in-flight requests of a replica from all entries."""
         return self._own_counts[instance] + self._peer_total[instance]
--- a/packages/chicoryplank/src/chicoryplank/admission/_slot_queue.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_slot_queue.py
@@ -7,7 +7,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 # Weight of the newest sample in the moving average of the slot hold time.
 _DURATION_GAIN = 0.05
@@ -120,6 +120,11 @@
                 duration_s - self._mean_duration_s
             )
 
+    @property
+    def mean_duration_s(self) -> float | None:
+        """Mean time in seconds for which a request holds its slot."""
+        return self._mean_duration_s
+
     def estimate_wait(self, slots: float, free: float) -> float:
         """Returns the expected wait of one more request in seconds.
 
@@ -136,7 +141,14 @@
         """Tells whether any waiting request can meet its latency target."""
         return any(item.latest_start_s >= now_s for item in self._waiters)
 
-    def grant(self, slots: int, now_s: float, reserve: int = 0) -> None:
+    def grant(
+        self,
+        slots: int,
+        now_s: float,
+        reserve: int = 0,
+        *,
+        preferred: Collection[int] = (),
+    ) -> None:
         """Grants slots by priority, then to requests on time, then by age.
 
         A request that was granted a slot and was not withdrawn yet counts
@@ -147,6 +159,7 @@
             now_s: Current time in seconds.
             reserve: Free slots that late requests leave unused, for requests
                 of other entries that are still on time.
+            preferred: Priorities that go before all others.
         """
         slots -= self._granted_count
         while slots > 0 and self._waiters:
@@ -156,7 +169,11 @@
                     for item in self._waiters
                     if slots > reserve or item.latest_start_s >= now_s
                 ),
-                key=lambda item: (item.priority, item.latest_start_s < now_s),
+                key=lambda item: (
+                    item.priority not in preferred,
+                    item.priority,
+                    item.latest_start_s < now_s,
+                ),
                 default=None,
             )
             if waiter is None:
