Admit requests by class in forwarding entries

Cause: entries have to decide alike on the routes that compete for a service. Change: datagrams have the field classes for services whose routes have several priorities, summed through the hubs like the counts by replica. Requests to such a service are admitted once, before they wait for a slot; gaps and first events are measured where events are relayed, but not after a write that the caller delayed. Log events 1806 and 1807, a counter and two gauges.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
@@ -93,6 +93,7 @@
         """
         state = self._state
         now_s = state.now_s()
+        self._admit_class(call, now_s)
         if not must_wait and self._has_free_slot(call, now_s):
             return
         max_wait_s = self._get_max_wait(call, now_s)
@@ -110,6 +111,7 @@
             on_reject=lambda: _resolve(granted, False),
         )
         if waiter is not None:
+            self._count_wait(call, True)
             try:
                 async with asyncio.timeout(max_wait_s) as limit:
                     if await granted:
@@ -122,12 +124,54 @@
                     raise
             finally:
                 call.service_state.slot_queue.withdraw(waiter)
+                self._count_wait(call, False)
         raise self.make_refusal(
             call,
             ErrorCode.NO_REPLICA,
             f"none of {len(call.service_state.slots)} replicas has a free slot",
         )
 
+    def _admit_class(self, call: Call, now_s: float) -> None:
+        """Decides once on a request to a service with several priorities.
+
+        Raises:
+            ChicoryplankError: If the class of the request has no capacity.
+        """
+        service = call.service_state
+        classes = service.classes
+        if classes is None or call.class_priority is not None:
+            return
+        priority = classes.classify(call.priority)
+        # While the group is down, the circuit breaker decides.
+        if not service.circuit_breaker.is_open and not classes.try_admit(
+            priority, now_s
+        ):
+            duration_s = service.slot_queue.mean_duration_s or 0.0
+            delay_s = classes.schedule_return_s(priority, duration_s, now_s)
+            raise self.make_refusal(
+                call,
+                ErrorCode.QUEUE_FULL,
+                f"no capacity for class {priority}: {classes.describe(now_s)}",
+                min_delay=timedelta(seconds=delay_s),
+            )
+        call.class_priority = priority
+        call.classes = classes
+        classes.begin(priority)
+
+    def _count_wait(self, call: Call, is_beginning: bool) -> None:
+        if call.classes is None:
+            return
+        if is_beginning:
+            call.classes.begin_wait(call.class_priority)
+        else:
+            call.classes.end_wait(call.class_priority)
+
+    def release(self, call: Call) -> None:
+        """Ends the count of a request by class, at its end."""
+        if call.classes is not None:
+            call.classes.end(call.class_priority)
+            call.classes = None
+
     def _has_free_slot(self, call: Call, now_s: float) -> bool:
         service = call.service_state
         if service.circuit_breaker.is_open:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
@@ -31,6 +31,9 @@
 # the caller, so that the request can be retried if the response is incomplete.
 _MAX_BUFFERED_BYTES = 262_144
 _EVENT_STREAM = "text/event-stream"
+# A gap after a write that took longer, in seconds, does not show how fast the
+# replica is, since the caller read slowly.
+_MAX_WRITE_S = 0.01
 # Maximum time in seconds since the last output of any replica. If the service
 # made no progress within it, the silence of one replica is not its own fault.
 _MAX_PROGRESS_AGE_S = 0.4
@@ -75,6 +78,7 @@
         self.first_output_s = 0.0
         self.longest_gap_s = 0.0
         self._last_event_s: float | None = None
+        self._gap_start_s: float | None = None
 
     async def wait_head(self, attempt: Attempt) -> None:
         """Waits for the status and headers of the response.
@@ -264,11 +268,14 @@
             events = self._select_new_events(events)
             if not events:
                 continue
+            self._observe_pace(attempt, now_s)
             if not reply.started:
                 self._start_reply(attempt, reply, None)
             reply.write(b"".join(events))
             self.last_event_id = splitter.last_event_id or self.last_event_id
             await reply.drain()
+            if self._state.now_s() - now_s > _MAX_WRITE_S:
+                self._gap_start_s = None
         if splitter.has_partial_event:
             raise ConnectionBrokenError(
                 BreakReason.CLOSED, "stream ended in the middle of an event"
@@ -283,6 +290,25 @@
             self._start_reply(attempt, reply, None)
         reply.end()
 
+    def _observe_pace(self, attempt: Attempt, now_s: float) -> None:
+        """Compares the time of an event with the targets of the route."""
+        classes = self._call.service_state.classes
+        if classes is None:
+            return
+        route = self._call.route
+        if not attempt.has_events:
+            attempt.has_events = True
+            classes.observe_first_output(
+                (now_s - attempt.started_s) / route.target.total_seconds(),
+                now_s,
+            )
+        elif self._gap_start_s is not None and route.gap_target is not None:
+            classes.observe_gap(
+                (now_s - self._gap_start_s) / route.gap_target.total_seconds(),
+                now_s,
+            )
+        self._gap_start_s = now_s
+
     def _select_new_events(self, events: list[bytes]) -> list[bytes]:
         """Returns the events that the caller has not received yet.
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -57,6 +57,7 @@
         earlier_verdict: Verdict on the attempts before this one.
         first_output_s: Time when the replica began to respond with a success;
             None before.
+        has_events: Whether an event of its stream was relayed.
     """
 
     replica: ReplicaRecord
@@ -68,6 +69,7 @@
     has_carried_call: bool
     earlier_verdict: Verdict
     first_output_s: float | None = None
+    has_events: bool = False
 
 
 class EchoedId(enum.Enum):
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
@@ -17,6 +17,7 @@
     HeaderNames,
     list_connection_headers,
 )
+from chicoryplank_entry.forwarding.service_classes import ServiceClasses
 from chicoryplank_entry.forwarding.state import EntryState, ServiceState
 from chicoryplank_wire.client_connection import (
     ClientConnection,
@@ -67,6 +68,9 @@
             in seconds.
         is_trial: Whether the request is sent once although it has a feature in
             quarantine.
+        class_priority: Class in which the request was admitted; None if it was
+            not admitted yet, or if its service has no classes.
+        classes: Classes of the service in which the request is counted.
         prompt: Parts of the prompt, as the caller lists them; empty if the
             request has no prompt.
     """
@@ -93,6 +97,8 @@
     resume_after: str = ""
     sent_after_s: float = 0.0
     is_trial: bool = False
+    class_priority: int | None = None
+    classes: ServiceClasses | None = None
     prompt: str = ""
     _features: tuple[FeatureId, ...] | None = None
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -144,6 +144,8 @@
             )
         finally:
             self.in_progress -= 1
+            if call is not None:
+                self._admission.release(call)
 
     def _refuse(
         self,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
@@ -50,6 +50,11 @@
         self._quarantined: collections.Counter[str] = collections.Counter()
         self._crashes: collections.Counter[str] = collections.Counter()
         self._holds: collections.Counter[str] = collections.Counter()
+        self._class_refusals: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._class_limits: dict[str, float] = {}
+        self._class_loads: dict[str, dict[int, int]] = {}
         self._skipped_responses = 0
         self._first_output: dict[str, _Latencies] = {}
         self._total: dict[str, _Latencies] = {}
@@ -95,6 +100,22 @@
         """Counts a replica that began to get no new request."""
         self._holds[reason] += 1
 
+    def count_class_refusal(self, service: str, priority: int) -> None:
+        """Counts a request that was refused since its class had no capacity."""
+        self._class_refusals[service, str(priority)] += 1
+
+    def set_classes(
+        self, service: str, limit: float, in_progress: dict[int, int]
+    ) -> None:
+        """Sets the limit of a service and its requests by class."""
+        self._class_limits[service] = limit
+        self._class_loads[service] = in_progress
+
+    def remove_classes(self, service: str) -> None:
+        """Removes a service whose routes have one priority now."""
+        self._class_limits.pop(service, None)
+        self._class_loads.pop(service, None)
+
     def count_skipped_response(self) -> None:
         """Counts a response of a replica to another request."""
         self._skipped_responses += 1
@@ -148,6 +169,13 @@
             ["code", "verdict"],
             self._refusals,
         )
+        yield (
+            f"{prefix}_class_refusals",
+            "Requests that were refused since their class had no capacity, by "
+            "service and class.",
+            ["service", "class"],
+            self._class_refusals,
+        )
         yield (
             f"{prefix}_failures",
             "Attempts that failed, by stage.",
@@ -162,10 +190,37 @@
             self._rejections,
         )
 
+    def _list_gauges(
+        self,
+    ) -> Iterator[tuple[str, str, list[str], Mapping[tuple[str, ...], float]]]:
+        """Yields name, help text, labels and values by label values."""
+        prefix = "chicoryplank_forwarding"
+        yield (
+            f"{prefix}_class_limit",
+            "Limit on the requests in progress of a service with several "
+            "priorities.",
+            ["service"],
+            {
+                (service,): limit
+                for service, limit in self._class_limits.items()
+            },
+        )
+        yield (
+            f"{prefix}_class_in_progress",
+            "Requests in progress over all entries, by service and class.",
+            ["service", "class"],
+            {
+                (service, str(priority)): float(count)
+                for service, counts in self._class_loads.items()
+                for priority, count in counts.items()
+            },
+        )
+
     def collect(self) -> Iterator[object]:
         """Yields the metric families, as a Prometheus collector."""
         from prometheus_client.core import (
             CounterMetricFamily,
+            GaugeMetricFamily,
             HistogramMetricFamily,
         )
 
@@ -174,6 +229,11 @@
             for values, count in counts.items():
                 family.add_metric(values, count)
             yield family
+        for name, text, labels, gauges in self._list_gauges():
+            family = GaugeMetricFamily(name, text, labels=labels)
+            for values, value in gauges.items():
+                family.add_metric(values, value)
+            yield family
         yield CounterMetricFamily(
             "chicoryplank_forwarding_skipped_responses",
             "Responses of replicas to other requests, which were skipped.",
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -9,6 +9,14 @@
 
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
+from chicoryplank_entry.forwarding.class_counts import (
+    Key as ClassKey,
+)
+from chicoryplank_entry.forwarding.class_counts import (
+    decode_classes,
+    encode_classes,
+    split_counts,
+)
 from chicoryplank_entry.forwarding.members import Member
 from chicoryplank_entry.forwarding.permits import PERMIT_KINDS, Permits
 from chicoryplank_entry.forwarding.quarantine_exchange import (
@@ -45,7 +53,8 @@
 _ZONE = "zone"
 _OTHERS = "others"
 
-Counts = dict[InstanceId, int]
+# Requests by replica, and by class for services with several priorities.
+Counts = dict[InstanceId | ClassKey, int]
 
 
 def _decode_slow_report(
@@ -284,6 +293,7 @@
             self._exchange_via_hub()
         self.quarantine.send_updates()
         self._state.occupancy.expire_peers(self._state.now_s())
+        self._state.class_counts.expire_peers(self._state.now_s())
 
     def _exchange_via_hub(self) -> None:
         """Sends the counts to the hub, or as the hub to all others."""
@@ -327,8 +337,7 @@
                 self._encode(_OTHERS, +others, self._list_absent(now_s)),
                 [member],
             )
-        own_counts = collections.Counter(self._state.occupancy.get_own_counts())
-        total.subtract(own_counts)
+        total.subtract(self._get_own_counts())
         self._apply_other_counts(+total, now_s)
 
     def _list_hub_candidates(self, zone: str) -> list[Member]:
@@ -368,7 +377,7 @@
         return absent
 
     def _sum_zone(self, neighbours: Iterable[Member], now_s: float) -> Counts:
-        total = collections.Counter(self._state.occupancy.get_own_counts())
+        total = collections.Counter(self._get_own_counts())
         for member in neighbours:
             status = self._statuses.get(member.instance)
             if (
@@ -378,8 +387,13 @@
                 total.update(status.counts)
         return total
 
+    def _get_own_counts(self) -> Counts:
+        """Returns the requests of this entry by replica and by class."""
+        by_replica = self._state.occupancy.get_own_counts()
+        return {**by_replica, **self._state.class_counts.get_own()}
+
     def _encode_own_counts(self) -> bytes:
-        return self._encode(_OWN, self._state.occupancy.get_own_counts(), ())
+        return self._encode(_OWN, self._get_own_counts(), ())
 
     def _encode(
         self, kind: str, counts: Mapping, absent: Iterable[InstanceId]
@@ -390,20 +404,21 @@
             instances, age_s = report
             slow = [round(age_s, 3), sorted(instances)]
         count, age_s = self._state.entry_bound.get_report(self._state.now_s())
-        return json.dumps(
-            {
-                "kind": kind,
-                "member": self._own.instance,
-                "leaving": self._state.is_draining,
-                "revision": self.revision,
-                "counts": counts,
-                "absent": list(absent),
-                "slow": slow,
-                "entries": [count, round(age_s, 3)],
-                "limits": self.permits.encode_reports(),
-            },
-            separators=(",", ":"),
-        ).encode()
+        by_replica, by_class = split_counts(counts)
+        document = {
+            "kind": kind,
+            "member": self._own.instance,
+            "leaving": self._state.is_draining,
+            "revision": self.revision,
+            "counts": by_replica,
+            "absent": list(absent),
+            "slow": slow,
+            "entries": [count, round(age_s, 3)],
+            "limits": self.permits.encode_reports(),
+        }
+        if by_class:
+            document["classes"] = encode_classes(by_class)
+        return json.dumps(document, separators=(",", ":")).encode()
 
     def _send_document(self, document: Mapping, name: InstanceId) -> None:
         """Sends a document to an entry, if it is registered."""
@@ -444,6 +459,7 @@
                 InstanceId(key): int(value)
                 for key, value in document["counts"].items()
             }
+            counts.update(decode_classes(document.get("classes") or {}))
             absent = frozenset(map(str, document["absent"]))
             revision = int(document["revision"])
             slow_report = _decode_slow_report(document.get("slow"))
@@ -492,12 +508,16 @@
             status = self._statuses.setdefault(name, _PeerStatus(now_s, False))
             status.counts = counts
             if self._is_direct:
-                self._state.occupancy.observe_peer(name, counts, now_s)
-                self._state.observe_counts(now_s)
+                self._observe_peer(name, counts, now_s)
 
     def _apply_other_counts(self, counts: Mapping, now_s: float) -> None:
         """Applies the total counts of all other entries."""
-        self._state.occupancy.observe_peer(_OTHERS, counts, now_s)
+        self._observe_peer(_OTHERS, counts, now_s)
+
+    def _observe_peer(self, peer: str, counts: Counts, now_s: float) -> None:
+        by_replica, by_class = split_counts(counts)
+        self._state.occupancy.observe_peer(peer, by_replica, now_s)
+        self._state.class_counts.observe_peer(peer, by_class, now_s)
         self._state.observe_counts(now_s)
 
     def _apply_liveness(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -42,7 +42,10 @@
     RouteIndex,
     TrafficConfiguration,
 )
+from chicoryplank_entry.forwarding.class_counts import ClassCounts
+from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.replica_words import ReplicaWords
+from chicoryplank_entry.forwarding.service_classes import ServiceClasses
 
 # Routing policies take datetimes. A fixed origin makes them monotonic, unlike
 # the wall clock.
@@ -110,6 +113,7 @@
         is_lockstep: Whether the replicas are ranks that run each step together.
         first_output_times: Times from an attempt to its first output.
         gap_times: Times between two outputs of a stream.
+        classes: Admission by class; None if its routes have one priority.
     """
 
     policy: Policy
@@ -130,6 +134,7 @@
         default_factory=OutputTimes
     )
     gap_times: OutputTimes = dataclasses.field(default_factory=OutputTimes)
+    classes: ServiceClasses | None = None
 
 
 class EntryState:
@@ -151,6 +156,7 @@
         holds: Replicas that get no new request now.
         replica_words: Feeds the holds from what replicas say of themselves.
         quarantine: Crashes of replicas, and the requests that cause them.
+        class_counts: Requests by class of services with several priorities.
     """
 
     def __init__(
@@ -167,6 +173,7 @@
         self.started_s = self.now_s()
         self.registry = ReplicaRegistry(registration_grace_s)
         self.occupancy = Occupancy()
+        self.class_counts = ClassCounts()
         self.slow_replicas = SlowReplicas()
         self.configuration: TrafficConfiguration | None = None
         self.routes: RouteIndex | None = None
@@ -270,9 +277,29 @@
             known = self.configuration.services.get(service)
             engine = None if known is None else known.engine
             state.is_lockstep = engine is not None and engine.experts > 0
+            self._refresh_classes(service, state)
         if candidates != state.candidates:
             state.candidates = candidates
 
+    def _refresh_classes(self, service: ServiceId, state: ServiceState) -> None:
+        """Applies the priorities of the routes to a service."""
+        priorities = self.configuration.list_priorities(service)
+        if len(priorities) < 2:
+            if state.classes is not None:
+                METRICS.remove_classes(service)
+            state.classes = None
+            return
+        if state.classes is None:
+            state.classes = ServiceClasses(
+                service,
+                priorities,
+                counts=self.class_counts,
+                occupancy=self.occupancy,
+                entry_bound=self.entry_bound,
+                rng=self.rng,
+            )
+        state.classes.configure(priorities, sum(state.slots.values()))
+
     def estimate_wait_s(self, state: ServiceState) -> float:
         """Estimates how long a new request waits for a slot, in seconds."""
         share = 1.0 / self.entry_count
@@ -392,6 +419,9 @@
             if instance not in full
         )
         reserve = math.ceil(_ON_TIME_RESERVE * sum(state.slots.values()))
+        if state.classes is not None:
+            state.classes.grant(state.slot_queue, free, now_s, reserve)
+            return
         state.slot_queue.grant(free, now_s, reserve)
 
     async def run_checks(self) -> None:
@@ -409,6 +439,8 @@
                 if not state.circuit_breaker.is_open:
                     emit(Event.SERVICE_STANDS, in_flight=state.in_flight)
                 state.circuit_breaker.observe_outage(now_s)
+            if state.classes is not None:
+                state.classes.check(now_s)
             if len(state.slot_queue):
                 wait_s = self.holds.estimate_wait_s(state.slots, now_s)
                 state.slot_queue.reject_before(now_s + wait_s)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
@@ -12,12 +12,13 @@
 
 from chicoryplank.admission import RetryBudgetParameters
 from chicoryplank.clock import ManualClock
-from chicoryplank.ids import InstanceId, ZoneId
+from chicoryplank.ids import InstanceId, ServiceId, ZoneId
 from chicoryplank_entry.forwarding.members import Member, decode_member
 from chicoryplank_entry.forwarding.peers import Peers
 from chicoryplank_entry.forwarding.state import EntryState
 
 _REPLICA = InstanceId("replica")
+_SERVICE = ServiceId("service")
 _TICK = timedelta(milliseconds=100)
 
 
@@ -38,6 +39,7 @@
     def __init__(self, zones, entries_per_zone):
         self.clock = ManualClock()
         self.sent = 0
+        self.last_datagram = b""
         self.newer_revisions = []
         self.dead = set()
         self.peers = {}
@@ -77,6 +79,7 @@
         if name in self.dead or self._by_address[sender] in self.dead:
             return
         self.sent += 1
+        self.last_datagram = data
         self.peers[name].datagram_received(data, ("10.0.0.1", 1))
 
     def run(self, ticks):
@@ -89,6 +92,28 @@
     def count(self, name):
         return self.states[name].occupancy.count(_REPLICA)
 
+    def count_class(self, priority):
+        """Returns the numbers that the entries count for a class."""
+        return {
+            state.class_counts.count(_SERVICE, [priority], 1, is_alone=False)[
+                priority
+            ].in_progress
+            for state in self.states.values()
+        }
+
+
+def _list_class_counts(zones, size):
+    """Returns what entries count while each has a request, and afterwards."""
+    network = _Network(zones, size)
+    for state in network.states.values():
+        state.class_counts.begin(_SERVICE, 2)
+    network.run(5)
+    found = [network.count_class(2)]
+    for state in network.states.values():
+        state.class_counts.end(_SERVICE, 2)
+    network.run(5)
+    return [*found, network.count_class(2)]
+
 
 class TestDirectExchange(testtools.TestCase):
     """Few entries send their counts to each other directly."""
@@ -101,6 +126,20 @@
         network.run(2)
         self.assertEqual({6}, {network.count(name) for name in network.peers})
 
+    def test_counts_by_class_reach_all_entries(self):
+        """Guards against entries that each admit the whole limit."""
+        self.assertEqual([{6}, {0}], _list_class_counts(["a", "b"], 3))
+
+    def test_datagram_has_no_classes_without_such_a_service(self):
+        """Guards against a new field for services of one priority."""
+        network = _Network(["a", "b"], 2)
+        network.states["a-0"].occupancy.begin(_REPLICA)
+        network.run(2)
+        self.assertNotIn(b"classes", network.last_datagram)
+        network.states["a-0"].class_counts.begin(_SERVICE, 0)
+        network.peers["a-0"].send_own_counts()
+        self.assertIn(b"classes", network.last_datagram)
+
     def test_dead_entry_is_not_listed_for_callers(self):
         """Guards against directing callers to a dead entry."""
         network = _Network(["a", "b"], 2)
@@ -149,6 +188,8 @@
             {"entries": [float("inf"), 1.0]},
             {"entries": [8, "x"]},
             {"entries": [8, -1.0]},
+            {"classes": 5},
+            {"classes": {"s": {"0": [1]}}},
             {"limits": 5},
             {"limits": {"r": 1.0}},
             {"limits": {"r": ["x", 1.0]}},
@@ -189,6 +230,11 @@
         network.run(5)
         self.assertEqual({0}, {network.count(name) for name in network.peers})
 
+    def test_counts_by_class_reach_all_entries(self):
+        """Guards against hubs that drop or double the counts by class."""
+        found = _list_class_counts(["a", "b", "c"], 6)
+        self.assertEqual([{18}, {0}], found)
+
     def test_message_count_is_linear(self):
         """Guards against a message count quadratic in the number of entries."""
         sent = []
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -347,6 +347,19 @@
         logbook.INFO,
         "service is up again: replica {replica} produced output",
     )
+    SHORTAGE_BEGAN = (
+        1806,
+        logbook.WARNING,
+        "service {service} has too little capacity: limit {limit} of {slots}, "
+        "in progress {in_progress}, waiting {waiting}, refused {refused}",
+    )
+    SHORTAGE_ENDED = (
+        1807,
+        logbook.INFO,
+        "service {service} has enough capacity again: limit {limit} of "
+        "{slots}, in progress {in_progress}, waiting {waiting}, refused "
+        "{refused}",
+    )
     REPLICA_EJECTED = (
         1801,
         logbook.WARNING,
--- a/packages/chicoryplank/src/chicoryplank/traffic/_model.py
+++ b/packages/chicoryplank/src/chicoryplank/traffic/_model.py
@@ -190,6 +190,14 @@
     )
     requires_api_key: bool = False
 
+    def list_priorities(self, service: ServiceId) -> frozenset[int]:
+        """Returns the priorities of the routes to a service."""
+        return frozenset(
+            route.priority
+            for route in self.routes
+            if any(share.service == service for share in route.shares)
+        )
+
     def find_gap_target(self, service: ServiceId) -> timedelta | None:
         """Returns the smallest target gap between events of a service.
 
