Follow a quantile of the gaps, and ignore pauses

Cause: with the mean and deviation of the gaps, the one long gap that each stream has when a group pauses made all entries refuse most requests, and a slow rank pulled the limit to its lower bound although refusals do not help. Change: the limit follows the 0.75 quantile of the last 0.5 s; if not even a quarter of the slots would do, it is half of the slots.

--- a/packages/chicoryplank/src/chicoryplank/admission/_class_admission.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_class_admission.py
@@ -8,29 +8,30 @@
 of the requests of a class is refused at once.
 """
 
+import collections
 import dataclasses
-import math
 import random
 from collections.abc import Iterable, Mapping
 
-# Time constants of the means in seconds. Gaps arrive every few milliseconds;
-# an entry sees few first outputs, and their times depend on the prompt.
-_GAP_DECAY_S = 0.4
-_FIRST_OUTPUT_DECAY_S = 2.0
-_ADMITTED_DECAY_S = 2.0
-# Age in seconds after which measurements no longer count.
-_MAX_AGE_S = 1.0
-# Largest ratio of a time to its target that counts. A group that was held ends
-# the hold with one long gap in each stream, which says nothing about its load.
-_MAX_RATIO = 2.0
+# Times in seconds for which gaps and first outputs count. Gaps arrive every few
+# milliseconds; an entry sees few first outputs.
+_GAP_WINDOW_S = 0.5
+_FIRST_OUTPUT_WINDOW_S = 1.0
+_MIN_SAMPLES = 3
+_MAX_SAMPLES = 256
+# Quantile of these times that is compared with the target. A mean would follow
+# the single long gap of each stream when a group pauses, for example to change
+# its expert map, and refuse most requests after each pause.
+_QUANTILE = 0.75
 # Ratio of the times to their targets that the limit aims at, and the inverse of
 # the assumed part of a step that grows with the load.
-_SET_POINT = 0.95
+_SET_POINT = 0.92
 _GAIN = 1.6
-# Bound on the limit, as a fraction of all slots. Below it, long gaps have
-# another cause than the number of requests. Half of the slots would be more
-# than a lock-step group can run within the target.
+# Fraction of all slots below which the limit is not sought: long gaps then have
+# another cause than the number of requests, such as a slow rank, and refusals
+# would not shorten them. The limit that applies instead is half of the slots.
 _MIN_LIMIT_SHARE = 0.25
+_UNATTAINABLE_LIMIT_SHARE = 0.5
 # Largest increase of the limit per second, as a fraction of all slots.
 _MAX_RISE_PER_S = 0.5
 # Fraction of the limit above which a class is refused in part, for the most
@@ -49,6 +50,8 @@
 # Least share of admitted requests that the floor assumes, so that an entry
 # which refuses everything still tries.
 _MIN_ADMITTED_SHARE = 0.2
+# Weight of the newest request in the share of admitted requests.
+_ADMITTED_GAIN = 0.1
 # Time in seconds for which a class keeps its demand after its last request.
 _DEMAND_HOLD_S = 1.0
 # Largest delay that a refused caller is told, in seconds.
@@ -70,62 +73,39 @@
     waiting: int = 0
 
 
-class _DecayedMean:
-    """Mean of samples whose weights decay exponentially with their age.
+class _RecentTimes:
+    """Recent times as fractions of their target, with the load at each.
 
     Args:
-        decay_s: Time constant of the decay in seconds.
+        window_s: Time in seconds for which a sample counts.
     """
 
-    def __init__(self, decay_s: float) -> None:
-        self._decay_s = decay_s
-        self._weight = 0.0
-        self._sum = 0.0
-        self._square_sum = 0.0
-        self._load_sum = 0.0
-        self.updated_s = float("-inf")
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._samples: collections.deque[tuple[float, float, float]] = (
+            collections.deque(maxlen=_MAX_SAMPLES)
+        )
 
-    def add(self, value: float, now_s: float, load: float = 0.0) -> None:
+    def add(self, ratio: float, load: float, now_s: float) -> None:
         """Adds a sample and the requests in progress at that time."""
-        if now_s > self.updated_s:
-            decay = math.exp((self.updated_s - now_s) / self._decay_s)
-            self._weight *= decay
-            self._sum *= decay
-            self._square_sum *= decay
-            self._load_sum *= decay
-            self.updated_s = now_s
-        self._weight += 1.0
-        self._sum += value
-        self._square_sum += value * value
-        self._load_sum += load
-
-    def is_fresh(self, now_s: float) -> bool:
-        """Returns whether the last sample is recent."""
-        return now_s - self.updated_s <= _MAX_AGE_S
-
-    @property
-    def mean(self) -> float:
-        """Weighted mean of the samples."""
-        return self._sum / self._weight if self._weight else 0.0
+        self._samples.append((now_s, ratio, load))
 
-    @property
-    def deviation(self) -> float:
-        """Weighted standard deviation of the samples."""
-        if not self._weight:
-            return 0.0
-        square = self._square_sum / self._weight
-        return math.sqrt(max(0.0, square - self.mean**2))
-
-    @property
-    def load(self) -> float:
-        """Weighted mean of the requests in progress."""
-        return self._load_sum / self._weight if self._weight else 0.0
+    def extrapolate(self, now_s: float) -> float | None:
+        """Returns the load at which the times are at their set point.
 
-
-def _extrapolate(load: float, pressure: float) -> float:
-    """Returns the load at which the pressure is at its set point."""
-    ratio = _SET_POINT / max(pressure, 0.01)
-    return load * max(0.0, 1.0 + _GAIN * (ratio - 1.0))
+        Returns:
+            None without recent samples.
+        """
+        samples = self._samples
+        while samples and now_s - samples[0][0] > self._window_s:
+            samples.popleft()
+        if len(samples) < _MIN_SAMPLES:
+            return None
+        ratios = sorted(ratio for _, ratio, _ in samples)
+        ratio = ratios[int(_QUANTILE * len(ratios))]
+        load = sum(load for _, _, load in samples) / len(samples)
+        change = _GAIN * (_SET_POINT / max(ratio, 0.01) - 1.0)
+        return load * max(0.0, 1.0 + change)
 
 
 class ClassAdmission:
@@ -151,9 +131,9 @@
     def __init__(self, priorities: Iterable[int], rng: random.Random) -> None:
         self._rng = rng
         self._priorities: tuple[int, ...] = ()
-        self._gaps = _DecayedMean(_GAP_DECAY_S)
-        self._first_outputs = _DecayedMean(_FIRST_OUTPUT_DECAY_S)
-        self._admitted = _DecayedMean(_ADMITTED_DECAY_S)
+        self._gaps = _RecentTimes(_GAP_WINDOW_S)
+        self._first_outputs = _RecentTimes(_FIRST_OUTPUT_WINDOW_S)
+        self._admitted_share = 1.0
         self._limit: float | None = None
         self._limit_s = 0.0
         self._demand_s: dict[int, float] = {}
@@ -195,13 +175,13 @@
             load: Requests in progress over all entries.
             now_s: Current time in seconds.
         """
-        self._gaps.add(min(ratio, _MAX_RATIO), now_s, load)
+        self._gaps.add(ratio, load, now_s)
 
     def observe_first_output(
         self, ratio: float, load: float, now_s: float
     ) -> None:
         """Adds a time to the first output, as a fraction of its target."""
-        self._first_outputs.add(min(ratio, _MAX_RATIO), now_s, load)
+        self._first_outputs.add(ratio, load, now_s)
 
     def get_limit(self, slots: int, now_s: float) -> float:
         """Returns the requests in progress at which times meet their targets.
@@ -226,14 +206,18 @@
         load with an assumed size of that part; a wrong assumption changes how
         fast repeated estimates approach that load, not the load itself.
         """
-        limit = float(slots)
-        if self._gaps.is_fresh(now_s):
-            pressure = self._gaps.mean + self._gaps.deviation
-            limit = min(limit, _extrapolate(self._gaps.load, pressure))
-        if self._first_outputs.is_fresh(now_s):
-            pressure = self._first_outputs.mean
-            limit = min(limit, _extrapolate(self._first_outputs.load, pressure))
-        return max(limit, _MIN_LIMIT_SHARE * slots)
+        found = [
+            load
+            for load in (
+                self._gaps.extrapolate(now_s),
+                self._first_outputs.extrapolate(now_s),
+            )
+            if load is not None
+        ]
+        limit = min(found, default=float(slots))
+        if limit < _MIN_LIMIT_SHARE * slots:
+            return _UNATTAINABLE_LIMIT_SHARE * slots
+        return limit
 
     def try_admit(
         self,
@@ -256,7 +240,9 @@
         end = self._get_threshold(priority, counts, now_s) + _BAND
         chance = (end * limit - load) / max(_BAND * limit, 1.0)
         is_admitted = self._rng.random() < max(chance, self._get_floor())
-        self._admitted.add(1.0 if is_admitted else 0.0, now_s)
+        self._admitted_share += _ADMITTED_GAIN * (
+            is_admitted - self._admitted_share
+        )
         if not is_admitted:
             self._refused[priority] = self._refused.get(priority, 0) + 1
             self._refused_s = now_s
@@ -282,9 +268,7 @@
 
     def _get_floor(self) -> float:
         """Returns the least probability with which a request is admitted."""
-        if self._admitted.updated_s == float("-inf"):
-            return _FLOOR_SHARE
-        return _FLOOR_SHARE * max(_MIN_ADMITTED_SHARE, self._admitted.mean)
+        return _FLOOR_SHARE * max(_MIN_ADMITTED_SHARE, self._admitted_share)
 
     def schedule_return_s(
         self,
