Estimate first outputs by their median; admit all at full limit

Cause: an entry sees a few first outputs per second, so that the 0.75 quantile of three of them was the one with the longest prompt. Grants to requests that wait for a slot stopped at the limit and kept a reserve that could exceed it. A service without measurements, whose limit is all slots, refused by class what the slot queue would have served. Change: the median of the last 2 s and at least five times; grants up to the end of the band of the most urgent class with a reserve in proportion; at a limit of all slots every request is admitted and the slots decide.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/service_classes.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/service_classes.py
@@ -1,5 +1,6 @@
 """Admission of one service whose routes have several priorities."""
 
+import math
 import random
 from collections.abc import Iterable
 
@@ -133,13 +134,13 @@
         Classes that are served too rarely go first.
         """
         counts = self.get_counts(now_s)
-        limit = self._admission.get_limit(self.slots, now_s)
+        max_load = self._admission.get_max_load(self.slots, now_s)
         load = sum(count.in_progress for count in counts.values())
         below_floor = self._admission.list_below_floor(counts)
         queue.grant(
-            min(free, max(0, round(limit) - load)),
+            min(free, max(0, round(max_load) - load)),
             now_s,
-            reserve,
+            math.ceil(reserve * max_load / max(1, self.slots)),
             preferred=below_floor,
         )
 
--- a/packages/chicoryplank/src/chicoryplank/admission/_class_admission.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_class_admission.py
@@ -13,16 +13,19 @@
 import random
 from collections.abc import Iterable, Mapping
 
-# Times in seconds for which gaps and first outputs count. Gaps arrive every few
-# milliseconds; an entry sees few first outputs.
+# Time in seconds for which a gap counts, and the quantile of the gaps that is
+# compared with the target. A mean would follow the single long gap of each
+# stream when a group pauses, for example to change its expert map, and refuse
+# most requests after each pause.
 _GAP_WINDOW_S = 0.5
-_FIRST_OUTPUT_WINDOW_S = 1.0
-_MIN_SAMPLES = 3
+_GAP_QUANTILE = 0.75
+# Same for the times to the first output. An entry sees a few per second, and
+# the longest ones show the length of a prompt, not the load.
+_FIRST_OUTPUT_WINDOW_S = 2.0
+_FIRST_OUTPUT_QUANTILE = 0.5
+# Bounds on the number of times from which a limit is estimated.
+_MIN_SAMPLES = 5
 _MAX_SAMPLES = 256
-# Quantile of these times that is compared with the target. A mean would follow
-# the single long gap of each stream when a group pauses, for example to change
-# its expert map, and refuse most requests after each pause.
-_QUANTILE = 0.75
 # Ratio of the times to their targets that the limit aims at, and the inverse of
 # the assumed part of a step that grows with the load.
 _SET_POINT = 0.92
@@ -78,10 +81,12 @@
 
     Args:
         window_s: Time in seconds for which a sample counts.
+        quantile: Quantile of the samples that is brought to its target.
     """
 
-    def __init__(self, window_s: float) -> None:
+    def __init__(self, window_s: float, quantile: float) -> None:
         self._window_s = window_s
+        self._quantile = quantile
         self._samples: collections.deque[tuple[float, float, float]] = (
             collections.deque(maxlen=_MAX_SAMPLES)
         )
@@ -102,7 +107,7 @@
         if len(samples) < _MIN_SAMPLES:
             return None
         ratios = sorted(ratio for _, ratio, _ in samples)
-        ratio = ratios[int(_QUANTILE * len(ratios))]
+        ratio = ratios[int(self._quantile * len(ratios))]
         load = sum(load for _, _, load in samples) / len(samples)
         change = _GAIN * (_SET_POINT / max(ratio, 0.01) - 1.0)
         return load * max(0.0, 1.0 + change)
@@ -131,8 +136,10 @@
     def __init__(self, priorities: Iterable[int], rng: random.Random) -> None:
         self._rng = rng
         self._priorities: tuple[int, ...] = ()
-        self._gaps = _RecentTimes(_GAP_WINDOW_S)
-        self._first_outputs = _RecentTimes(_FIRST_OUTPUT_WINDOW_S)
+        self._gaps = _RecentTimes(_GAP_WINDOW_S, _GAP_QUANTILE)
+        self._first_outputs = _RecentTimes(
+            _FIRST_OUTPUT_WINDOW_S, _FIRST_OUTPUT_QUANTILE
+        )
         self._admitted_share = 1.0
         self._limit: float | None = None
         self._limit_s = 0.0
@@ -228,6 +235,8 @@
     ) -> bool:
         """Returns whether a new request is admitted.
 
+        While the limit is all slots, every request is; the slots decide then.
+
         Args:
             priority: Class of the request.
             counts: Requests over all entries by class.
@@ -239,7 +248,8 @@
         load = sum(count.in_progress for count in counts.values())
         end = self._get_threshold(priority, counts, now_s) + _BAND
         chance = (end * limit - load) / max(_BAND * limit, 1.0)
-        is_admitted = self._rng.random() < max(chance, self._get_floor())
+        chance = max(chance, self._get_floor())
+        is_admitted = limit >= slots or self._rng.random() < chance
         self._admitted_share += _ADMITTED_GAIN * (
             is_admitted - self._admitted_share
         )
@@ -303,6 +313,15 @@
         self._return_s[priority] = return_s + duration_s * entries / limit
         return return_s - now_s
 
+    def get_max_load(self, slots: int, now_s: float) -> float:
+        """Returns the requests in progress up to which slots are granted.
+
+        It is the end of the band of the most urgent class, since the requests
+        that wait for a slot were admitted before.
+        """
+        end = _FIRST_THRESHOLD + _BAND
+        return min(float(slots), end * self.get_limit(slots, now_s))
+
     def list_below_floor(
         self, counts: Mapping[int, ClassCount]
     ) -> frozenset[int]:
