Extrapolate the limit only while gaps exceed their set point

Cause: below the set point the extrapolated limit is little above the load, so that less urgent classes were refused although the gaps met their target. Change: the limit falls to the extrapolated load while the times are above the set point and rises by 0.05 of the slots per second otherwise.

--- a/packages/chicoryplank/src/chicoryplank/admission/_class_admission.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_class_admission.py
@@ -12,6 +12,7 @@
 import dataclasses
 import random
 from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 # Time in seconds for which a gap counts, and the quantile of the gaps that is
 # compared with the target. A mean would follow the single long gap of each
@@ -35,8 +36,11 @@
 # would not shorten them. The limit that applies instead is half of the slots.
 _MIN_LIMIT_SHARE = 0.25
 _UNATTAINABLE_LIMIT_SHARE = 0.5
-# Largest increase of the limit per second, as a fraction of all slots.
-_MAX_RISE_PER_S = 0.5
+# Increase of the limit per second, as a fraction of all slots, while the times
+# are below their set point, and without measurements. With a faster increase
+# the load exceeds the set point again and again.
+_RISE_PER_S = 0.05
+_UNMEASURED_RISE_PER_S = 0.5
 # Fraction of the limit above which a class is refused in part, for the most
 # urgent class with demand; each less urgent class begins lower by _CLASS_STEP.
 _FIRST_THRESHOLD = 1.0
@@ -76,6 +80,18 @@
     waiting: int = 0
 
 
+class _Estimate(NamedTuple):
+    """What recent times say about the load.
+
+    Attributes:
+        is_excessive: Whether the times are above their set point.
+        allowed: Load at which they would be at their set point.
+    """
+
+    is_excessive: bool
+    allowed: float
+
+
 class _RecentTimes:
     """Recent times as fractions of their target, with the load at each.
 
@@ -95,11 +111,11 @@
         """Adds a sample and the requests in progress at that time."""
         self._samples.append((now_s, ratio, load))
 
-    def extrapolate(self, now_s: float) -> float | None:
-        """Returns the load at which the times are at their set point.
+    def estimate(self, now_s: float) -> _Estimate | None:
+        """Compares the recent times with their set point.
 
         Returns:
-            None without recent samples.
+            None without enough recent samples.
         """
         samples = self._samples
         while samples and now_s - samples[0][0] > self._window_s:
@@ -110,7 +126,7 @@
         ratio = ratios[int(self._quantile * len(ratios))]
         load = sum(load for _, _, load in samples) / len(samples)
         change = _GAIN * (_SET_POINT / max(ratio, 0.01) - 1.0)
-        return load * max(0.0, 1.0 + change)
+        return _Estimate(ratio > _SET_POINT, load * max(0.0, 1.0 + change))
 
 
 class ClassAdmission:
@@ -193,38 +209,34 @@
     def get_limit(self, slots: int, now_s: float) -> float:
         """Returns the requests in progress at which times meet their targets.
 
+        While the times are above their set point, the limit is at most the load
+        at which they would be at it; otherwise it rises slowly. The time of a
+        step is a constant plus a part that grows with the load, and that load
+        is extrapolated with an assumed size of the part. A wrong assumption
+        changes how fast repeated estimates approach the load, not the load.
+
         Args:
             slots: Slots of all replicas.
             now_s: Current time in seconds.
         """
-        found = min(float(slots), self._estimate_limit(slots, now_s))
-        if self._limit is not None:
-            rise = _MAX_RISE_PER_S * slots * max(0.0, now_s - self._limit_s)
-            found = min(found, self._limit + rise)
-        self._limit = found
-        self._limit_s = now_s
-        return found
-
-    def _estimate_limit(self, slots: int, now_s: float) -> float:
-        """Returns the limit that follows from the recent measurements.
-
-        The time of a step is a constant plus a part that grows with the load.
-        The load at which it meets its target is extrapolated from the present
-        load with an assumed size of that part; a wrong assumption changes how
-        fast repeated estimates approach that load, not the load itself.
-        """
-        found = [
-            load
-            for load in (
-                self._gaps.extrapolate(now_s),
-                self._first_outputs.extrapolate(now_s),
-            )
-            if load is not None
+        estimates = [
+            estimate
+            for times in (self._gaps, self._first_outputs)
+            if (estimate := times.estimate(now_s)) is not None
         ]
-        limit = min(found, default=float(slots))
-        if limit < _MIN_LIMIT_SHARE * slots:
-            return _UNATTAINABLE_LIMIT_SHARE * slots
-        return limit
+        limit = float(slots) if self._limit is None else self._limit
+        excesses = [item.allowed for item in estimates if item.is_excessive]
+        if excesses:
+            allowed = min(excesses)
+            if allowed < _MIN_LIMIT_SHARE * slots:
+                allowed = _UNATTAINABLE_LIMIT_SHARE * slots
+            limit = min(limit, allowed)
+        else:
+            rise = _RISE_PER_S if estimates else _UNMEASURED_RISE_PER_S
+            limit += rise * slots * max(0.0, now_s - self._limit_s)
+        self._limit = min(limit, float(slots))
+        self._limit_s = now_s
+        return self._limit
 
     def try_admit(
         self,
