Do not decide by class on requests that were sent before

Cause: a configuration that gives a service classes made the next attempt of a request in progress subject to refusal. Change: only requests without an attempt are decided; an unattainable target sets the limit to half of the slots. The example of ClassCounts is corrected.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
@@ -142,10 +142,10 @@
         if classes is None or call.class_priority is not None:
             return
         priority = classes.classify(call.priority)
-        # While the group is down, the circuit breaker decides.
-        if not service.circuit_breaker.is_open and not classes.try_admit(
-            priority, now_s
-        ):
+        # While the group is down, the circuit breaker decides. A request that
+        # was sent before its service had classes is not decided again.
+        is_decided = service.circuit_breaker.is_open or call.attempts > 0
+        if not is_decided and not classes.try_admit(priority, now_s):
             duration_s = service.slot_queue.mean_duration_s or 0.0
             delay_s = classes.schedule_return_s(priority, duration_s, now_s)
             raise self.make_refusal(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/class_counts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/class_counts.py
@@ -15,8 +15,8 @@
 _MAX_AGE_S = 2.0
 
 # Requests in progress and waiting, by service and class.
-Key = tuple[ServiceId, int, bool]
-Counts = collections.Counter[Key]
+ClassKey = tuple[ServiceId, int, bool]
+Counts = collections.Counter[ClassKey]
 
 
 class ClassCounts:
@@ -25,8 +25,9 @@
     Example:
         >>> counts = ClassCounts()
         >>> counts.begin(ServiceId("s"), 1)
-        >>> counts.count(ServiceId("s"), [0, 1], 0.0, 4)[1].in_progress
-        4
+        >>> found = counts.count(ServiceId("s"), [0, 1], 4, is_alone=False)
+        >>> found[1].in_progress
+        1
     """
 
     def __init__(self) -> None:
@@ -92,12 +93,14 @@
             for priority in priorities
         }
 
-    def _sum(self, key: Key) -> int:
+    def _sum(self, key: ClassKey) -> int:
         others = sum(counts[key] for _, counts in self._peers.values())
         return self._own[key] + others
 
 
-def encode_classes(counts: Mapping[Key, int]) -> dict[str, dict[str, list]]:
+def encode_classes(
+    counts: Mapping[ClassKey, int],
+) -> dict[str, dict[str, list]]:
     """Returns the field `classes` of a datagram: by service and class.
 
     Example:
@@ -132,7 +135,7 @@
 
 
 def split_counts(
-    counts: Mapping[InstanceId | Key, int],
+    counts: Mapping[InstanceId | ClassKey, int],
 ) -> tuple[dict[InstanceId, int], Counts]:
     """Separates the counts by replica from those by class."""
     by_class: Counts = collections.Counter()
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/peers.py
@@ -10,9 +10,7 @@
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import InstanceId
 from chicoryplank_entry.forwarding.class_counts import (
-    Key as ClassKey,
-)
-from chicoryplank_entry.forwarding.class_counts import (
+    ClassKey,
     decode_classes,
     encode_classes,
     split_counts,
--- a/packages/chicoryplank/src/chicoryplank/admission/_class_admission.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_class_admission.py
@@ -227,10 +227,9 @@
         limit = float(slots) if self._limit is None else self._limit
         excesses = [item.allowed for item in estimates if item.is_excessive]
         if excesses:
-            allowed = min(excesses)
-            if allowed < _MIN_LIMIT_SHARE * slots:
-                allowed = _UNATTAINABLE_LIMIT_SHARE * slots
-            limit = min(limit, allowed)
+            limit = min(limit, *excesses)
+            if min(excesses) < _MIN_LIMIT_SHARE * slots:
+                limit = _UNATTAINABLE_LIMIT_SHARE * slots
         else:
             rise = _RISE_PER_S if estimates else _UNMEASURED_RISE_PER_S
             limit += rise * slots * max(0.0, now_s - self._limit_s)
