Test grants, log lines and gauges of classes

Cause: the grants up to the limit, lines 1806 and 1807, the gauges and the order of preferred priorities had no test. Change: tests in virtual time.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_class_counts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_class_counts.py
@@ -4,10 +4,13 @@
 import collections
 import dataclasses
 import json
+import random
 from datetime import timedelta
 
+import logbook
 import testtools
 
+from chicoryplank.admission import EntryCount, Occupancy, SlotQueue
 from chicoryplank.ids import ConfigVersion
 from chicoryplank.traffic import RequestKind
 from chicoryplank_entry.forwarding.class_counts import (
@@ -15,6 +18,7 @@
     decode_classes,
     encode_classes,
 )
+from chicoryplank_entry.forwarding.service_classes import ServiceClasses
 from chicoryplank_entry.forwarding.tests.harness import (
     SERVICE,
     EntryFixture,
@@ -77,6 +81,57 @@
             )
 
 
+class TestServiceClasses(testtools.TestCase):
+    """Grants and reports of one service, in virtual time."""
+
+    def setUp(self):
+        super().setUp()
+        self.counts = ClassCounts()
+        self.classes = ServiceClasses(
+            SERVICE,
+            [0, 2],
+            counts=self.counts,
+            occupancy=Occupancy(),
+            entry_bound=EntryCount(),
+            rng=random.Random(1),
+        )
+        self.classes.configure([0, 2], 100)
+
+    def _begin(self, priority, count):
+        for _ in range(count):
+            self.classes.begin(priority)
+
+    def test_grants_stop_at_the_limit(self):
+        """Guards against a backlog that fills all slots after a hold."""
+        self._begin(0, 60)
+        queue = SlotQueue(200)
+        granted = []
+        for number in range(100):
+            queue.add(2, 9.0, lambda number=number: granted.append(number))
+        for _ in range(5):
+            self.classes.observe_gap(0.921, 1.0)
+        self.classes.grant(queue, 40, 1.0, reserve=0)
+        # The limit is a little below 60, and grants go 12 % beyond it.
+        self.assertEqual(7, len(granted))
+
+    def test_shortage_is_logged(self):
+        """Guards against refusals that no log line explains."""
+        self._begin(0, 20)
+        self._begin(2, 40)
+        for _ in range(5):
+            self.classes.observe_gap(1.1, 1.0)
+        with logbook.TestHandler() as handler:
+            refused = sum(not self.classes.try_admit(2, 1.0) for _ in range(9))
+            self.classes.check(1.1)
+            self.classes.check(1.2)
+            self.classes.check(3.5)
+        events = [record.extra["event"] for record in handler.records]
+        self.assertEqual([1806, 1807], events)
+        fields = handler.records[0].extra["fields"]
+        self.assertEqual({0: 20, 2: 40}, fields["in_progress"])
+        self.assertEqual({2: refused}, fields["refused"])
+
+
 class TestEntry(testtools.TestCase):
     """An entry with a service whose routes have one or several priorities."""
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_metrics.py
@@ -38,6 +38,20 @@
         )
         self.assertIn('failures_total{stage="connect"} 1.0', text)
 
+    def test_classes_are_shown_until_they_are_removed(self):
+        """Guards against gauges of a service that has no classes any more."""
+        self.metrics.set_classes("llm", 150.5, {0: 20, 2: 3})
+        self.metrics.count_class_refusal("llm", 2)
+        text = self._render()
+        for line in (
+            'class_limit{service="llm"} 150.5',
+            'class_in_progress{class="2",service="llm"} 3.0',
+            'class_refusals_total{class="2",service="llm"} 1.0',
+        ):
+            self.assertIn(f"chicoryplank_forwarding_{line}", text)
+        self.metrics.remove_classes("llm")
+        self.assertNotIn("class_limit{", self._render())
+
     def test_buckets_are_cumulative_up_to_their_bound(self):
         """Guards against counting a latency in too low a bucket."""
         for elapsed_s in (0.02, 0.021, 0.4, 20.0):
--- a/packages/chicoryplank/src/chicoryplank/admission/tests/test_slot_queue.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/tests/test_slot_queue.py
@@ -37,6 +37,14 @@
         self._grant(2)
         self.assertEqual(["urgent", "fresh", "late"], self.granted)
 
+    def test_preferred_priority_goes_first(self):
+        """Guards against a class below its floor that waits in vain."""
+        self._add("urgent", priority=0)
+        self._add("usual", priority=1)
+        self._add("starved", priority=2)
+        self.queue.grant(1, 0.5, preferred={2})
+        self.assertEqual(["starved"], self.granted)
+
     def test_hopeless_requests_are_rejected(self):
         """Guards against a wait for replicas that all return too late."""
         rejected = []
