Order waiting requests by class, and grant all slots without a shortage

Cause: requests of accounts with a priority waited under a priority that no class has, so that the preference for a class below its floor missed them. The count by class lasts a little longer than the use of a slot, so that grants could leave a free slot unused although nothing was short. Change: the class is the priority in the queue; the count bounds the grants only while the limit is below the slots.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/admission.py
@@ -103,7 +103,7 @@
         granted = asyncio.get_running_loop().create_future()
         target_s = call.route.target.total_seconds()
         waiter = call.service_state.slot_queue.add(
-            call.priority,
+            call.priority if call.classes is None else call.class_priority,
             call.request.received_s + target_s * self._parameters.on_time_share,
             lambda: _resolve(granted, True),
             call.attempts,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/service_classes.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/service_classes.py
@@ -129,7 +129,7 @@
     def grant(
         self, queue: SlotQueue, free: int, now_s: float, reserve: int
     ) -> None:
-        """Grants free slots up to the limit to waiting requests.
+        """Grants free slots to waiting requests, up to a lower limit.
 
         Classes that are served too rarely go first.
         """
@@ -137,12 +137,10 @@
         max_load = self._admission.get_max_load(self.slots, now_s)
         load = sum(count.in_progress for count in counts.values())
         below_floor = self._admission.list_below_floor(counts)
-        queue.grant(
-            min(free, max(0, round(max_load) - load)),
-            now_s,
-            math.ceil(reserve * max_load / max(1, self.slots)),
-            preferred=below_floor,
-        )
+        if max_load < self.slots:
+            free = min(free, max(0, round(max_load) - load))
+            reserve = math.ceil(reserve * max_load / self.slots)
+        queue.grant(free, now_s, reserve, preferred=below_floor)
 
     def check(self, now_s: float) -> None:
         """Logs the beginning and end of a shortage; updates the gauges."""
