--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/attempts.py
@@ -66,6 +66,7 @@
         pace_outcome: What is still to be reported for the ramp of the replica.
         caller_wait_s: Time for which its response was not read since the
             caller read slowly, in seconds.
+        has_events: Whether an event of its stream was relayed.
     """
 
     replica: ReplicaRecord
@@ -79,6 +80,7 @@
     first_output_s: float | None = None
     pace_outcome: PaceOutcome | None = PaceOutcome.UNFINISHED
     caller_wait_s: float = 0.0
+    has_events: bool = False
 
 
 class EchoedId(enum.Enum):
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -44,8 +44,11 @@
     RouteIndex,
     TrafficConfiguration,
 )
+from chicoryplank_entry.forwarding.class_counts import ClassCounts
 from chicoryplank_entry.forwarding.evacuations import EvacuationHolds
+from chicoryplank_entry.forwarding.metrics import METRICS
 from chicoryplank_entry.forwarding.replica_words import ReplicaWords
+from chicoryplank_entry.forwarding.service_classes import ServiceClasses
 
 # Routing policies take datetimes. A fixed origin makes them monotonic, unlike
 # the wall clock.
@@ -114,6 +117,7 @@
         is_lockstep: Whether the replicas are ranks that run each step together.
         first_output_times: Times from an attempt to its first output.
         gap_times: Times between two outputs of a stream.
+        classes: Admission by class; None if its routes have one priority.
     """
 
     policy: Policy
@@ -134,6 +138,7 @@
         default_factory=OutputTimes
     )
     gap_times: OutputTimes = dataclasses.field(default_factory=OutputTimes)
+    classes: ServiceClasses | None = None
 
 
 class EntryState:
@@ -159,6 +164,7 @@
         quarantine: Crashes of replicas, and the requests that cause them.
         on_replica_returned: Called with a replica that returns from an
             ejection.
+        class_counts: Requests by class of services with several priorities.
     """
 
     def __init__(
@@ -175,6 +181,7 @@
         self.started_s = self.now_s()
         self.registry = ReplicaRegistry(registration_grace_s)
         self.occupancy = Occupancy()
+        self.class_counts = ClassCounts()
         self.slow_replicas = SlowReplicas()
         self.configuration: TrafficConfiguration | None = None
         self.routes: RouteIndex | None = None
@@ -342,9 +349,29 @@
             known = self.configuration.services.get(service)
             engine = None if known is None else known.engine
             state.is_lockstep = engine is not None and engine.experts > 0
+            self._refresh_classes(service, state)
         if candidates != state.candidates:
             state.candidates = candidates
 
+    def _refresh_classes(self, service: ServiceId, state: ServiceState) -> None:
+        """Applies the priorities of the routes to a service."""
+        priorities = self.configuration.list_priorities(service)
+        if len(priorities) < 2:
+            if state.classes is not None:
+                METRICS.remove_classes(service)
+            state.classes = None
+            return
+        if state.classes is None:
+            state.classes = ServiceClasses(
+                service,
+                priorities,
+                counts=self.class_counts,
+                occupancy=self.occupancy,
+                entry_bound=self.entry_bound,
+                rng=self.rng,
+            )
+        state.classes.configure(priorities, sum(state.slots.values()))
+
     def estimate_wait_s(self, state: ServiceState) -> float:
         """Estimates how long a new request waits for a slot, in seconds."""
         share = 1.0 / self.entry_count
@@ -508,6 +535,9 @@
             if instance not in full
         )
         reserve = math.ceil(_ON_TIME_RESERVE * sum(state.slots.values()))
+        if state.classes is not None:
+            state.classes.grant(state.slot_queue, free, now_s, reserve)
+            return
         state.slot_queue.grant(free, now_s, reserve)
 
     async def run_checks(self) -> None:
@@ -526,6 +556,8 @@
                 if not state.circuit_breaker.is_open:
                     emit(Event.SERVICE_STANDS, in_flight=state.in_flight)
                 state.circuit_breaker.observe_outage(now_s)
+            if state.classes is not None:
+                state.classes.check(now_s)
             if len(state.slot_queue):
                 wait_s = self.holds.estimate_wait_s(state.slots, now_s)
                 if self.is_evacuated(state, now_s):
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -4,6 +4,10 @@
 """
 
 from chicoryplank.admission._circuit_breaker import CircuitBreaker
+from chicoryplank.admission._class_admission import (
+    ClassAdmission,
+    ClassCount,
+)
 from chicoryplank.admission._cold_replicas import (
     PERMIT_VALIDITY_S,
     ColdBoundParameters,
@@ -51,6 +55,8 @@
     "WITHDRAWN",
     "WITHOUT_RETURN",
     "CircuitBreaker",
+    "ClassAdmission",
+    "ClassCount",
     "ColdBoundParameters",
     "ColdReplicas",
     "EntryCount",
