--- a/review/standins.py
+++ b/review/standins.py
@@ -656,6 +656,12 @@
     """The case could not be run."""
 
 
+def _stop(number: int, frame: object) -> None:
+    """Ends the case on a signal, with its programs."""
+    del frame
+    raise CannotRunError(f"signal {number}")
+
+
 def run_case(
     folder: pathlib.Path, main: Callable[[Bench, bool], Awaitable[str | None]]
 ) -> None:
@@ -672,6 +678,8 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"TROUBLE={int(has_trouble)}")
     bench = Bench(record)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, _stop)
     code, result = 2, "cannot run"
     try:
         broken = asyncio.run(_run_limited(main, bench, has_trouble))
