Quarantine: the search for a verdict always ends

Cause: Quarantine._judge relied on each verdict to explain the crashes that it rests on. If the feature was in quarantine already, with a companion that the new crashes lack, _begin changed nothing and the search repeated the same verdict without end. A full table of newer verdicts has the same effect.

Change: each crash is evidence for one verdict at most in a search, and new evidence drops the companions of a verdict in force that it lacks. The generation stays, as raising it would lift the quarantine; a single crash at the moment of the verdict still drops no companion. Both are tested.

--- a/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
@@ -289,10 +289,19 @@
     # Verdicts.
 
     def _judge(self, service: ServiceId, now_s: float) -> None:
-        """Puts features into quarantine until no crash has a likely cause."""
+        """Puts features into quarantine until no crash has a likely cause.
+
+        A crash counts as evidence for one feature at most, so the search ends
+        even if a verdict does not explain the crashes that it rests on.
+        """
         self._undecided.discard(service)
+        judged: set[str] = set()
         while True:
-            records = self._list_unexplained(service)
+            records = [
+                record
+                for record in self._list_unexplained(service)
+                if record.crash not in judged
+            ]
             if len(records) < _MIN_CRASHES:
                 return
             chains = {
@@ -316,6 +325,7 @@
                 return
             _, feature = min(likely)
             self._condemn(service, feature, chains[feature], now_s)
+            judged.update(record.crash for record in chains[feature])
 
     def _list_unexplained(self, service: ServiceId) -> list[CrashRecord]:
         unexplained = []
@@ -430,11 +440,18 @@
         )
 
     def _begin(self, verdict: QuarantineVerdict, **evidence: object) -> None:
-        """Puts a feature into quarantine, with the next generation."""
+        """Puts a feature into quarantine, with the next generation.
+
+        A verdict in force stays, but drops the companions that are no part of
+        the new evidence: replicas crashed under the feature without them.
+        """
         known = self._verdicts.get(verdict.feature)
+        if known is not None and known.is_active:
+            verdict.generation = known.generation
+            if self._verdicts.merge(verdict):
+                self._note_change(known)
+            return
         verdict.generation = 1 if known is None else known.generation + 1
-        if not verdict.is_active:
-            return  # Already in quarantine.
         self._verdicts.merge(verdict)
         self._note_change(verdict)
         emit(
--- a/packages/chicoryplank/src/chicoryplank/quarantine/tests/test_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/tests/test_quarantine.py
@@ -1,5 +1,8 @@
 """Tests of the attribution of crashes to features of requests."""
 
+import contextlib
+import signal
+
 import testtools
 
 from chicoryplank.ids import ServiceId
@@ -22,6 +25,22 @@
     return make_part_feature(_SERVICE, f"a{number}")
 
 
+@contextlib.contextmanager
+def limit_time(seconds):
+    """Fails a test whose code does not return, instead of hanging with it."""
+
+    def fail(number, frame):
+        raise TimeoutError(f"no end within {seconds} s")
+
+    previous = signal.signal(signal.SIGALRM, fail)
+    signal.setitimer(signal.ITIMER_REAL, seconds)
+    try:
+        yield
+    finally:
+        signal.setitimer(signal.ITIMER_REAL, 0)
+        signal.signal(signal.SIGALRM, previous)
+
+
 class Trouble:
     """Crashes and successes at one entry, ten seconds apart."""
 
@@ -31,12 +50,12 @@
         self.crashes = 0
         self._entry = entry
 
-    def crash(self, *requests, version="v1", sent_ago_s=0.05):
+    def crash(self, *requests, version="v1", sent_ago_s=0.05, after_s=10.0):
         """Crashes a replica under requests with the given features."""
-        self.now_s += 10.0
+        self.now_s += after_s
         self.crashes += 1
         self.quarantine.observe_crash(
-            f"replica-{self.crashes}/1",
+            f"{self._entry}-replica-{self.crashes}/1",
             _SERVICE,
             version,
             [
@@ -172,6 +191,75 @@
         self.assertIsNone(other.find_verdict((_SHARED, _RARE)))
 
 
+class TestOverlappingCrashes(testtools.TestCase):
+    """Pairs of crashes, of which only the first has a further feature."""
+
+    def crash_in_pairs(self, trouble, *, count=3):
+        for _ in range(count):
+            trouble.crash((_SHARED, _RARE, _BAD))
+            trouble.crash((_SHARED, _BAD), after_s=0.02)
+            trouble.succeed(_SHARED, make_part(9), count=5)
+
+    def test_pairs_end_in_one_verdict(self):
+        """Guards against an entry that hangs in the search for a verdict."""
+        trouble = Trouble()
+        with limit_time(5.0):
+            self.crash_in_pairs(trouble)
+        self.assertTrue(trouble.is_refused(_SHARED, _BAD))
+        self.assertFalse(trouble.is_refused(_SHARED, _RARE))
+
+    def test_pairs_in_reports_of_another_entry(self):
+        """Guards against an entry that hangs when it merges crashes."""
+        troubles = [Trouble("entry-1"), Trouble("entry-2")]
+        with limit_time(5.0):
+            for _ in range(3):
+                for trouble in troubles:
+                    self.crash_in_pairs(trouble, count=1)
+                for trouble, other in (troubles, troubles[::-1]):
+                    items = other.quarantine.encode_all(other.now_s)
+                    trouble.quarantine.merge(items, trouble.now_s, "peer")
+        for trouble in troubles:
+            self.assertTrue(trouble.is_refused(_SHARED, _BAD))
+
+    def test_full_table_of_verdicts(self):
+        """Guards against a hang when no further verdict fits."""
+        trouble = Trouble()
+        verdicts = [
+            {
+                "feature": make_part(number),
+                "service": _SERVICE,
+                "generation": 1,
+                "age_s": 0.0,
+                "versions": [],
+                "companions": [],
+            }
+            for number in range(100, 356)
+        ]
+        trouble.quarantine.merge(verdicts, trouble.now_s + 1000.0, "peer")
+        with limit_time(5.0):
+            self.crash_in_pairs(trouble, count=5)
+
+    def test_verdict_in_force_is_not_lifted(self):
+        """Guards against a second verdict on a feature that ends the first."""
+        trouble = Trouble()
+        with limit_time(5.0):
+            self.crash_in_pairs(trouble)
+            self.crash_in_pairs(trouble)
+        (verdict,) = trouble.quarantine.list_verdicts()
+        self.assertEqual((_BAD, 1), (verdict.feature, verdict.generation))
+
+    def test_single_crash_at_the_same_moment_keeps_the_companion(self):
+        """Guards against a wider verdict because of a common power loss."""
+        trouble = Trouble()
+        trouble.succeed(_SHARED, make_part(9), count=20)
+        for _ in range(3):
+            trouble.crash((_SHARED, _RARE, _BAD))
+        trouble.crash((_SHARED, _BAD), after_s=0.02)
+        trouble.succeed(_SHARED, make_part(9), count=5)
+        self.assertFalse(trouble.is_refused(_SHARED, _BAD))
+        self.assertTrue(trouble.is_refused(_SHARED, _RARE, _BAD))
+
+
 class TestLifting(testtools.TestCase):
     """What ends a quarantine."""
 
@@ -199,7 +287,6 @@
         troubles = [Trouble(f"entry-{number}") for number in range(4)]
         for number, trouble in enumerate(troubles):
             trouble.now_s += 10.0 * number
-            trouble.crashes = number
             trouble.crash((_SHARED, _BAD))
             trouble.succeed(_SHARED, make_part(9), count=5)
         last = troubles[-1]
