Store view: a cut watch is no outage of the store

Cause: StoreView took each call without a response for an outage. The grace time after an outage keeps replicas whose registrations are missing for 2 s; with a cut every 0.2 to 0.9 s it never ended.

Change: after a watch without a response a call that does not wait decides. The store is lost if that fails too, or if its last response is older than 1.2 s. The watch goes on from the same revision, without reading all items.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/feed.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/feed.py
@@ -183,7 +183,11 @@
         return await self._store.read_all()
 
     async def wait_changes(self, after: int) -> tuple[list[Change], int]:
-        """Returns the changes after a revision; waits briefly if none."""
+        """Returns the changes after a revision; waits briefly if none.
+
+        The store is asked without waiting after a failure of another entry,
+        which does not show whether the store is lost.
+        """
         address = self._get_source_address()
         if address is not None and self._now_s() >= self._failed_until_s.get(
             address, 0.0
@@ -194,8 +198,13 @@
                 self._failed_until_s[address] = (
                     self._now_s() + _FAILED_SOURCE_DELAY_S
                 )
+                return await self._store.read_changes(after)
         return await self._store.wait_changes(after)
 
+    async def read_changes(self, after: int) -> tuple[list[Change], int]:
+        """Returns the changes after a revision, from the store."""
+        return await self._store.read_changes(after)
+
     async def _poll_source(
         self, address: str, after: int
     ) -> tuple[list[Change], int]:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_feed.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_feed.py
@@ -28,6 +28,9 @@
         self.wait_calls += 1
         raise StoreError("away", Verdict.NOT_RUN)
 
+    async def read_changes(self, after):
+        return await self.wait_changes(after)
+
 
 class TestFeed(testtools.TestCase):
     """Changes arrive once and in order, or are read from the store."""
@@ -157,6 +160,20 @@
 
         self.assertEqual(1, self._run(work))
 
+    def test_dead_source_is_no_sign_of_a_lost_store(self):
+        """Guards against taking a dead entry and a cut watch for an outage."""
+
+        class Store:
+            async def read_changes(self, after):
+                return [], 12
+
+        async def run():
+            loop = asyncio.get_running_loop()
+            source = FeedSource(Store(), lambda: "127.0.0.1:1", loop.time)
+            return await source.wait_changes(10)
+
+        self.assertEqual(([], 12), asyncio.run(run()))
+
     def test_dead_source_is_skipped(self):
         """Guards against an entry that keeps waiting for a dead source."""
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
@@ -23,6 +23,9 @@
 # watch of this entry counts as stalled.
 _WATCH_LAG_TIMEOUT_S = 0.35
 _CHECK_INTERVAL_S = 0.2
+# Time in seconds without a response of the store in which no registration of a
+# live replica expires.
+_MAX_SILENCE_S = 1.2
 # Prefix of all keys that get_lease_key returns.
 _LEASE_PREFIX = get_lease_key(ModelGroupId("")).partition("/")[0] + "/"
 
@@ -61,6 +64,16 @@
     async def wait_changes(self, after: int) -> tuple[list[Change], int]:
         """Returns the changes after a revision; waits briefly if none.
 
+        Raises:
+            HistoryGoneError: If the changes are no longer available.
+            StoreError: If the store does not respond. It may end a call that
+                waits without a response at any time, so only a call that does
+                not wait shows whether it is lost.
+        """
+
+    async def read_changes(self, after: int) -> tuple[list[Change], int]:
+        """Returns the changes after a revision without waiting for any.
+
         Raises:
             HistoryGoneError: If the changes are no longer available.
             StoreError: If the store does not respond.
@@ -155,6 +168,7 @@
         self._behind_since_s: float | None = None
         self._newest_peer_revision = 0
         self._watch: asyncio.Task | None = None
+        self._responded_s = float("-inf")
         self._tasks: list[asyncio.Task] = []
         self.is_current = False
         self._lease_holders: dict[str, InstanceId] = {}
@@ -192,13 +206,15 @@
             try:
                 if must_reload:
                     items, revision = await self._source.read_all()
+                    self._responded_s = self._state.now_s()
                     # A restored store may lack the registration of this entry.
                     was_disconnected |= self._apply_items(items, revision)
                     must_reload = False
                 if was_disconnected:
                     was_disconnected = False
                     await self._on_connected()
-                changes, revision = await self._wait_changes()
+                changes, revision = await self._follow_changes()
+                self._responded_s = self._state.now_s()
                 self._apply_changes(changes, revision)
                 backoff_s = _MIN_BACKOFF_S
                 reloads = 0
@@ -221,6 +237,35 @@
                 await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
                 backoff_s = min(2 * backoff_s, _MAX_BACKOFF_S)
 
+    async def _follow_changes(self) -> tuple[list[Change], int]:
+        """Waits for changes, also if the store ends the watch.
+
+        A watch that ends without a response is no outage if the store responds
+        right after: no registration can have expired in so short a time.
+
+        Raises:
+            HistoryGoneError: If the changes are no longer available.
+            StoreError: If the store is lost, or may have been.
+        """
+        try:
+            return await self._wait_changes()
+        except StoreError as error:
+            self._require_short_silence(error)
+            emit(
+                Event.STORE_WATCH_ENDED,
+                revision=self._revision,
+                error=error.message,
+            )
+            await asyncio.sleep(_MIN_BACKOFF_S * self._rng.uniform(0.5, 1.0))
+            response = await self._source.read_changes(self._revision)
+            self._require_short_silence(error)
+            return response
+
+    def _require_short_silence(self, error: StoreError) -> None:
+        """Raises an error of the store if its last response is too old."""
+        if self._state.now_s() - self._responded_s > _MAX_SILENCE_S:
+            raise error
+
     async def _wait_changes(self) -> tuple[list[Change], int]:
         """Waits for changes; stops early if the watch is stalled."""
         loop = asyncio.get_running_loop()
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -317,6 +317,12 @@
         logbook.INFO,
         "store history after revision {revision} is gone; rereading all items",
     )
+    STORE_WATCH_ENDED = (
+        1314,
+        logbook.INFO,
+        "watch of the store after revision {revision} ended without a "
+        "response: {error}",
+    )
     STORE_RESTORED = (
         1309,
         logbook.WARNING,
