Quarantine: compare requests by how soon their replicas crash

Cause: at replicas that process many streams, all streams in progress counted as crashed, so that a crash seemed usual for every request. And replicas that returned together got all waiting requests at once, so that all requests under a crash had been sent within the same 60 ms.

Change: a request that ran for longer before the crash than those with the feature counts as survived, and with the feature as a case against its guilt. A replica that returns after a crash gets one request at a time, then three, then nine; lock-step groups keep their circuit breaker.

TestManyStreams.test_harmful_part and TestReturnAfterCrash.test_requests_return_step_by_step failed before. Without the count of requests that ran on, test_part_of_most_streams fails.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
@@ -34,6 +34,9 @@
 # Maximum time in seconds since the last output of any replica. If the service
 # made no progress within it, the silence of one replica is not its own fault.
 _MAX_PROGRESS_AGE_S = 0.4
+# Time in seconds from the first output of a stream after which the request has
+# most likely not crashed its replica.
+_SURVIVAL_S = 0.1
 
 
 class ResponseRelay:
@@ -258,6 +261,7 @@
             self._state.observe_progress(
                 self._call.service_state, instance, now_s
             )
+            self._observe_survival(attempt, now_s)
             if self._last_event_s is not None:
                 gap_s = now_s - self._last_event_s
                 self.longest_gap_s = max(self.longest_gap_s, gap_s)
@@ -290,6 +294,19 @@
             self._start_reply(attempt, reply, None)
         reply.end()
 
+    def _observe_survival(self, attempt: Attempt, now_s: float) -> None:
+        """Records that the replica runs on some time after its first output."""
+        if (
+            attempt.first_output_s is not None
+            and now_s - attempt.first_output_s >= _SURVIVAL_S
+        ):
+            self._state.observe_survival(
+                self._call.service_state,
+                attempt.replica.instance,
+                attempt.started_s,
+                now_s,
+            )
+
     def _select_new_events(self, events: list[bytes]) -> list[bytes]:
         """Returns the events that the caller has not received yet.
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -391,6 +391,12 @@
                 self._pace_reports.observe_head(call, attempt, outcome)
                 await relay.relay_response(attempt, reply)
                 self._pace_reports.observe_complete(attempt)
+                self._state.observe_survival(
+                    call.service_state,
+                    attempt.replica.instance,
+                    attempt.started_s,
+                    self._state.now_s(),
+                )
                 if attempt.response.ends_at_close:
                     self.crashes.observe_break(call, attempt, None)
                 elif attempt.first_output_s is not None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -19,6 +19,7 @@
     ReplicaHolds,
     RetryBudget,
     RetryBudgetParameters,
+    ReturningReplicas,
     ServerLimits,
     SlotQueue,
     SlowReplicas,
@@ -67,6 +68,9 @@
 # entries that have one.
 _ON_TIME_RESERVE = 0.08
 _EVACUATED = frozenset({HoldReason.EVACUATED})
+# Time in seconds after a crash in a service in which a replica that registers
+# counts as returning.
+_RETURN_AFTER_CRASH_S = 10.0
 # Interval of checks for stalls and free slots, in seconds.
 _CHECK_INTERVAL_S = 0.1
 
@@ -154,6 +158,7 @@
         server_limits: Limits that replicas name for all entries together.
         cold_replicas: Replicas that have just started and take few requests.
         holds: Replicas that get no new request now.
+        returning: Replicas that get few requests after a crash.
         replica_words: Feeds the holds from what replicas say of themselves.
         evacuations: Zones whose replicas get no new request.
         quarantine: Crashes of replicas, and the requests that cause them.
@@ -184,6 +189,7 @@
         self.server_limits = ServerLimits()
         self.cold_replicas = ColdReplicas()
         self.holds = ReplicaHolds()
+        self.returning = ReturningReplicas()
         self.replica_words = ReplicaWords(
             self.holds, self.registry, self.now_s, rng
         )
@@ -280,6 +286,7 @@
         known = {record.instance for record in records}
         self._forget_starts(known)
         self.holds.retain(known, now_s)
+        self.returning.retain(known)
         self.server_limits.retain(known)
         self.cold_replicas.retain(known, now_s)
         for service, state in self._services.items():
@@ -307,6 +314,11 @@
         record = self.registry.get(instance)
         if record is None:
             return
+        now_s = self.now_s()
+        if self.quarantine.has_crash_since(
+            record.service, now_s - _RETURN_AFTER_CRASH_S
+        ):
+            self.observe_return(record, now_s)
         former_ms = self._starts_ms.get(instance)
         self._starts_ms[instance] = record.started_ms
         if former_ms is None or former_ms == record.started_ms:
@@ -322,6 +334,47 @@
             in_flight=discarded,
         )
 
+    def observe_return(self, record: ReplicaRecord, now_s: float) -> None:
+        """Limits the requests to a replica that returns after a crash.
+
+        The ranks of a lock-step group return together, and its circuit breaker
+        holds the requests back.
+        """
+        if not self.get_service(record.service).is_lockstep:
+            self.returning.observe_return(record.instance, now_s)
+
+    def observe_survival(
+        self,
+        state: ServiceState,
+        instance: InstanceId,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Records that a replica has outlived the first output of a request.
+
+        Args:
+            state: The service.
+            instance: The replica.
+            sent_s: Time when the request was sent, in seconds.
+            now_s: Current time in seconds.
+        """
+        if self.returning.observe_survival(instance, sent_s, now_s) and len(
+            state.slot_queue
+        ):
+            self._grant_slots(state, now_s)
+
+    def _get_places(
+        self,
+        state: ServiceState,
+        instance: InstanceId,
+        allowance: int,
+        now_s: float,
+    ) -> int:
+        """Returns how many requests a replica may have at a time."""
+        slots = state.slots[instance]
+        places = self.returning.get_places(instance, slots, now_s)
+        return slots + allowance if places is None else places
+
     def _forget_starts(self, registered: set[InstanceId]) -> None:
         """Forgets the starts of replicas without registration and requests."""
         for instance in self._starts_ms.keys() - registered:
@@ -403,8 +456,9 @@
         occupancy = self.occupancy
         return frozenset(
             instance
-            for instance, slots in state.slots.items()
-            if occupancy.count(instance) >= slots + allowance
+            for instance in state.slots
+            if occupancy.count(instance)
+            >= self._get_places(state, instance, allowance, now_s)
         ).union(
             self._list_avoided(state, now_s),
             self.holds.list_held(now_s) & state.slots.keys(),
@@ -503,8 +557,9 @@
             return
         full = self.list_full_replicas(state, 0, now_s)
         free = sum(
-            max(0, slots - self.occupancy.count(instance))
-            for instance, slots in state.slots.items()
+            self._get_places(state, instance, 0, now_s)
+            - self.occupancy.count(instance)
+            for instance in state.slots
             if instance not in full
         )
         reserve = math.ceil(_ON_TIME_RESERVE * sum(state.slots.values()))
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_crashes.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_crashes.py
@@ -7,6 +7,7 @@
 from logbook import TestHandler
 
 from chicoryplank.events import Event
+from chicoryplank.quarantine import FeatureId, Quarantine, SuspectAttempt
 from chicoryplank.traffic import ReplicaState, RequestKind
 from chicoryplank_entry.forwarding.tests.crashing_replica import (
     CrashingReplica,
@@ -208,3 +209,89 @@
             for record in handler.records
         )
         self.assertLessEqual(attempts, 20)
+
+
+class TestReturnAfterCrash(testtools.TestCase):
+    """Load pattern: many requests wait for a replica that has crashed."""
+
+    def serve_after_crash(self):
+        """Returns how many were sent with the second one, and the statuses."""
+        replica = CrashingReplica(
+            lambda recorded: recorded.headers["x-id"] == "harmful", work_s=0.05
+        )
+
+        async def run():
+            async with EntryFixture(
+                replica, kind=RequestKind.STREAMING
+            ) as fixture:
+                state = fixture.state
+                (record,) = state.registry.list_all()
+                state.registry.put(dataclasses.replace(record, slots=12))
+                state.refresh_candidates()
+                await fixture.send_request(request_id="harmful")
+                await asyncio.sleep(0.1)
+                requests = [
+                    fixture.send_request(request_id=f"r{number}")
+                    for number in range(10)
+                ]
+                responses = await asyncio.gather(*requests)
+                fixture.exchange.crashes.close()
+                return [status for status, _, _ in responses]
+
+        statuses = asyncio.run(run())
+        _, _, second, *later = [at for at, _ in replica.arrivals]
+        return 1 + sum(at < second + 0.04 for at in later), statuses
+
+    def test_requests_return_step_by_step(self):
+        """Guards against losing all of them to a harmful one among them."""
+        at_once, statuses = self.serve_after_crash()
+        self.assertLessEqual(at_once, 3)
+        self.assertEqual([200] * 10, statuses)
+
+    def test_rank_of_a_group(self):
+        """Guards against a limit on top of the breaker of a whole group."""
+
+        async def run():
+            async with EntryFixture(Replica(respond())) as fixture:
+                state = fixture.state
+                (record,) = state.registry.list_all()
+                service = state.get_service(record.service)
+                full = []
+                for service.is_lockstep in (True, False):
+                    state.observe_return(record, state.now_s())
+                    state.occupancy.begin(record.instance)
+                    held = state.list_full_replicas(service, 0, state.now_s())
+                    full.append(len(held))
+                    state.occupancy.end(record.instance)
+                return full
+
+        self.assertEqual([0, 1], asyncio.run(run()))
+
+    def test_replica_that_registers_after_a_crash(self):
+        """Guards against a flood from entries that saw no crash themselves."""
+
+        async def run():
+            async with EntryFixture(Replica(respond())) as fixture:
+                state = fixture.state
+                (record,) = state.registry.list_all()
+                now_s = state.now_s()
+                report = Quarantine()
+                report.observe_crash(
+                    "replica-9/1",
+                    record.service,
+                    "v1",
+                    [SuspectAttempt(now_s, [FeatureId("llm/part/a")])],
+                    entry="other",
+                    replica_count=2,
+                    seen_s=now_s,
+                    now_s=now_s,
+                )
+                items = report.encode_all(now_s)
+                state.quarantine.merge(items, now_s, "peer")
+                state.registry.put(dataclasses.replace(record, started_ms=7))
+                state.refresh_candidates()
+                service = state.get_service(record.service)
+                state.occupancy.begin(record.instance)
+                return len(state.list_full_replicas(service, 0, now_s))
+
+        self.assertEqual(1, asyncio.run(run()))
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -33,6 +33,7 @@
     RetryBudget,
     RetryBudgetParameters,
 )
+from chicoryplank.admission._returning_replicas import ReturningReplicas
 from chicoryplank.admission._server_limits import (
     LimitReport,
     LimitSource,
@@ -69,6 +70,7 @@
     "RetryAfterJitter",
     "RetryBudget",
     "RetryBudgetParameters",
+    "ReturningReplicas",
     "ServerLimits",
     "ServiceTimes",
     "SlotQueue",
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_chances.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_chances.py
@@ -9,6 +9,8 @@
 # Tolerance in seconds for the clocks and messages of entries when the send of a
 # request is compared with the crash before it.
 ORDER_TOLERANCE_S = 0.05
+# Share of a sum below which further, smaller terms are left out.
+_NEGLIGIBLE = 1e-12
 
 
 def compute_presence_chance(
@@ -26,22 +28,64 @@
         max(1, sum(record.requests.values())) for record in records
     ) / len(records)
     chance = 1.0 - (1.0 - share) ** mean_requests
-    total = len(records)
-    return sum(
-        math.comb(total, count)
-        * chance**count
-        * (1.0 - chance) ** (total - count)
-        for count in range(present, total + 1)
+    return compute_binomial_tail(present, len(records), chance)
+
+
+def compute_binomial_tail(least: int, total: int, chance: float) -> float:
+    """Returns the probability of so many successes or more.
+
+    Args:
+        least: Smallest number of successes.
+        total: Number of independent trials.
+        chance: Probability of a success in each.
+    """
+    if least <= 0 or chance >= 1.0:
+        return 1.0
+    if least > total or chance <= 0.0:
+        return 0.0
+    if least > total * chance:
+        return _sum_terms(least, total, chance)
+    return 1.0 - _sum_terms(total - least + 1, total, 1.0 - chance)
+
+
+def _sum_terms(least: int, total: int, chance: float) -> float:
+    """Adds up a binomial tail that lies above the mean."""
+    odds = chance / (1.0 - chance)
+    term = math.exp(
+        math.lgamma(total + 1)
+        - math.lgamma(least + 1)
+        - math.lgamma(total - least + 1)
+        + least * math.log(chance)
+        + (total - least) * math.log1p(-chance)
     )
+    tail = 0.0
+    for count in range(least, total + 1):
+        tail += term
+        if term <= tail * _NEGLIGIBLE:
+            break
+        term *= odds * (total - count) / (count + 1)
+    return tail
 
 
-def count_moments(records: Sequence[CrashRecord], feature: FeatureId) -> int:
-    """Counts crashes under a feature; those at the same moment count once."""
+def count_moments(
+    records: Sequence[CrashRecord], feature: FeatureId, span_s: float
+) -> int:
+    """Counts crashes soon after the send of a request with a feature.
+
+    Those at the same moment count once.
+
+    Args:
+        records: Crashes in order of time.
+        feature: A suspect of some of them.
+        span_s: Longest time from the send to the crash, in seconds.
+    """
     count = 0
     last_s = float("-inf")
     for record in records:
-        if feature in record.open_suspects and (
-            record.seen_s >= last_s + ORDER_TOLERANCE_S
+        if (
+            feature in record.open_suspects
+            and record.suspects[feature] <= span_s
+            and record.seen_s >= last_s + ORDER_TOLERANCE_S
         ):
             count += 1
             last_s = record.seen_s
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_ledger.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_ledger.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 
 from chicoryplank.ids import ServiceId
-from chicoryplank.quarantine._features import FeatureId
+from chicoryplank.quarantine._features import FeatureId, is_widespread
 
 # Bounds on the memory of a ledger, whatever callers send.
 _MAX_CRASHES = 64
@@ -100,6 +100,34 @@
         """Returns the companions of a suspect that have not been cleared."""
         return set(self.companions.get(feature, ())) - self.cleared
 
+    def count_outlived(
+        self, feature: FeatureId, span_s: float
+    ) -> tuple[int, int]:
+        """Counts requests that were in progress for longer than a time.
+
+        Args:
+            feature: A feature of some requests.
+            span_s: Time from the send of a request to the crash, in seconds.
+
+        Returns:
+            The number of requests that have the feature or may have it, since
+            not all of their features are known, and of those without it.
+        """
+        with_feature = without = 0
+        for name, lead_s in self.suspects.items():
+            if lead_s <= span_s or is_widespread(name):
+                continue
+            companions = self.companions[name]
+            if (
+                feature == name
+                or feature in companions
+                or len(companions) >= MAX_COMPANIONS
+            ):
+                with_feature += 1
+            else:
+                without += 1
+        return with_feature, without
+
     def add_requests(self, entry: str, count: int) -> bool:
         """Sets the requests of an entry; returns whether that is new."""
         if self.requests.get(entry, 0) >= count:
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
@@ -24,6 +24,7 @@
 from chicoryplank.ids import ServiceId
 from chicoryplank.quarantine._chances import (
     ORDER_TOLERANCE_S,
+    compute_binomial_tail,
     compute_presence_chance,
     count_moments,
     find_chains,
@@ -73,6 +74,20 @@
     features: Sequence[FeatureId]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _OtherRequests:
+    """Outcomes of requests without a feature.
+
+    Attributes:
+        crashed: Number whose replicas crashed as soon as those of requests with
+            the feature.
+        survived: Number whose replicas did not.
+    """
+
+    crashed: int
+    survived: int
+
+
 class Quarantine:
     """Crashes, verdicts and recent outcomes as known to one entry.
 
@@ -97,6 +112,13 @@
         """Returns whether the outcomes of requests to a service matter."""
         return self._ledger.has_records(service)
 
+    def has_crash_since(self, service: ServiceId, since_s: float) -> bool:
+        """Returns whether a replica of a service has crashed since a time."""
+        return any(
+            record.seen_s >= since_s
+            for record in self._ledger.list_records(service)
+        )
+
     def find_verdict(
         self, features: Collection[FeatureId]
     ) -> QuarantineVerdict | None:
@@ -370,47 +392,72 @@
         """Returns the probability that crashes under a feature are chance.
 
         Two observations speak against chance: the replicas of all requests with
-        the feature crashed while those of others did not, and such a request
-        was in progress at most of the replicas that crashed.
+        the feature crashed so soon while those of others did not, and such a
+        request was in progress at most of the replicas that crashed.
         """
         recent = [
             record for record in records if record.seen_s >= chain[0].seen_s
         ]
-        crashed, survived = self._count_others(service, feature, recent)
+        others = self._count_others(service, feature, chain, recent)
         prior = _PRIOR_ATTEMPTS / (chain[-1].replica_count + 1)
-        rate = (crashed + prior) / (crashed + survived + _PRIOR_ATTEMPTS)
+        rate = (others.crashed + prior) / (
+            others.crashed + others.survived + _PRIOR_ATTEMPTS
+        )
         share = self._outcomes.estimate_share(service, feature)
         chance = compute_presence_chance(recent, feature, share)
         if (
             is_widespread(feature)
-            and survived < _MIN_CONTRAST
+            and others.survived < _MIN_CONTRAST
             and chance > _MAX_PRESENCE_CHANCE
         ):
             return 1.0
-        return rate ** count_moments(recent, feature) * chance
+        span_s = _get_span_s(feature, chain)
+        crashed = count_moments(recent, feature, span_s)
+        outlived = sum(
+            record.count_outlived(feature, span_s)[0] for record in recent
+        )
+        return chance * compute_binomial_tail(crashed, crashed + outlived, rate)
 
     def _count_others(
         self,
         service: ServiceId,
         feature: FeatureId,
-        records: Sequence[CrashRecord],
-    ) -> tuple[int, int]:
+        chain: Sequence[CrashRecord],
+        recent: Sequence[CrashRecord],
+    ) -> _OtherRequests:
         """Estimates the outcomes of requests of all entries without a feature.
 
+        A request whose replica crashed later than the replicas of requests with
+        the feature do counts as survived: it was cut off, but did not cause the
+        crash in the way that those would. Otherwise replicas with many long
+        requests at a time would let every request seem harmful.
+
         Crashes of all entries are known. Of what went well this entry knows its
         own part, and assumes that each other one that has reported a crash saw
         as much.
 
-        Returns:
-            How many requests ended with a crash, and how many did not.
+        Args:
+            service: Service of the replicas.
+            feature: The feature.
+            chain: Crashes under it that follow one another.
+            recent: All crashes since the first of these.
         """
-        crashed = sum(sum(record.requests.values()) for record in records)
-        crashed -= sum(feature in record.open_suspects for record in records)
-        entries = {entry for record in records for entry in record.requests}
+        span_s = _get_span_s(feature, chain)
+        total = sum(sum(record.requests.values()) for record in recent)
+        total -= sum(feature in record.open_suspects for record in recent)
+        outlived = 0
+        for record in recent:
+            with_feature, without = record.count_outlived(feature, span_s)
+            total -= with_feature
+            outlived += without
+        entries = {entry for record in recent for entry in record.requests}
         survived = self._outcomes.count_survived(
-            service, feature, records[0].seen_s
+            service, feature, recent[0].seen_s
+        )
+        return _OtherRequests(
+            crashed=max(0, total - outlived),
+            survived=survived * max(1, len(entries)) + outlived,
         )
-        return max(0, crashed), survived * max(1, len(entries))
 
     def _condemn(
         self,
@@ -422,7 +469,7 @@
         companions = set.intersection(
             *(record.list_companions(feature) for record in chain)
         )
-        crashed, survived = self._count_others(service, feature, chain)
+        others = self._count_others(service, feature, chain, chain)
         self._begin(
             QuarantineVerdict(
                 feature,
@@ -435,8 +482,8 @@
             crashes=[record.crash for record in chain],
             span_ms=round((chain[-1].seen_s - chain[0].seen_s) * 1000),
             age_ms=round((now_s - chain[-1].seen_s) * 1000),
-            others_crashed=crashed,
-            others_survived=survived,
+            others_crashed=others.crashed,
+            others_survived=others.survived,
         )
 
     def _begin(self, verdict: QuarantineVerdict, **evidence: object) -> None:
@@ -539,6 +586,21 @@
             )
 
 
+def _get_span_s(feature: FeatureId, chain: Sequence[CrashRecord]) -> float:
+    """Returns the time in which replicas crash under requests with a feature.
+
+    Args:
+        feature: The feature.
+        chain: Crashes under it that follow one another.
+
+    Returns:
+        The longest time from the send of such a request to the crash, in
+        seconds, with the tolerance for the clocks of entries.
+    """
+    longest_s = max(record.suspects[feature] for record in chain)
+    return longest_s + ORDER_TOLERANCE_S
+
+
 def _get_max_chance(feature: FeatureId) -> float:
     if is_widespread(feature):
         return _MAX_WIDESPREAD_CHANCE
--- a/packages/chicoryplank/src/chicoryplank/quarantine/tests/test_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/tests/test_quarantine.py
@@ -1,6 +1,7 @@
 """Tests of the attribution of crashes to features of requests."""
 
 import contextlib
+import random
 import signal
 
 import testtools
@@ -52,6 +53,11 @@
 
     def crash(self, *requests, version="v1", sent_ago_s=0.05, after_s=10.0):
         """Crashes a replica under requests with the given features."""
+        attempts = [(sent_ago_s, features) for features in requests]
+        self.crash_under(attempts, version=version, after_s=after_s)
+
+    def crash_under(self, attempts, *, version="v1", after_s=10.0):
+        """Crashes a replica under requests sent some seconds before."""
         self.now_s += after_s
         self.crashes += 1
         self.quarantine.observe_crash(
@@ -60,7 +66,7 @@
             version,
             [
                 SuspectAttempt(self.now_s - sent_ago_s, features)
-                for features in requests
+                for sent_ago_s, features in attempts
             ],
             entry=self._entry,
             replica_count=16,
@@ -260,6 +266,93 @@
         self.assertTrue(trouble.is_refused(_SHARED, _RARE, _BAD))
 
 
+class TestManyStreams(testtools.TestCase):
+    """Load pattern: each crash cuts off many streams, and nothing completes."""
+
+    def setUp(self):
+        super().setUp()
+        self.trouble = Trouble()
+        self.requests = 0
+
+    def make_streams(self, *sent_ago_s, part=None):
+        """Returns sound requests with one of five parts, or a given one."""
+        streams = []
+        for seconds in sent_ago_s:
+            self.requests += 1
+            own = b"%d" % self.requests
+            features = (
+                _SHARED,
+                part or make_part(self.requests % 5),
+                make_request_feature(_SERVICE, "a", "POST", "/", own),
+            )
+            streams.append((seconds, features))
+        return streams
+
+    def test_harmful_part(self):
+        """Guards against requests that crash replicas and are sent on."""
+        for number in range(5):
+            self.trouble.crash_under(
+                [
+                    (0.06, (_SHARED, _BAD, make_part(number))),
+                    *self.make_streams(*(0.02 + 0.2 * n for n in range(11))),
+                ]
+            )
+        self.assertTrue(self.trouble.is_refused(_SHARED, _BAD))
+        self.assertFalse(self.trouble.is_refused(_SHARED, make_part(0)))
+
+    def test_part_of_most_streams(self):
+        """Guards against blame for the last of many requests with a part."""
+        popular = make_part(0)
+        for seed in range(20):
+            rng = random.Random(seed)
+            self.trouble = Trouble()
+            for _ in range(10):
+                sent_ago_s = [rng.uniform(0.0, 2.2) for _ in range(12)]
+                self.trouble.crash_under(
+                    [
+                        *self.make_streams(*sent_ago_s[2:], part=popular),
+                        *self.make_streams(*sent_ago_s[:2], part=_RARE),
+                    ]
+                )
+            self.assertEqual(
+                [], self.trouble.quarantine.list_verdicts(), f"seed {seed}"
+            )
+
+    def test_requests_that_were_sent_together(self):
+        """Guards against blame when replicas crash as soon as they return."""
+        for _ in range(8):
+            self.trouble.crash_under(
+                [
+                    (0.06, (_SHARED, _RARE)),
+                    *self.make_streams(*(0.06 for _ in range(11))),
+                ]
+            )
+        self.assertFalse(self.trouble.is_refused(_SHARED, _RARE))
+
+    def test_part_of_all_requests(self):
+        """Guards against refusing all requests after short ones."""
+        for _ in range(8):
+            self.trouble.crash_under(
+                self.make_streams(*(0.02 + 0.2 * n for n in range(11)))
+            )
+        self.assertEqual([], self.trouble.quarantine.list_verdicts())
+
+    def test_requests_with_more_parts_than_known(self):
+        """Guards against taking a request for one without a part."""
+        parts = [make_part(number) for number in range(20, 25)]
+        for _ in range(8):
+            self.trouble.crash_under(
+                [
+                    (0.05, (_BAD, *parts)),
+                    *(
+                        (0.5, (_SHARED, _BAD, *parts, features[-1]))
+                        for _, features in self.make_streams(*range(10))
+                    ),
+                ]
+            )
+        self.assertFalse(self.trouble.is_refused(_BAD, *parts))
+
+
 class TestLifting(testtools.TestCase):
     """What ends a quarantine."""
 
