Lists of replicas and instances: one odd entry harms no other

Found by tests, not seen by callers.

Cause, own front: deeply nested JSON in the instance list raised a RecursionError that ended its poll, and one item that lacked a field or was no object hid all others. Users' front: registrations of replicas were safe; an unexpected fault in the view of the store ended it without a log line, and the peer address of an entry could be a name whose look-up closes the socket.

Change: malformed items are left out, the list is rejected only if no item is usable; the view logs a fault and reads all items again; peer addresses must have an IP address.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/crash_reports.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/crash_reports.py
@@ -132,5 +132,5 @@
             return
         try:
             self._quarantine.merge(json.loads(update), self.now_s(), peer)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             emit(Event.BATCH_REJECTED, peer=peer, error=repr(error))
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/members.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/members.py
@@ -1,6 +1,7 @@
 """Registrations of entries in the store."""
 
 import dataclasses
+import ipaddress
 import json
 
 from chicoryplank.ids import InstanceId
@@ -45,4 +46,7 @@
         raise ValueError("malformed registration of an entry")
     for name in ("caller_address", "peer_address"):
         check_address(document[name])
+    # Datagrams are sent there, without a look-up of names.
+    host, _, _ = document["peer_address"].rpartition(":")
+    ipaddress.ip_address(host.strip("[]"))
     return Member(**{name: document[name] for name in names})
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_peers.py
@@ -266,6 +266,8 @@
             member.encode().replace(b'"z"', b"5"),
             member.encode().replace(b"10.0.0.1:2", b"10.0.0.1:65536"),
             member.encode().replace(b"10.0.0.1:2", b"10.0.0.1:\xc2\xb2"),
+            # A name whose look-up fails would close the socket for datagrams.
+            member.encode().replace(b"10.0.0.1:2", b"a" * 70 + b":2"),
             b"[" * 100_000,
         ):
             self.assertRaises(ValueError, decode_member, value)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/views.py
@@ -236,6 +236,16 @@
                 self._feed.notify()
                 await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
                 backoff_s = min(2 * backoff_s, _MAX_BACKOFF_S)
+            except Exception as error:
+                # Without this, the entry would go on with an old state.
+                must_reload = True
+                emit(
+                    Event.STORE_VIEW_FAILED,
+                    revision=self._revision,
+                    error=repr(error),
+                )
+                await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+                backoff_s = min(2 * backoff_s, _MAX_BACKOFF_S)
 
     async def _follow_changes(self) -> tuple[list[Change], int]:
         """Waits for changes, also if the store ends the watch.
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/quarantine.py
@@ -96,7 +96,7 @@
                 json.dumps([*tokens, token]).encode(),
                 0 if record is None else record.revision,
             )
-        except (StoreError, ValueError) as error:
+        except (StoreError, ValueError, RecursionError) as error:
             emit(Event.QUARANTINE_NOT_STORED, error=str(error))
             if isinstance(error, StoreError) and (
                 error.verdict is Verdict.NOT_RUN
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/instance_list.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/instance_list.py
@@ -1,6 +1,7 @@
 """Client of the platform's instance list."""
 
 import asyncio
+from collections.abc import Mapping
 from datetime import timedelta
 
 import aiosonic
@@ -19,42 +20,62 @@
 def parse_instances(document: object) -> tuple[Instance, ...]:
     """Parses the JSON document of the instance list.
 
-    Instances with a malformed name or address are logged and left out, so that
-    one malformed item does not make the whole list unusable.
+    Malformed items are logged and left out, so that one of them does not make
+    the whole list unusable.
 
     Raises:
-        ValueError: If the document does not have the expected structure.
+        ValueError: If the document does not have the expected structure, or if
+            no item of it is usable.
     """
     try:
-        instances = [
-            Instance(
-                InstanceId(item["instance"]),
-                item["role"],
-                ZoneId(item["zone"]),
-                item["address"],
-                item.get("caller_address", ""),
-                item.get("deployment", ""),
-                bool(item.get("leaving", False)),
-            )
-            for item in document["instances"]
-        ]
-    except (KeyError, TypeError, AttributeError) as error:
+        items = list(document["instances"])
+    except (KeyError, TypeError) as error:
         raise ValueError(f"malformed instance list: {error!r}") from error
-    usable = tuple(item for item in instances if _is_usable(item))
-    if len(usable) < len(instances):
+    instances = tuple(
+        instance
+        for instance in map(_parse_instance, items)
+        if instance is not None
+    )
+    if items and not instances:
+        raise ValueError(f"all {len(items)} instances are malformed")
+    if len(instances) < len(items):
         emit(
             Event.INSTANCE_LIST_UNAVAILABLE,
-            error=f"{len(instances) - len(usable)} malformed instances ignored",
+            error=f"{len(items) - len(instances)} malformed instances ignored",
         )
-    return usable
+    return instances
 
 
-def _is_usable(instance: Instance) -> bool:
-    return (
-        isinstance(instance.instance, str)
-        and is_valid_name(instance.instance)
-        and is_address(instance.address)
-        and (not instance.caller_address or is_address(instance.caller_address))
+def _parse_instance(item: object) -> Instance | None:
+    """Returns an instance of the list; None if it is malformed."""
+    if not isinstance(item, Mapping):
+        return None
+    texts = [
+        item.get(field, default)
+        for field, default in (
+            ("instance", None),
+            ("role", None),
+            ("zone", None),
+            ("address", None),
+            ("caller_address", ""),
+            ("deployment", ""),
+        )
+    ]
+    if not all(isinstance(text, str) for text in texts):
+        return None
+    name, role, zone, address, caller_address, deployment = texts
+    if not is_valid_name(name) or not is_address(address):
+        return None
+    if caller_address and not is_address(caller_address):
+        return None
+    return Instance(
+        InstanceId(name),
+        role,
+        ZoneId(zone),
+        address,
+        caller_address,
+        deployment,
+        bool(item.get("leaving", False)),
     )
 
 
@@ -82,7 +103,7 @@
             if response.status_code != _HTTP_OK:
                 raise ValueError(f"status {response.status_code}")
             return parse_instances(await response.json())
-    except HTTP_FAILURES as error:
+    except (*HTTP_FAILURES, RecursionError) as error:
         raise ChicoryplankError(
             ErrorCode.MEMBER_UNREACHABLE,
             f"instance list could not be fetched from {address}: {error!r}",
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -323,6 +323,12 @@
         "watch of the store after revision {revision} ended without a "
         "response: {error}",
     )
+    STORE_VIEW_FAILED = (
+        1315,
+        logbook.ERROR,
+        "changes of the store after revision {revision} could not be applied; "
+        "rereading all items: {error}",
+    )
     STORE_RESTORED = (
         1309,
         logbook.WARNING,
