Streams: only a stream goes on with a stream that broke off

Another operator reported errors in the middle of streams, and streams that ended as complete, when a stream broke off and the next replica answered with an error. Found here by tests, not seen by callers.

Cause: a resumed response was checked for a failure status only. The body of a success that is no event stream was written into the stream, a 204 or an empty response without a length ended it as complete, and so did a stream that repeated events and ended too early. After a gap the id of an event that was never sent counted as received. On the product's own front the agent passed on such a body too.

Change: the resumed response needs the status of the first one and the type of an event stream; it must not end before the last event that was sent.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -127,11 +127,10 @@
             for name, value in response.headers.items()
             if name.lower() in _RESPONSE_HEADERS
         )
-        content_type = dict(response_headers).get("content-type", "")
         if not _has_body(request.method, response):
             await response.aclose()
             body = _read_empty_body()
-        elif content_type.startswith(EVENT_STREAM):
+        elif _has_event_type(response):
             body = self._read_events(request.request_id, response)
         else:
             body = self._read_body(response)
@@ -255,9 +254,7 @@
                 if error.verdict is not Verdict.NOT_RUN:
                     raise
                 raise await self._make_break_error(error) from error
-            if response.status_code != _HTTP_OK or not _has_body(
-                "GET", response
-            ):
+            if not _is_event_stream(response):
                 await response.aclose()
                 raise _make_response_error(failure)
         raise _make_response_error(failure)
@@ -313,6 +310,21 @@
     return length is None or int(length) > 0
 
 
+def _has_event_type(response: aiosonic.HttpResponse) -> bool:
+    """Tells whether the content type of a response is an event stream."""
+    content_type = response.headers.get("content-type", "")
+    return content_type.lower().startswith(EVENT_STREAM)
+
+
+def _is_event_stream(response: aiosonic.HttpResponse) -> bool:
+    """Tells whether a response goes on with a stream, and is no error."""
+    return (
+        response.status_code == _HTTP_OK
+        and _has_body("GET", response)
+        and _has_event_type(response)
+    )
+
+
 async def _read_empty_body() -> AsyncIterator[bytes]:
     return
     yield
--- a/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/tests/test_backend.py
@@ -239,14 +239,16 @@
 _EVENTS = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 
 
-def send_unframed(*raw_responses, resets=False, crashes=False):
+def send_unframed(*raw_responses, resets=False, crashes=False, received=None):
     """Returns status and body, or the error, of a response without framing.
 
     Args:
         raw_responses: Responses to one connection after the other.
         resets: Whether connections are reset instead of closed.
         crashes: Whether the port is closed before the first connection.
+        received: List to which the parts of the body are appended.
     """
+    received = [] if received is None else received
 
     async def run():
         responses = list(raw_responses)
@@ -274,8 +276,9 @@
         try:
             async with asyncio.timeout(5):
                 response = await client.send(_make_request("/a"))
-                body = b"".join([data async for data in response.body])
-                return response.status, body
+                async for data in response.body:
+                    received.append(data)
+                return response.status, b"".join(received)
         except ChicoryplankError as error:
             return error
         finally:
@@ -308,6 +311,23 @@
         )
         self.assertEqual((200, self._FIRST + self._LAST), result)
 
+    def test_error_instead_of_the_rest(self):
+        """Guards against the text of an error in the middle of a stream."""
+        text = b'{"error": "gone"}\n\ndata: [DONE]\n\n'
+        ends_at_close = b"Connection: close"
+        with_length = b"Content-Length: %d" % len(text)
+        for status in (b"200 OK", b"404 Not Found", b"503 Unavailable"):
+            for kind in (b"Content-Type: application/json", b"Server: x"):
+                for framing in (ends_at_close, with_length):
+                    lines = (b"HTTP/1.1 " + status, kind, framing, b"", text)
+                    error = b"\r\n".join(lines)
+                    received = []
+                    result = send_unframed(
+                        _EVENTS + self._FIRST, error, received=received
+                    )
+                    self.assertEqual(ErrorCode.BACKEND_FAILED, result.code)
+                    self.assertEqual([self._FIRST], received, error)
+
     def test_ends_with_a_crash(self):
         """Guards against a crash that hides behind the end of a stream."""
         for data in (b"", self._FIRST, self._FIRST + b"id: 2\nda"):
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
@@ -78,6 +78,8 @@
         self.first_output_s = 0.0
         self.longest_gap_s = 0.0
         self._last_event_s: float | None = None
+        # Number of the last event of a resumed stream, sent on or repeated.
+        self._newest_number: int | None = None
 
     async def wait_head(self, attempt: Attempt) -> None:
         """Waits for the status and headers of the response.
@@ -182,12 +184,13 @@
                 reply has been started, the caller has received nothing.
         """
         response = attempt.response
-        kind = response.get("content-type") or ""
+        kind = (response.get("content-type") or "").lower()
         is_events = kind.startswith(_EVENT_STREAM)
-        if reply.started and response.status not in SUCCESS:
+        if reply.started and (response.status != self.status or not is_events):
             raise ConnectionBrokenError(
                 BreakReason.MALFORMED,
-                f"replica resumed a stream with status {response.status}",
+                f"replica resumed a stream with status {response.status} and "
+                f"content type {kind!r:.50}",
             )
         if is_events and response.status in SUCCESS:
             await self._relay_events(attempt, reply)
@@ -249,7 +252,9 @@
 
     async def _relay_events(self, attempt: Attempt, reply: Reply) -> None:
         splitter = self._splitter
-        splitter.discard_partial_event()
+        splitter.restart()
+        self._newest_number = None
+        has_events = False
         instance = attempt.replica.instance
         while data := await self._await_output(
             attempt.response.read,
@@ -272,6 +277,7 @@
                 raise ConnectionBrokenError(
                     BreakReason.MALFORMED, "event exceeds the size limit"
                 ) from error
+            has_events = has_events or bool(events)
             events = self._select_new_events(events)
             if not events:
                 continue
@@ -285,15 +291,31 @@
                 BreakReason.CLOSED, "stream ended in the middle of an event"
             )
         if attempt.response.ends_at_close:
-            if not reply.started:
+            if not has_events:
                 raise ConnectionBrokenError(
                     BreakReason.CLOSED, "stream ended before its first event"
                 )
             await self._check_unframed_end(self._call, attempt)
+        self._require_progress()
         if not reply.started:
             self._start_reply(attempt, reply, None)
         reply.end()
 
+    def _require_progress(self) -> None:
+        """Checks that a resumed stream has not ended among repeated events.
+
+        Raises:
+            ConnectionBrokenError: If it ended before the last event that the
+                caller has received.
+        """
+        newest = self._newest_number
+        if newest is not None and newest < int(self.last_event_id):
+            raise ConnectionBrokenError(
+                BreakReason.MALFORMED,
+                f"resumed stream ended with event {newest}, before "
+                f"{self.last_event_id}",
+            )
+
     def _observe_survival(self, attempt: Attempt, now_s: float) -> None:
         """Records that the replica runs on some time after its first output."""
         if (
@@ -313,7 +335,7 @@
         Raises:
             ConnectionBrokenError: If an event is missing.
         """
-        if not self._call.resume_after or not self.last_event_id.isdigit():
+        if not self._call.resume_after or not self.last_event_id.isdecimal():
             return events
         last = int(self.last_event_id)
         selected = []
@@ -322,6 +344,7 @@
             if number is None:
                 selected.append(event)
                 continue
+            self._newest_number = number
             if number <= last:
                 continue
             if number != last + 1:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/events_stream.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/events_stream.py
@@ -61,9 +61,13 @@
             raise EventTooLongError
         return events
 
-    def discard_partial_event(self) -> None:
-        """Discards the incomplete event of a replica that has failed."""
+    def restart(self) -> None:
+        """Discards what belongs to the response of a replica that has failed.
+
+        Its last events may not have been sent on.
+        """
         self._partial_event = b""
+        self.last_event_id = ""
 
 
 def parse_event_number(event: bytes) -> int | None:
