Connections: an id is not used twice on one connection

Another operator reported that a faulty replica wrote an earlier refusal once more on a kept connection, and that requests which ran were called "not run" or ran twice. Found here by a test for callers that use an id again, not seen with users, whose attempts have ids of their own.

Cause: a rejection counts if it has the id of the request and comes on a connection that carried no earlier attempt of it. A further request of the caller with the same id may go on that connection, and the copy matches it.

Change: a connection remembers the ids of its last 64 requests and is not used for a request with one of them.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/backends.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/backends.py
@@ -69,6 +69,7 @@
         backend: BackendAddress,
         repeatable: bool,
         excluded: Collection[ClientConnection] = (),
+        request_id: str = "",
     ) -> ClientConnection:
         """Returns an idle connection that is likely still open, or a new one.
 
@@ -78,11 +79,13 @@
             excluded: Connections that carried an earlier attempt of the
                 request. The request id does not distinguish attempts, so a late
                 response to that attempt would be taken for one to the next.
+            request_id: Id of the request. A caller may use it again for a
+                further request, with the same consequence.
 
         Raises:
             ConnectionBrokenError: If no connection can be made.
         """
-        idle = self._take_idle(backend, repeatable, excluded)
+        idle = self._take_idle(backend, repeatable, excluded, request_id)
         if idle is not None:
             return idle
         return await self.open(backend)
@@ -102,12 +105,13 @@
         backend: BackendAddress,
         repeatable: bool,
         excluded: Collection[ClientConnection],
+        request_id: str,
     ) -> ClientConnection | None:
         """Removes and returns the connection that was used last, if any."""
         connections = self._idle.get(backend, [])
         for index in range(len(connections) - 1, -1, -1):
             connection = connections[index]
-            if connection in excluded:
+            if connection in excluded or connection.has_carried(request_id):
                 continue
             del connections[index]
             if self._is_likely_open(connection, repeatable):
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -333,7 +333,10 @@
         if call.needs_new_connection:
             return await self._pool.open(backend)
         return await self._pool.acquire(
-            backend, call.route.repeatable, call.used_connections
+            backend,
+            call.route.repeatable,
+            call.used_connections,
+            call.request_id,
         )
 
     def _write_request(
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_not_run.py
@@ -112,6 +112,142 @@
         self.assertLessEqual(len(writers), 2)
 
 
+def encode_rejection(request_id, status, framing):
+    """Returns a rejection as a replica writes it."""
+    lines = [f"HTTP/1.1 {status}", f"X-Id: {request_id}", "X-Not-Run: 1"]
+    body = "full"
+    if framing == "length":
+        lines.append(f"Content-Length: {len(body)}")
+    elif framing == "chunks":
+        lines.append("Transfer-Encoding: chunked")
+        body = f"{len(body):x}\r\n{body}\r\n0\r\n\r\n"
+    elif framing == "interim":
+        lines[:0] = ["HTTP/1.1 102 Processing", ""]
+        lines.append(f"Content-Length: {len(body)}")
+    elif framing == "empty":
+        lines.append("Content-Length: 0")
+        body = ""
+    return "\r\n".join([*lines, "", body]).encode()
+
+
+class RepeatingReplica(RunningReplica):
+    """Replica that writes its first rejection once more, and runs all others.
+
+    Args:
+        status: Status of the rejection.
+        framing: What delimits its body: length, chunks, interim (a length,
+            behind an interim response), or empty.
+        moment: When it is repeated: at once, while the connection is idle,
+            or before the next response.
+        cut: Fraction of the bytes that are repeated.
+        copies: Number of copies.
+
+    Attributes:
+        is_repeated: Whether it has written a copy.
+    """
+
+    def __init__(self, status, framing, moment, cut=1.0, copies=1):
+        super().__init__(RepeatingReplica._respond)
+        self._rejection = status, framing
+        self._moment = moment
+        self._cut = cut
+        self._copies = copies
+        self._sent = None
+        self.is_repeated = moment != "next"
+
+    async def _respond(self, recorded, writer):
+        if self._sent is None:
+            sent = encode_rejection(recorded.headers["x-id"], *self._rejection)
+            self._sent = writer, sent
+            copies = sent[: round(len(sent) * self._cut)] * self._copies
+            writer.write(sent)
+            if self._moment == "at once":
+                writer.write(copies)
+            elif self._moment == "idle":
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.02, writer.write, copies)
+            return True
+        first_writer, sent = self._sent
+        if self._moment == "next" and writer is first_writer:
+            self.is_repeated = True
+            writer.write(sent[: round(len(sent) * self._cut)] * self._copies)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        return await self.run(recorded, writer)
+
+
+class TestRejectionWrittenAgain(NotRunCase):
+    """A copy of an earlier rejection says nothing about a later request."""
+
+    async def check(self, kind, ids, **behavior):
+        """Sends requests one after the other; checks each by its runs.
+
+        The first one ends before it may be sent again, so that the next one is
+        sent on the connection of the rejection.
+        """
+        replica = RepeatingReplica(**behavior)
+        detail = (kind, ids, behavior)
+        async with EntryFixture(replica, kind=kind, max_runs=2) as fixture:
+            for request_id, left_ms in zip(ids, (120, 1500), strict=True):
+                before = replica.runs
+                status, _, _ = await fixture.send_request(
+                    request_id=request_id, left_ms=left_ms
+                )
+                await asyncio.sleep(0.2)
+                runs = replica.runs - before
+                if status in (408, 421, 429, 503):
+                    self.assertEqual(0, runs, (status, *detail))
+                if kind is RequestKind.NON_IDEMPOTENT:
+                    self.assertLessEqual(runs, 1, (status, *detail))
+        if behavior["status"] != "421 Misdirected Request":
+            # After that one, the replica is left alone for a while.
+            self.assertGreater(replica.runs, 0, detail)
+            if ids[0] != ids[1]:
+                self.assertTrue(replica.is_repeated, detail)
+            if "cut" not in behavior and "copies" not in behavior:
+                self.assertEqual(200, status, detail)
+
+    def check_all(self, kind, ids):
+        behaviors = [
+            {"framing": framing}
+            for framing in ("length", "chunks", "interim", "empty")
+        ]
+        behaviors += [{"framing": "length", "cut": cut} for cut in (0.3, 0.8)]
+        behaviors.append({"framing": "length", "copies": 5})
+
+        async def run(status):
+            await asyncio.gather(
+                *(
+                    self.check(
+                        kind, ids, status=status, moment=moment, **behavior
+                    )
+                    for moment in ("at once", "idle", "next")
+                    for behavior in behaviors
+                )
+            )
+
+        for status in (
+            "400 Bad Request",
+            "408 Request Timeout",
+            "421 Misdirected Request",
+            "429 Too Many Requests",
+            "503 Service Unavailable",
+        ):
+            asyncio.run(run(status))
+
+    def test_request_that_must_not_run_twice(self):
+        """Guards against "not run" for a request that is running."""
+        self.check_all(RequestKind.NON_IDEMPOTENT, ("70", "71"))
+
+    def test_request_that_may_run_again(self):
+        """Guards against "not run" for an idempotent request that ran."""
+        self.check_all(RequestKind.IDEMPOTENT, ("70", "71"))
+
+    def test_id_that_a_caller_uses_again(self):
+        """Guards against a copy that matches the id of the next request."""
+        self.check_all(RequestKind.NON_IDEMPOTENT, ("70", "70"))
+
+
 class TestUnstatedRejections(NotRunCase):
     """A status of a replica alone does not state that a request did not run."""
 
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
@@ -20,6 +20,8 @@
 # Number of responses to other requests that are skipped before the connection
 # is closed.
 _MAX_MISMATCHED_RESPONSES = 3
+# Number of its last requests whose ids a connection remembers.
+_MAX_REMEMBERED_IDS = 64
 # Size of their bodies, in bytes, above which the connection is closed.
 _MAX_SKIPPED_BYTES = 1_048_576
 # Number of interim responses (1xx) before a response above which the connection
@@ -215,6 +217,9 @@
         self._parser = httptools.HttpResponseParser(self)
         self._response: Response | None = None
         self._expected_id = ""
+        self._sent_ids: collections.deque[str] = collections.deque(
+            maxlen=_MAX_REMEMBERED_IDS
+        )
         self._headers: list[tuple[str, str]] = []
         self._reads_head = False
         self._skipping = False
@@ -260,6 +265,8 @@
             expected: Value of the match header in the response to this request.
         """
         self._expected_id = expected
+        if expected:
+            self._sent_ids.append(expected)
         self.requests_sent += 1
         self._skipped_bytes = 0
         self._interim_responses = 0
@@ -271,6 +278,14 @@
             self._transport.write(request)
         return self._response
 
+    def has_carried(self, expected: str) -> bool:
+        """Returns whether one of the last requests had an id.
+
+        A late copy of the response to it would match a further request with
+        the same id.
+        """
+        return expected in self._sent_ids
+
     def abort(self) -> None:
         """Closes the connection immediately and discards unsent data."""
         self._closed = True
