Quarantine: a test of promptness, and a gentler return of replicas

Change: the former test of presence stays as it was, and a second test of promptness stands beside it (_evidence.py): how many requests with the feature were followed by a crash within their span, at the rate of the others, and how they are spread over the crashes. It needs four crashes for a part of a prompt. From five crashes in a row on, a part is blamed at 0.0001. Only replicas that started within 10 s are returning, and the number of their requests grows with time too. The search for a verdict after successes waits for one success for each eight crashes, since it costs up to 10 ms with a full ledger.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/answers.py
@@ -78,8 +78,9 @@
         self.first_output_s = 0.0
         self.longest_gap_s = 0.0
         self._last_event_s: float | None = None
-        # Number of the last event of a resumed stream, sent on or repeated.
-        self._newest_number: int | None = None
+        # Whether a resumed stream has repeated events, but not yet the last one
+        # that the caller has received.
+        self._is_behind = False
 
     async def wait_head(self, attempt: Attempt) -> None:
         """Waits for the status and headers of the response.
@@ -253,7 +254,7 @@
     async def _relay_events(self, attempt: Attempt, reply: Reply) -> None:
         splitter = self._splitter
         splitter.restart()
-        self._newest_number = None
+        self._is_behind = False
         has_events = False
         instance = attempt.replica.instance
         while data := await self._await_output(
@@ -296,25 +297,14 @@
                     BreakReason.CLOSED, "stream ended before its first event"
                 )
             await self._check_unframed_end(self._call, attempt)
-        self._require_progress()
-        if not reply.started:
-            self._start_reply(attempt, reply, None)
-        reply.end()
-
-    def _require_progress(self) -> None:
-        """Checks that a resumed stream has not ended among repeated events.
-
-        Raises:
-            ConnectionBrokenError: If it ended before the last event that the
-                caller has received.
-        """
-        newest = self._newest_number
-        if newest is not None and newest < int(self.last_event_id):
+        if self._is_behind:
             raise ConnectionBrokenError(
                 BreakReason.MALFORMED,
-                f"resumed stream ended with event {newest}, before "
-                f"{self.last_event_id}",
+                f"resumed stream ended before event {self.last_event_id}",
             )
+        if not reply.started:
+            self._start_reply(attempt, reply, None)
+        reply.end()
 
     def _observe_survival(self, attempt: Attempt, now_s: float) -> None:
         """Records that the replica runs on some time after its first output."""
@@ -344,7 +334,7 @@
             if number is None:
                 selected.append(event)
                 continue
-            self._newest_number = number
+            self._is_behind = number < last
             if number <= last:
                 continue
             if number != last + 1:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/crashes.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/crashes.py
@@ -253,7 +253,7 @@
         if not attempts or self._is_draining(replica):
             return
         self._times.add(replica, attempts[0].broken_s)
-        self._state.observe_return(replica, attempts[0].broken_s)
+        self._state.observe_crash(replica, attempts[0].broken_s)
         self._report(replica, attempts, evidence)
 
     def _is_draining(self, replica: ReplicaRecord) -> bool:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/state.py
@@ -68,8 +68,8 @@
 # entries that have one.
 _ON_TIME_RESERVE = 0.08
 _EVACUATED = frozenset({HoldReason.EVACUATED})
-# Time in seconds after a crash in a service in which a replica that registers
-# counts as returning.
+# Time in seconds after a crash in a service, and after the start of a replica,
+# in which a replica that registers counts as returning.
 _RETURN_AFTER_CRASH_S = 10.0
 # Interval of checks for stalls and free slots, in seconds.
 _CHECK_INTERVAL_S = 0.1
@@ -314,11 +314,8 @@
         record = self.registry.get(instance)
         if record is None:
             return
-        now_s = self.now_s()
-        if self.quarantine.has_crash_since(
-            record.service, now_s - _RETURN_AFTER_CRASH_S
-        ):
-            self.observe_return(record, now_s)
+        if self._has_returned(record):
+            self.returning.observe_start(instance, self.now_s())
         former_ms = self._starts_ms.get(instance)
         self._starts_ms[instance] = record.started_ms
         if former_ms is None or former_ms == record.started_ms:
@@ -334,14 +331,33 @@
             in_flight=discarded,
         )
 
-    def observe_return(self, record: ReplicaRecord, now_s: float) -> None:
-        """Limits the requests to a replica that returns after a crash.
+    def observe_crash(self, record: ReplicaRecord, now_s: float) -> None:
+        """Limits the requests to a replica that has crashed."""
+        if self._is_alone(record.service):
+            self.returning.observe_crash(record.instance, now_s)
+
+    def _has_returned(self, record: ReplicaRecord) -> bool:
+        """Returns whether a replica that registers returns after a crash.
+
+        A replica that started long ago registers too: at an entry that has
+        just started, or after an outage of the store.
+        """
+        age_s = self.clock.now().timestamp() - record.started_ms / 1000
+        return (
+            abs(age_s) <= _RETURN_AFTER_CRASH_S
+            and self._is_alone(record.service)
+            and self.quarantine.has_crash_since(
+                record.service, self.now_s() - _RETURN_AFTER_CRASH_S
+            )
+        )
+
+    def _is_alone(self, service: ServiceId) -> bool:
+        """Returns whether each replica of a service returns by itself.
 
         The ranks of a lock-step group return together, and its circuit breaker
         holds the requests back.
         """
-        if not self.get_service(record.service).is_lockstep:
-            self.returning.observe_return(record.instance, now_s)
+        return not self.get_service(service).is_lockstep
 
     def observe_survival(
         self,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_crashes.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_crashes.py
@@ -258,7 +258,7 @@
                 service = state.get_service(record.service)
                 full = []
                 for service.is_lockstep in (True, False):
-                    state.observe_return(record, state.now_s())
+                    state.observe_crash(record, state.now_s())
                     state.occupancy.begin(record.instance)
                     held = state.list_full_replicas(service, 0, state.now_s())
                     full.append(len(held))
@@ -267,8 +267,14 @@
 
         self.assertEqual([0, 1], asyncio.run(run()))
 
-    def test_replica_that_registers_after_a_crash(self):
-        """Guards against a flood from entries that saw no crash themselves."""
+    def count_full(self, started_ago_s):
+        """Returns how many replicas with one request are full.
+
+        Another entry has told of a crash, and the replica registers.
+
+        Args:
+            started_ago_s: Age of its process.
+        """
 
         async def run():
             async with EntryFixture(Replica(respond())) as fixture:
@@ -288,10 +294,23 @@
                 )
                 items = report.encode_all(now_s)
                 state.quarantine.merge(items, now_s, "peer")
-                state.registry.put(dataclasses.replace(record, started_ms=7))
+                started_s = state.clock.now().timestamp() - started_ago_s
+                state.registry.put(
+                    dataclasses.replace(
+                        record, started_ms=round(started_s * 1000)
+                    )
+                )
                 state.refresh_candidates()
                 service = state.get_service(record.service)
                 state.occupancy.begin(record.instance)
                 return len(state.list_full_replicas(service, 0, now_s))
 
-        self.assertEqual(1, asyncio.run(run()))
+        return asyncio.run(run())
+
+    def test_replica_that_starts_after_a_crash(self):
+        """Guards against a flood from entries that saw no crash themselves."""
+        self.assertEqual(1, self.count_full(started_ago_s=0.5))
+
+    def test_replica_that_registers_without_a_start(self):
+        """Guards against refusals by an entry that has just started."""
+        self.assertEqual(0, self.count_full(started_ago_s=60.0))
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_resumed_streams.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_resumed_streams.py
@@ -187,14 +187,18 @@
             self.assertEqual(b"".join(_EVENTS[:3]), events)
             self.assertFalse(is_complete)
 
-    def test_id_that_is_no_number(self):
+    def test_ids_that_are_no_numbers(self):
         """Guards against a fault at ids whose order is not known."""
         odd = b"id: x7\ndata: x\n\n"
-        events, is_complete = self.send(
-            stream([odd], ends=False), stream([_EVENTS[0]])
-        )
-        self.assertEqual(odd + _EVENTS[0], events)
-        self.assertTrue(is_complete)
+        for first, rest in (
+            ([odd], [_EVENTS[0]]),
+            (_EVENTS[:2], [_EVENTS[2], odd]),
+        ):
+            events, is_complete = self.send(
+                stream(first, ends=False), stream(rest)
+            )
+            self.assertEqual(b"".join([*first, *rest]), events)
+            self.assertTrue(is_complete)
 
     def test_type_in_another_case(self):
         """Guards against a stream that is held back until its end."""
--- a/packages/chicoryplank/src/chicoryplank/admission/_returning_replicas.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_returning_replicas.py
@@ -5,17 +5,42 @@
 them at once. If a single one is harmful, all are lost with it; and since all of
 them crash as soon after they were sent, nothing shows which one it was. So a
 replica that returns gets one request, and three times as many each time that
-one of these has shown that the replica lives.
+one of these has shown that the replica lives, or some time has passed.
 """
 
+import dataclasses
 from collections.abc import Collection
 
 from chicoryplank.ids import InstanceId
 
 _GROWTH = 3
-# Time in seconds without a crash after which a replica is no longer limited,
-# also if no request has shown that it lives.
-_MAX_RAMP_S = 5.0
+# Time in seconds after which the number grows without a request of this entry:
+# the requests of other entries may occupy the replica.
+_STEP_S = 0.6
+# Time in seconds after a crash in which the replica is expected back.
+_MAX_ABSENCE_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Ramp:
+    """Number of requests that a replica got at a time, since a moment.
+
+    Attributes:
+        places: The number.
+        since_s: Time from which on it held, in seconds.
+        is_back: Whether the replica has started again.
+    """
+
+    places: int
+    since_s: float
+    is_back: bool
+
+    def get_places(self, now_s: float) -> int:
+        """Returns the number of requests at a time."""
+        if not self.is_back:
+            return self.places
+        steps = max(0, int((now_s - self.since_s) / _STEP_S))
+        return self.places * _GROWTH ** min(steps, 20)
 
 
 class ReturningReplicas:
@@ -23,7 +48,7 @@
 
     Example:
         >>> returning = ReturningReplicas()
-        >>> returning.observe_return(InstanceId("a"), now_s=0.0)
+        >>> returning.observe_start(InstanceId("a"), now_s=0.0)
         >>> returning.get_places(InstanceId("a"), 8, now_s=0.0)
         1
         >>> returning.observe_survival(InstanceId("a"), sent_s=0.1, now_s=0.4)
@@ -33,16 +58,15 @@
     """
 
     def __init__(self) -> None:
-        self._places: dict[InstanceId, tuple[int, float]] = {}
+        self._ramps: dict[InstanceId, _Ramp] = {}
 
-    def observe_return(self, instance: InstanceId, now_s: float) -> None:
-        """Records that a replica crashed, or that another start of it returns.
+    def observe_crash(self, instance: InstanceId, now_s: float) -> None:
+        """Records that a replica has crashed, at a time in seconds."""
+        self._ramps[instance] = _Ramp(1, now_s, is_back=False)
 
-        Args:
-            instance: The replica.
-            now_s: Current time in seconds.
-        """
-        self._places[instance] = (1, now_s)
+    def observe_start(self, instance: InstanceId, now_s: float) -> None:
+        """Records that a replica has started after a crash."""
+        self._ramps[instance] = _Ramp(1, now_s, is_back=True)
 
     def observe_survival(
         self, instance: InstanceId, sent_s: float, now_s: float
@@ -60,10 +84,11 @@
         Returns:
             Whether the replica gets more requests from now on.
         """
-        known = self._places.get(instance)
-        if known is None or sent_s < known[1]:
+        ramp = self._ramps.get(instance)
+        if ramp is None or sent_s < ramp.since_s:
             return False
-        self._places[instance] = (known[0] * _GROWTH, now_s)
+        places = ramp.get_places(now_s) * _GROWTH
+        self._ramps[instance] = _Ramp(places, now_s, is_back=True)
         return True
 
     def get_places(
@@ -79,16 +104,17 @@
         Returns:
             The number; None if the replica is not limited.
         """
-        known = self._places.get(instance)
-        if known is None:
+        ramp = self._ramps.get(instance)
+        if ramp is None:
             return None
-        places, changed_s = known
-        if places >= slots or now_s - changed_s >= _MAX_RAMP_S:
-            del self._places[instance]
+        places = ramp.get_places(now_s)
+        is_overdue = not ramp.is_back and now_s - ramp.since_s >= _MAX_ABSENCE_S
+        if places >= slots or is_overdue:
+            del self._ramps[instance]
             return None
         return places
 
     def retain(self, instances: Collection[InstanceId]) -> None:
         """Forgets replicas that are no longer registered."""
-        for instance in self._places.keys() - instances:
-            del self._places[instance]
+        for instance in self._ramps.keys() - instances:
+            del self._ramps[instance]
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_chances.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_chances.py
@@ -11,6 +11,7 @@
 ORDER_TOLERANCE_S = 0.05
 # Share of a sum below which further, smaller terms are left out.
 _NEGLIGIBLE = 1e-12
+_MAX_REQUESTS_PER_MOMENT = 3
 
 
 def compute_presence_chance(
@@ -67,6 +68,50 @@
     return tail
 
 
+def compute_coverage_chance(covered: int, moments: int, requests: int) -> float:
+    """Returns the chance that requests are spread over so many moments.
+
+    Args:
+        covered: Number of moments with one of the requests, at least.
+        moments: Number of moments; each is as likely for each request.
+        requests: Number of requests that were sent shortly before any of them.
+
+    Returns:
+        The chance; 1 for many more requests than moments, where it is no
+        evidence.
+    """
+    if requests > _MAX_REQUESTS_PER_MOMENT * moments:
+        return 1.0
+    chances = [1.0]
+    for _ in range(requests):
+        chances = [
+            (chances[count] * count if count < len(chances) else 0.0)
+            + (chances[count - 1] * (moments - count + 1) if count else 0.0)
+            for count in range(min(len(chances), moments) + 1)
+        ]
+        chances = [chance / moments for chance in chances]
+    return sum(chances[covered:])
+
+
+def list_moments(
+    records: Sequence[CrashRecord],
+) -> list[list[CrashRecord]]:
+    """Returns the crashes at each moment: replicas may fail together.
+
+    Args:
+        records: Crashes in order of time.
+    """
+    moments: list[list[CrashRecord]] = []
+    for record in records:
+        if (
+            not moments
+            or record.seen_s >= moments[-1][0].seen_s + ORDER_TOLERANCE_S
+        ):
+            moments.append([])
+        moments[-1].append(record)
+    return moments
+
+
 def count_moments(
     records: Sequence[CrashRecord], feature: FeatureId, span_s: float
 ) -> int:
@@ -79,17 +124,16 @@
         feature: A suspect of some of them.
         span_s: Longest time from the send to the crash, in seconds.
     """
-    count = 0
-    last_s = float("-inf")
-    for record in records:
-        if (
-            feature in record.open_suspects
-            and record.suspects[feature] <= span_s
-            and record.seen_s >= last_s + ORDER_TOLERANCE_S
-        ):
-            count += 1
-            last_s = record.seen_s
-    return count
+    return len(
+        list_moments(
+            [
+                record
+                for record in records
+                if feature in record.open_suspects
+                and record.suspects[feature] <= span_s
+            ]
+        )
+    )
 
 
 def find_chains(
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_ledger.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_ledger.py
@@ -117,17 +117,40 @@
         for name, lead_s in self.suspects.items():
             if lead_s <= span_s or is_widespread(name):
                 continue
-            companions = self.companions[name]
-            if (
-                feature == name
-                or feature in companions
-                or len(companions) >= MAX_COMPANIONS
-            ):
+            if self._may_have(name, feature):
                 with_feature += 1
             else:
                 without += 1
         return with_feature, without
 
+    def count_recent(self, feature: FeatureId, span_s: float) -> int:
+        """Counts requests with a feature that were sent shortly before.
+
+        Those whose features are not all known count too.
+
+        Args:
+            feature: A suspect.
+            span_s: Time from the send of a request to the crash, in seconds.
+        """
+        return max(
+            1,
+            sum(
+                lead_s <= span_s
+                and not is_widespread(name)
+                and self._may_have(name, feature)
+                for name, lead_s in self.suspects.items()
+            ),
+        )
+
+    def _may_have(self, request: FeatureId, feature: FeatureId) -> bool:
+        """Returns whether a request has a feature, as far as it is known."""
+        companions = self.companions[request]
+        return (
+            feature == request
+            or feature in companions
+            or len(companions) >= MAX_COMPANIONS
+        )
+
     def add_requests(self, entry: str, count: int) -> bool:
         """Sets the requests of an entry; returns whether that is new."""
         if self.requests.get(entry, 0) >= count:
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
@@ -8,7 +8,7 @@
   that was sent after the crash before, without a request with the feature that
   did not crash its replica, and
 - requests without it fared so much better in the same time that chance does
-  not explain the crashes.
+  not explain the crashes (_evidence.py).
 
 What all requests share is present at every crash, whatever its cause, so it is
 never put into quarantine. A crash that a feature in quarantine explains is not
@@ -22,12 +22,11 @@
 
 from chicoryplank.events import Event, emit
 from chicoryplank.ids import ServiceId
-from chicoryplank.quarantine._chances import (
-    ORDER_TOLERANCE_S,
-    compute_binomial_tail,
-    compute_presence_chance,
-    count_moments,
-    find_chains,
+from chicoryplank.quarantine._chances import ORDER_TOLERANCE_S, find_chains
+from chicoryplank.quarantine._evidence import (
+    compute_chance,
+    count_others,
+    get_span_s,
 )
 from chicoryplank.quarantine._features import FeatureId, is_widespread
 from chicoryplank.quarantine._ledger import (
@@ -45,16 +44,14 @@
 
 _MIN_CRASHES = 3
 # Probabilities below which the crashes under a feature are no coincidence. A
-# wrong verdict on a widespread feature refuses many requests.
+# wrong verdict on a widespread feature refuses many requests, but from a number
+# of crashes on the next ones cost more.
 _MAX_CHANCE = 1e-4
 _MAX_WIDESPREAD_CHANCE = 1e-5
-# Weight, in attempts, of the prior that a crash hits a random replica.
-_PRIOR_ATTEMPTS = 10
-# What all requests share is present whenever a replica crashes, so a widespread
-# feature must differ from it: a number of attempts without it went well, or its
-# presence at so many crashes is unlikely.
-_MIN_CONTRAST = 3
-_MAX_PRESENCE_CHANCE = 1e-3
+_MANY_CRASHES = 5
+# Number of crashes for each success that a search for a verdict without a new
+# crash waits for, since its cost grows with them.
+_CRASHES_PER_SUCCESS = 8
 # Time in seconds for which requests that equal a suspect of a crash are on
 # probation, and the largest number of requests that share the suspicion.
 _PROBATION_S = 30.0
@@ -74,20 +71,6 @@
     features: Sequence[FeatureId]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _OtherRequests:
-    """Outcomes of requests without a feature.
-
-    Attributes:
-        crashed: Number whose replicas crashed as soon as those of requests with
-            the feature.
-        survived: Number whose replicas did not.
-    """
-
-    crashed: int
-    survived: int
-
-
 class Quarantine:
     """Crashes, verdicts and recent outcomes as known to one entry.
 
@@ -105,7 +88,8 @@
         self._verdicts = VerdictTable()
         self._outcomes = Outcomes()
         self._changed: dict[str, CrashRecord | QuarantineVerdict] = {}
-        self._undecided: set[ServiceId] = set()
+        # Successes until the next search for a verdict, if one may follow.
+        self._undecided: dict[ServiceId, int] = {}
         self.revision = 0
 
     def is_watching(self, service: ServiceId) -> bool:
@@ -242,7 +226,9 @@
         if is_complete:
             self._lift(features, sent_s, now_s)
         if service in self._undecided:
-            self._judge(service, now_s)
+            self._undecided[service] -= 1
+            if self._undecided[service] <= 0:
+                self._judge(service, now_s)
 
     def _clear(
         self,
@@ -316,7 +302,7 @@
         A crash counts as evidence for one feature at most, so the search ends
         even if a verdict does not explain the crashes that it rests on.
         """
-        self._undecided.discard(service)
+        self._undecided.pop(service, None)
         judged: set[str] = set()
         while True:
             records = [
@@ -334,16 +320,18 @@
             if not chains:
                 return
             chances = {
-                feature: self._compute_chance(service, feature, chain, records)
+                feature: compute_chance(
+                    self._outcomes, service, feature, chain, records
+                )
                 for feature, chain in chains.items()
             }
             likely = [
                 (chance, feature)
                 for feature, chance in chances.items()
-                if chance <= _get_max_chance(feature)
+                if chance <= _get_max_chance(feature, len(chains[feature]))
             ]
             if not likely:
-                self._undecided.add(service)
+                self._undecided[service] = len(records) // _CRASHES_PER_SUCCESS
                 return
             _, feature = min(likely)
             self._condemn(service, feature, chains[feature], now_s)
@@ -382,83 +370,6 @@
             if self._verdicts.merge(report):
                 self._note_change(verdict)
 
-    def _compute_chance(
-        self,
-        service: ServiceId,
-        feature: FeatureId,
-        chain: Sequence[CrashRecord],
-        records: Sequence[CrashRecord],
-    ) -> float:
-        """Returns the probability that crashes under a feature are chance.
-
-        Two observations speak against chance: the replicas of all requests with
-        the feature crashed so soon while those of others did not, and such a
-        request was in progress at most of the replicas that crashed.
-        """
-        recent = [
-            record for record in records if record.seen_s >= chain[0].seen_s
-        ]
-        others = self._count_others(service, feature, chain, recent)
-        prior = _PRIOR_ATTEMPTS / (chain[-1].replica_count + 1)
-        rate = (others.crashed + prior) / (
-            others.crashed + others.survived + _PRIOR_ATTEMPTS
-        )
-        share = self._outcomes.estimate_share(service, feature)
-        chance = compute_presence_chance(recent, feature, share)
-        if (
-            is_widespread(feature)
-            and others.survived < _MIN_CONTRAST
-            and chance > _MAX_PRESENCE_CHANCE
-        ):
-            return 1.0
-        span_s = _get_span_s(feature, chain)
-        crashed = count_moments(recent, feature, span_s)
-        outlived = sum(
-            record.count_outlived(feature, span_s)[0] for record in recent
-        )
-        return chance * compute_binomial_tail(crashed, crashed + outlived, rate)
-
-    def _count_others(
-        self,
-        service: ServiceId,
-        feature: FeatureId,
-        chain: Sequence[CrashRecord],
-        recent: Sequence[CrashRecord],
-    ) -> _OtherRequests:
-        """Estimates the outcomes of requests of all entries without a feature.
-
-        A request whose replica crashed later than the replicas of requests with
-        the feature do counts as survived: it was cut off, but did not cause the
-        crash in the way that those would. Otherwise replicas with many long
-        requests at a time would let every request seem harmful.
-
-        Crashes of all entries are known. Of what went well this entry knows its
-        own part, and assumes that each other one that has reported a crash saw
-        as much.
-
-        Args:
-            service: Service of the replicas.
-            feature: The feature.
-            chain: Crashes under it that follow one another.
-            recent: All crashes since the first of these.
-        """
-        span_s = _get_span_s(feature, chain)
-        total = sum(sum(record.requests.values()) for record in recent)
-        total -= sum(feature in record.open_suspects for record in recent)
-        outlived = 0
-        for record in recent:
-            with_feature, without = record.count_outlived(feature, span_s)
-            total -= with_feature
-            outlived += without
-        entries = {entry for record in recent for entry in record.requests}
-        survived = self._outcomes.count_survived(
-            service, feature, recent[0].seen_s
-        )
-        return _OtherRequests(
-            crashed=max(0, total - outlived),
-            survived=survived * max(1, len(entries)) + outlived,
-        )
-
     def _condemn(
         self,
         service: ServiceId,
@@ -469,7 +380,9 @@
         companions = set.intersection(
             *(record.list_companions(feature) for record in chain)
         )
-        others = self._count_others(service, feature, chain, chain)
+        others = count_others(
+            self._outcomes, service, feature, chain, get_span_s(feature, chain)
+        )
         self._begin(
             QuarantineVerdict(
                 feature,
@@ -586,22 +499,13 @@
             )
 
 
-def _get_span_s(feature: FeatureId, chain: Sequence[CrashRecord]) -> float:
-    """Returns the time in which replicas crash under requests with a feature.
+def _get_max_chance(feature: FeatureId, crash_count: int) -> float:
+    """Returns the greatest chance with which a feature is blamed.
 
     Args:
         feature: The feature.
-        chain: Crashes under it that follow one another.
-
-    Returns:
-        The longest time from the send of such a request to the crash, in
-        seconds, with the tolerance for the clocks of entries.
+        crash_count: Number of crashes under it that follow one another.
     """
-    longest_s = max(record.suspects[feature] for record in chain)
-    return longest_s + ORDER_TOLERANCE_S
-
-
-def _get_max_chance(feature: FeatureId) -> float:
-    if is_widespread(feature):
+    if is_widespread(feature) and crash_count < _MANY_CRASHES:
         return _MAX_WIDESPREAD_CHANCE
     return _MAX_CHANCE
