--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_resumed_streams.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_resumed_streams.py
@@ -103,7 +103,7 @@
     """The caller gets events only, and no end that looks complete."""
 
     def send(self, *scripts, earlier=0, **route):
-        """Returns the body, None if incomplete, and what was received."""
+        """Returns the events, and whether the stream ended as complete."""
 
         async def run():
             replicas = make_replica_pair(
@@ -115,7 +115,9 @@
                 for number in range(earlier):
                     await fixture.send_request(request_id=f"e{number}")
                 reader, writer = await fixture.connect()
-                writer.write(make_close_request())
+                writer.write(
+                    make_request(request_id="stream", Connection="close")
+                )
                 received = await reader.read()
                 writer.close()
                 return received
@@ -222,11 +224,6 @@
         self.assertFalse(is_complete)
 
 
-def make_close_request():
-    """Returns a request after which the entry closes the connection."""
-    return make_request(request_id="stream", Connection="close")
-
-
 def parse_chunks(data):
     """Returns the content of chunks, and whether the last one has arrived.
 
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/instance_list.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/instance_list.py
@@ -50,33 +50,28 @@
     """Returns an instance of the list; None if it is malformed."""
     if not isinstance(item, Mapping):
         return None
-    texts = [
-        item.get(field, default)
-        for field, default in (
-            ("instance", None),
-            ("role", None),
-            ("zone", None),
-            ("address", None),
-            ("caller_address", ""),
-            ("deployment", ""),
-        )
-    ]
-    if not all(isinstance(text, str) for text in texts):
-        return None
-    name, role, zone, address, caller_address, deployment = texts
-    if not is_valid_name(name) or not is_address(address):
-        return None
-    if caller_address and not is_address(caller_address):
-        return None
-    return Instance(
-        InstanceId(name),
-        role,
-        ZoneId(zone),
-        address,
-        caller_address,
-        deployment,
+    instance = Instance(
+        InstanceId(item.get("instance")),
+        item.get("role"),
+        ZoneId(item.get("zone")),
+        item.get("address"),
+        item.get("caller_address", ""),
+        item.get("deployment", ""),
         bool(item.get("leaving", False)),
     )
+    return instance if _is_usable(instance) else None
+
+
+def _is_usable(instance: Instance) -> bool:
+    texts = (instance.instance, instance.role, instance.zone)
+    return (
+        all(isinstance(text, str) for text in (*texts, instance.deployment))
+        and is_valid_name(instance.instance)
+        and is_address(instance.address)
+        and (
+            instance.caller_address == "" or is_address(instance.caller_address)
+        )
+    )
 
 
 async def fetch_instances(
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_chances.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_chances.py
@@ -82,14 +82,17 @@
     """
     if requests > _MAX_REQUESTS_PER_MOMENT * moments:
         return 1.0
-    chances = [1.0]
+    # Probability of each number of moments that have one of the requests.
+    chances = [1.0] + [0.0] * moments
     for _ in range(requests):
-        chances = [
-            (chances[count] * count if count < len(chances) else 0.0)
-            + (chances[count - 1] * (moments - count + 1) if count else 0.0)
-            for count in range(min(len(chances), moments) + 1)
+        chances = [0.0] + [
+            (
+                chances[count] * count
+                + chances[count - 1] * (moments - count + 1)
+            )
+            / moments
+            for count in range(1, moments + 1)
         ]
-        chances = [chance / moments for chance in chances]
     return sum(chances[covered:])
 
 
