Quarantine: count the requests at a crash once for each feature

The test of promptness went over the suspects of each crash three times, and both tests counted the survivors. One pass counts prompt and outlived requests now, and the outcomes of others are counted once for both tests.

--- a/packages/chicoryplank/src/chicoryplank/quarantine/_evidence.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_evidence.py
@@ -13,7 +13,7 @@
     list_moments,
 )
 from chicoryplank.quarantine._features import FeatureId, is_widespread
-from chicoryplank.quarantine._ledger import CrashRecord
+from chicoryplank.quarantine._ledger import CrashRecord, RequestCounts
 from chicoryplank.quarantine._outcomes import Outcomes
 
 # Weight, in attempts, of the prior that a crash hits a random replica.
@@ -55,6 +55,16 @@
             self.crashed + self.survived + _PRIOR_ATTEMPTS
         )
 
+    def move_outlived(self, counts: RequestCounts) -> "OtherRequests":
+        """Counts requests that were sent longer before a crash as survived.
+
+        They were cut off, but did not cause the crash.
+        """
+        return OtherRequests(
+            max(0, self.crashed - counts.outlived - counts.others_outlived),
+            self.survived + counts.others_outlived,
+        )
+
 
 def compute_chance(
     outcomes: Outcomes,
@@ -75,17 +85,19 @@
         records: All crashes.
     """
     recent = [record for record in records if record.seen_s >= chain[0].seen_s]
+    others = count_others(outcomes, service, feature, recent)
+    share = outcomes.estimate_share(service, feature)
     return min(
-        _test_presence(outcomes, service, feature, recent),
-        _test_promptness(outcomes, service, feature, chain, recent),
+        _test_presence(feature, recent, others, share),
+        _test_promptness(feature, chain, recent, others),
     )
 
 
 def _test_presence(
-    outcomes: Outcomes,
-    service: ServiceId,
     feature: FeatureId,
     recent: Sequence[CrashRecord],
+    others: OtherRequests,
+    share: float,
 ) -> float:
     """Tests whether replicas crash under a feature rather than without it.
 
@@ -93,8 +105,6 @@
     feature crashed while those of others did not, and such a request was in
     progress at most of the replicas that crashed.
     """
-    others = count_others(outcomes, service, feature, recent, math.inf)
-    share = outcomes.estimate_share(service, feature)
     chance = compute_presence_chance(recent, feature, share)
     if (
         is_widespread(feature)
@@ -107,11 +117,10 @@
 
 
 def _test_promptness(
-    outcomes: Outcomes,
-    service: ServiceId,
     feature: FeatureId,
     chain: Sequence[CrashRecord],
     recent: Sequence[CrashRecord],
+    others: OtherRequests,
 ) -> float:
     """Tests whether replicas crash promptly after requests with a feature.
 
@@ -122,24 +131,19 @@
     were sent before most of the crashes, not several before the same one.
     """
     span_s = get_span_s(feature, chain)
-    others = count_others(outcomes, service, feature, recent, span_s)
+    counts = count_requests(recent, feature, span_s)
+    others = others.move_outlived(counts)
     crashed = count_moments(recent, feature, span_s)
     if is_widespread(feature) and (
         others.survived < _MIN_CONTRAST or crashed < _MIN_PROMPT_CRASHES
     ):
         return 1.0
-    outlived = sum(
-        record.count_outlived(feature, span_s)[0] for record in recent
-    )
-    prompt = sum(
-        record.count_recent(feature, span_s)
-        for record in recent
-        if feature in record.open_suspects
-    )
     rate = others.estimate_rate(recent[-1].replica_count)
     return compute_binomial_tail(
-        crashed, crashed + outlived, rate
-    ) * compute_coverage_chance(crashed, len(list_moments(recent)), prompt)
+        crashed, crashed + counts.outlived, rate
+    ) * compute_coverage_chance(
+        crashed, len(list_moments(recent)), counts.prompt
+    )
 
 
 def count_others(
@@ -147,7 +151,6 @@
     service: ServiceId,
     feature: FeatureId,
     recent: Sequence[CrashRecord],
-    span_s: float,
 ) -> OtherRequests:
     """Estimates the outcomes of requests of all entries without a feature.
 
@@ -159,23 +162,23 @@
         service: Service of the replicas.
         feature: The feature.
         recent: Crashes.
-        span_s: Time in seconds from the send of a request after which a crash
-            of its replica counts as survived: the request was cut off, but did
-            not cause the crash.
     """
     total = sum(sum(record.requests.values()) for record in recent)
     total -= sum(feature in record.open_suspects for record in recent)
-    outlived = 0
-    if span_s < math.inf:
-        for record in recent:
-            with_feature, without = record.count_outlived(feature, span_s)
-            total -= with_feature
-            outlived += without
     entries = {entry for record in recent for entry in record.requests}
     survived = outcomes.count_survived(service, feature, recent[0].seen_s)
-    return OtherRequests(
-        crashed=max(0, total - outlived),
-        survived=survived * max(1, len(entries)) + outlived,
+    return OtherRequests(max(0, total), survived * max(1, len(entries)))
+
+
+def count_requests(
+    records: Sequence[CrashRecord], feature: FeatureId, span_s: float
+) -> RequestCounts:
+    """Adds up the requests at several crashes (CrashRecord.count_requests)."""
+    counts = [record.count_requests(feature, span_s) for record in records]
+    return RequestCounts(
+        sum(item.prompt for item in counts),
+        sum(item.outlived for item in counts),
+        sum(item.others_outlived for item in counts),
     )
 
 
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_ledger.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_ledger.py
@@ -28,6 +28,22 @@
     """A report of another entry, or in the store, is malformed."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestCounts:
+    """Requests that were in progress at crashes, for one feature and time.
+
+    Attributes:
+        prompt: Number with the feature that were sent shortly before a crash
+            under it.
+        outlived: Number with the feature that were sent longer before.
+        others_outlived: Number without it that were sent longer before.
+    """
+
+    prompt: int
+    outlived: int
+    others_outlived: int
+
+
 @dataclasses.dataclass(slots=True)
 class CrashRecord:
     """Crash of a replica, and the features of requests in progress there.
@@ -100,47 +116,31 @@
         """Returns the companions of a suspect that have not been cleared."""
         return set(self.companions.get(feature, ())) - self.cleared
 
-    def count_outlived(
+    def count_requests(
         self, feature: FeatureId, span_s: float
-    ) -> tuple[int, int]:
-        """Counts requests that were in progress for longer than a time.
+    ) -> RequestCounts:
+        """Counts requests by their feature and their time in progress.
+
+        Those whose features are not all known count as having the feature.
 
         Args:
             feature: A feature of some requests.
             span_s: Time from the send of a request to the crash, in seconds.
-
-        Returns:
-            The number of requests that have the feature or may have it, since
-            not all of their features are known, and of those without it.
         """
-        with_feature = without = 0
+        prompt = outlived = others_outlived = 0
         for name, lead_s in self.suspects.items():
-            if lead_s <= span_s or is_widespread(name):
+            if is_widespread(name):
                 continue
-            if self._may_have(name, feature):
-                with_feature += 1
+            has_feature = self._may_have(name, feature)
+            if lead_s <= span_s:
+                prompt += has_feature
+            elif has_feature:
+                outlived += 1
             else:
-                without += 1
-        return with_feature, without
-
-    def count_recent(self, feature: FeatureId, span_s: float) -> int:
-        """Counts requests with a feature that were sent shortly before.
-
-        Those whose features are not all known count too.
-
-        Args:
-            feature: A suspect.
-            span_s: Time from the send of a request to the crash, in seconds.
-        """
-        return max(
-            1,
-            sum(
-                lead_s <= span_s
-                and not is_widespread(name)
-                and self._may_have(name, feature)
-                for name, lead_s in self.suspects.items()
-            ),
-        )
+                others_outlived += 1
+        if feature in self.open_suspects:
+            return RequestCounts(max(1, prompt), outlived, others_outlived)
+        return RequestCounts(0, outlived, others_outlived)
 
     def _may_have(self, request: FeatureId, feature: FeatureId) -> bool:
         """Returns whether a request has a feature, as far as it is known."""
--- a/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
+++ b/packages/chicoryplank/src/chicoryplank/quarantine/_quarantine.py
@@ -26,6 +26,7 @@
 from chicoryplank.quarantine._evidence import (
     compute_chance,
     count_others,
+    count_requests,
     get_span_s,
 )
 from chicoryplank.quarantine._features import FeatureId, is_widespread
@@ -380,9 +381,10 @@
         companions = set.intersection(
             *(record.list_companions(feature) for record in chain)
         )
+        span_s = get_span_s(feature, chain)
         others = count_others(
-            self._outcomes, service, feature, chain, get_span_s(feature, chain)
-        )
+            self._outcomes, service, feature, chain
+        ).move_outlived(count_requests(chain, feature, span_s))
         self._begin(
             QuarantineVerdict(
                 feature,
