Review: the records list what ran

The stand-ins of review/6 to review/10 record the requests that replicas ran and when requests were sent.

--- a/review/stage/load.py
+++ b/review/stage/load.py
@@ -53,7 +53,8 @@
     """Returns a line about an answer."""
     return (
         f"{answer.request_id} status {answer.status}, {answer.size} bytes, "
-        f"after {answer.ended_s - answer.sent_s:.2f} s {answer.problem}"
+        f"after {answer.ended_s - answer.sent_s:.2f} s, sent at Unix time "
+        f"{answer.sent_s:.3f} {answer.problem}"
     )
 
 
--- a/review/stage/scene.py
+++ b/review/stage/scene.py
@@ -126,10 +126,23 @@
             await child.process.wait()
             if child.reader is not None:
                 await child.reader
+        for child in self._children:
+            self._record_runs(child)
         self.store.close()
         self._folder.cleanup()
         self._record.close()
 
+    def _record_runs(self, child: Child) -> None:
+        """Records the requests that a replica began to run."""
+        for line in child.lines:
+            if "runs" in line:
+                passed_s = line["at"] - self._started_s
+                self.record(
+                    f"{child.name} ran {line['runs']} at {passed_s:.3f} s: "
+                    f"{line['method']} {line['target']}, "
+                    f"{line['body_bytes']} bytes, after {line['after']!r}"
+                )
+
     def record(self, text: str) -> None:
         """Writes a line with the time since the start to record.txt."""
         passed_s = time.time() - self._started_s
