--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,11 +1,11 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of review/6 to review/10 start.
-# They are Python without dependencies; run it after deploy/build.sh.
+# Builds every stand-in that review/6/run.sh to review/10/run.sh start, into
+# target/review-2. They are Python without dependencies; run it after
+# deploy/build.sh.
 set -eu
 cd "$(dirname "$0")"
-python3 -m compileall -q stage
-for case in 6 7 8 9 10; do
-    if [ -f "$case/case.py" ]; then
-        python3 -m compileall -q "$case"
-    fi
-done
+built=../target/review-2
+rm -rf "$built"
+mkdir -p "$built"
+cp scene.py store.py caller.py load.py replica.py "$built/"
+python3 -m compileall -q "$built"
--- a/review/stage/scene.py
+++ b/review/scene.py
@@ -1,6 +1,7 @@
 """A small site on loopback: real daemons, and stand-ins of the rest.
 
-A scene starts the store in this process, replicas and daemons as processes of
+build-2.sh copies this file to target/review-2, from where it is used. A scene
+starts the store in this process, replicas and daemons as processes of
 their own, and ends all of them when it is left. Each daemon is started with
 the command of deploy/system.toml and finds its libraries in target/deps.
 """
@@ -98,15 +99,16 @@
 
     Args:
         folder: Folder of the case, for record.txt.
+        is_troubled: Whether the disruption is to happen.
 
     Attributes:
         store: The store.
         is_troubled: Whether the disruption is to happen.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, *, is_troubled: bool) -> None:
         self.store = Store()
-        self.is_troubled = os.environ.get("TROUBLE", "1") != "0"
+        self.is_troubled = is_troubled
         self._record = (folder / "record.txt").open("w", encoding="utf-8")
         self._folder = tempfile.TemporaryDirectory()
         self._children: list[Child] = []
@@ -368,20 +370,22 @@
             item.close()
 
 
-def run(play, file: str) -> None:
+def run(play, file: str, *, is_troubled: bool) -> None:
     """Plays a case and exits with BROKEN, HELD or NOT_RUN.
 
     Args:
         play: Coroutine function that takes a scene and returns the breaches of
             the rule, a line each.
         file: File of the case, whose folder gets record.txt.
+        is_troubled: Whether the disruption is to happen.
     """
 
     async def play_in_scene() -> int:
         task = asyncio.current_task()
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, task.cancel)
-        async with Scene(pathlib.Path(file).resolve().parent) as scene:
+        folder = pathlib.Path(file).resolve().parent
+        async with Scene(folder, is_troubled=is_troubled) as scene:
             try:
                 if not (ROOT / "target/deps").is_dir():
                     raise SceneError("target/deps is not built")
