Entries: bound what all clients together make a process hold

What callers saw: clients that stop just short of the end of a request, send tiny chunks, queue requests, do not read or only connect end an entry that runs out of memory, and all requests on it are lost.

Cause: each bound belonged to one connection or request. Their number, the objects around bytes, the copy for a replica, and what the kernel receives before it is read were not counted.

Change: ClientMemory counts all that clients of a process hold, on every listener and on both fronts, against one bound that follows from the memory and the descriptors of the machine. Large bodies are received in turn, with a reservation of their whole size. At the bound, requests without progress are shed first, then slow readers, then the largest unfinished ones; complete requests are kept, so a refusal is true. Small parts are joined, receive buffers are limited, and a body is written to a replica as the replica reads it.

The tests of the own front name the memory of the machine in the new setting.

test_slow_readers reads the queue and the body of a connection under their new names; what it counts and its bounds are unchanged.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/caller_server.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/caller_server.py
@@ -16,10 +16,25 @@
     RequestResponseCycle,
 )
 
+from chicoryplank.admission import (
+    Activity,
+    ClientMemory,
+    ClientUsage,
+    ShedReason,
+)
+from chicoryplank.clock import Clock, SystemClock
 from chicoryplank.configuration import EntrySettings, RequestLimits
 from chicoryplank.errors import ChicoryplankError, ErrorCode
 from chicoryplank_entry import metrics
+from chicoryplank_entry.client_memory import (
+    SCOPE_KEY,
+    RequestMemory,
+    compute_limits,
+    make_client_memory,
+    make_shed_error,
+)
 from chicoryplank_entry.http_responses import make_error_response
+from chicoryplank_wire.server_connection import limit_receive_buffer
 
 _IDLE_TIMEOUT_S = 30
 # Time between an error response and the close of its connection. If the caller
@@ -32,6 +47,11 @@
 _RETRY_AFTER = timedelta(seconds=1)
 _URI_TOO_LONG = 414
 _HEADERS_TOO_LARGE = 431
+# Memory of a request without its text and body, and of a header without its
+# text.
+_REQUEST_BYTES = 16_384
+_HEADER_BYTES = 224
+_MAX_BACKLOG = 2_048
 
 
 class CallerServer(uvicorn.Server):
@@ -46,21 +66,30 @@
         yield
 
 
-def make_server(application, settings: EntrySettings) -> CallerServer:
+def make_server(
+    application, settings: EntrySettings, clock: Clock | None = None
+) -> CallerServer:
     """Creates the HTTP server for an ASGI application.
 
     Args:
         application: ASGI application to serve.
         settings: Settings with the listening address and the request limits.
+        clock: Source of time; None for the clock of the system.
     """
     host, port = settings.caller_address.rsplit(":", 1)
+    memory = make_client_memory(settings.limits, clock or SystemClock())
+    max_connections = compute_limits(settings.limits).max_connections
     return CallerServer(
         uvicorn.Config(
             application,
             host=host.strip("[]"),
             port=int(port),
             loop="asyncio",
-            http=functools.partial(CallerProtocol, limits=settings.limits),
+            http=functools.partial(
+                CallerProtocol, limits=settings.limits, memory=memory
+            ),
+            # So many may be accepted at once before the first is counted.
+            backlog=min(_MAX_BACKLOG, max_connections),
             ws="none",
             lifespan="off",
             log_config=None,
@@ -90,12 +119,23 @@
     Args:
         *arguments: Positional arguments of uvicorn's protocol class.
         limits: Limits on request sizes, timeouts and number of connections.
+        memory: Bound on the memory of all callers.
         **options: Keyword arguments of uvicorn's protocol class.
     """
 
-    def __init__(self, *arguments, limits: RequestLimits, **options) -> None:
+    def __init__(
+        self,
+        *arguments,
+        limits: RequestLimits,
+        memory: ClientMemory,
+        **options,
+    ) -> None:
         super().__init__(*arguments, **options)
         self._limits = limits
+        self._memory = memory
+        self._usage: ClientUsage | None = None
+        # Parts of a body since the last one that was passed on.
+        self._parsed_body = bytearray()
         self._read_phase = _ReadPhase.IDLE
         self._cycles: collections.deque[RequestResponseCycle] = (
             collections.deque()
@@ -116,6 +156,11 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accepts the connection if the number of connections permits it."""
         super().connection_made(transport)
+        self._usage = self._memory.open(self._shed)
+        if self._usage is None:
+            transport.abort()
+            return
+        limit_receive_buffer(transport.get_extra_info("socket"))
         limit = self._limits.max_connections
         if len(self.connections) > 2 * limit:
             # Refused connections stay open until the error response is sent,
@@ -143,6 +188,8 @@
             cycle.message_event.set()
         self._cycles.clear()
         self.pipeline.clear()
+        if self._usage is not None:
+            self._memory.close(self._usage)
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
         for timer in (
@@ -158,6 +205,10 @@
         """Parses received bytes; bytes after a refused request are dropped."""
         if self._error_sent or self._deferred_refusal is not None:
             return
+        self._parse(data)
+        self._report_usage(len(data))
+
+    def _parse(self, data: bytes) -> None:
         self._unset_keepalive_if_required()
         self._bytes_outside_body += len(data)
         unparsed = data
@@ -168,8 +219,10 @@
             except httptools.HttpParserUpgrade as upgrade:
                 unparsed = self._decline_upgrade() + unparsed[upgrade.args[0] :]
             except httptools.HttpParserError:
+                self._parsed_body.clear()
                 self._refuse_unparsable()
                 return
+        self._pass_body()
         # The parser collects a header or trailer until its end, and skips chunk
         # extensions of any length.
         if self._bytes_outside_body > self._limits.max_header_bytes:
@@ -215,20 +268,36 @@
             )
             self._refusal = (error, None)
             raise error
+        self.scope[SCOPE_KEY] = RequestMemory(
+            self._memory,
+            self._usage,
+            _REQUEST_BYTES + self._measure_head(),
+            self._report_usage,
+        )
         super().on_headers_complete()
         self._read_phase = _ReadPhase.BODY
         self._get_active_cycle()
         self._cycles.append(self.cycle)
 
     def on_body(self, body: bytes) -> None:
-        """Passes a part of the body to the request."""
+        """Collects the parts of a body that were received together.
+
+        Passing each of them on would copy the body once for each.
+        """
         self._bytes_outside_body = 0
-        super().on_body(body)
+        self._parsed_body += body
+
+    def _pass_body(self) -> None:
+        if self._parsed_body:
+            body = bytes(self._parsed_body)
+            self._parsed_body.clear()
+            super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Marks the request body as complete and stops its timeout."""
         if self._is_upgrade():
             return
+        self._pass_body()
         super().on_message_complete()
         self._bytes_outside_body = 0
         self._read_phase = _ReadPhase.IDLE
@@ -242,7 +311,9 @@
         The rest of a request body that the handler did not read is received
         and dropped within the body timeout.
         """
+        self._memory.release(self._usage)
         super().on_response_complete()
+        self._report_usage()
         if self.transport.is_closing():
             self._abort_later(self._limits.write_timeout.total_seconds())
             return
@@ -260,11 +331,15 @@
     def pause_writing(self) -> None:
         """Starts the timeout that aborts a connection without progress."""
         super().pause_writing()
+        self._memory.observe_unread(
+            self._usage, self.transport.get_write_buffer_size()
+        )
         self._start_write_timer(self.transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
         """Stops the timeout that `pause_writing` started."""
         super().resume_writing()
+        self._memory.observe_unread(self._usage, 0)
         if self._write_timer is not None:
             self._write_timer.cancel()
             self._write_timer = None
@@ -337,6 +412,58 @@
         )
         self._refusal = (error, status)
 
+    def _measure_head(self) -> int:
+        return self._parsed_head_bytes + self._header_count * _HEADER_BYTES
+
+    def _report_usage(self, received_bytes: int = 0) -> None:
+        """Reports what this connection holds, which may shed connections."""
+        self._get_active_cycle()
+        held_bytes = self._bytes_outside_body
+        if self._read_phase is _ReadPhase.HEAD:
+            held_bytes += self._measure_head()
+        for cycle in self._cycles:
+            held_bytes += cycle.scope[SCOPE_KEY].held_bytes + len(cycle.body)
+        if self._read_phase is not _ReadPhase.IDLE or self.pipeline:
+            activity = Activity.RECEIVING
+        else:
+            activity = Activity.BUSY if self._cycles else Activity.IDLE
+        self._memory.set_activity(self._usage, activity)
+        self._memory.observe(
+            self._usage,
+            held_bytes,
+            received_bytes,
+            is_paused=self.flow.read_paused,
+        )
+
+    def _shed(self, reason: ShedReason) -> int | None:
+        """Ends this connection, or what is not in progress on it.
+
+        Returns:
+            Memory of the request in progress, in bytes; None if there is none.
+        """
+        active = self._get_active_cycle()
+        is_idle = active is None and self._read_phase is _ReadPhase.IDLE
+        if reason is ShedReason.UNREAD or is_idle or self._error_sent:
+            self.transport.abort()
+            return None
+        self._drop_queued()
+        self._parsed_body.clear()
+        self._refuse(make_shed_error())
+        if self._error_sent:
+            # The error is sent; a caller that sends on is not waited for.
+            self.loop.call_soon(self.transport.abort)
+        if self._error_sent or active is None:
+            return None
+        return active.scope[SCOPE_KEY].held_bytes
+
+    def _drop_queued(self) -> None:
+        """Removes the requests behind the one in progress."""
+        while self.pipeline:
+            self.pipeline.popleft()
+            self.cycle = self._cycles[-2]
+            self._cycles.pop()
+            self._read_phase = _ReadPhase.IDLE
+
     def _refuse_unparsable(self) -> None:
         refusal, self._refusal = self._refusal, None
         if refusal is None:
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/daemon.py
@@ -233,7 +233,9 @@
             self.dispatcher,
             self._choose_addresses,
         )
-        return make_server(interface.make_application(), self._settings)
+        return make_server(
+            interface.make_application(), self._settings, self._clock
+        )
 
     def _choose_addresses(self, caller: str) -> list[str]:
         excluded = set(self.process_state.snapshot.value.leaving)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -10,6 +10,8 @@
 from datetime import timedelta
 
 from chicoryplank.admission import (
+    ClientMemory,
+    ClientMemoryLimits,
     ColdBoundParameters,
     RetryBudgetParameters,
 )
@@ -30,10 +32,11 @@
 from chicoryplank_entry.forwarding.logs import LineWriter
 from chicoryplank_entry.forwarding.maps import MapController, RankPortFactory
 from chicoryplank_entry.forwarding.members import Member
-from chicoryplank_entry.forwarding.metrics import METRICS, render_metrics
+from chicoryplank_entry.forwarding.metrics import render_metrics
 from chicoryplank_entry.forwarding.peers import Peers
 from chicoryplank_entry.forwarding.registration import Registration
 from chicoryplank_entry.forwarding.reload import SettingsReload
+from chicoryplank_entry.forwarding.shed_clients import ShedClients
 from chicoryplank_entry.forwarding.state import EntryState
 from chicoryplank_entry.forwarding.views import (
     ChangeSource,
@@ -88,6 +91,7 @@
             response.
         repeats: Limits on retries.
         cold_bound: Bound on the requests to a cold replica.
+        client_memory: Bound on the memory and connections of callers.
     """
 
     own: Member
@@ -99,6 +103,7 @@
     address_lifetime: timedelta
     repeats: RetryBudgetParameters
     cold_bound: ColdBoundParameters = ColdBoundParameters()
+    client_memory: ClientMemoryLimits = ClientMemoryLimits()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,11 +137,6 @@
     )
 
 
-def _observe_unread(unread_bytes: int) -> None:
-    emit(Event.SLOW_CALLER_ABORTED, unread_bytes=unread_bytes)
-    METRICS.count_slow_caller()
-
-
 class ForwardingEntry:
     """One entry with all its components.
 
@@ -216,6 +216,10 @@
             clock=clock,
             get_lease_holder=self.view.get_lease_holder,
         )
+        self._client_memory = ClientMemory(
+            parameters.client_memory, self.state.now_s
+        )
+        self._shed_clients = ShedClients(self.state.now_s)
         self._connections: set[CallerConnection] = set()
         self._auxiliary_connections: set[CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
@@ -303,13 +307,19 @@
             self.state.now_s,
             lambda: self.state.is_draining,
             connections,
-            on_unread=_observe_unread,
+            self._client_memory,
+            self._shed_clients.observe,
         )
         listener = self._adapter.listeners.get(address)
         if listener is None:
             listener = open_listener(address)
         server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(hooks), sock=listener, backlog=BACKLOG
+            lambda: CallerConnection(hooks),
+            sock=listener,
+            # So many may be accepted at once before the first is counted.
+            backlog=min(
+                BACKLOG, self._parameters.client_memory.max_connections
+            ),
         )
         self._servers.append(server)
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/calls.py
@@ -20,7 +20,7 @@
 from chicoryplank_entry.forwarding.state import EntryState, ServiceState
 from chicoryplank_wire.client_connection import (
     ClientConnection,
-    encode_request,
+    encode_head,
 )
 from chicoryplank_wire.server_connection import ReceivedRequest
 
@@ -136,10 +136,10 @@
             self._features = (self.request_feature, *parts)
         return self._features
 
-    def encode(
+    def encode_head(
         self, names: HeaderNames, expected: InstanceId, now_s: float
     ) -> bytes:
-        """Encodes the request for a replica."""
+        """Encodes the head of the request for a replica."""
         request = self.request
         dropped = HOP_BY_HOP | list_connection_headers(
             request.get("connection")
@@ -169,8 +169,8 @@
         headers.append((names.urgency, str(urgency)))
         if self.account is not None:
             headers.append((names.account, self.account))
-        return encode_request(
-            request.method, request.target, headers, request.body
+        return encode_head(
+            request.method, request.target, headers, len(request.body)
         )
 
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/exchange.py
@@ -352,7 +352,7 @@
         is_connection_reused = connection.requests_sent > 0
         has_carried_call = connection in call.used_connections
         earlier_verdict = call.verdict
-        data = call.encode(self._names, replica.instance, now_s)
+        head = call.encode_head(self._names, replica.instance, now_s)
         # From now on the request counts as not run only if the replica says so.
         call.verdict = Verdict.MAY_HAVE_RUN
         call.attempts += 1
@@ -363,7 +363,7 @@
             replica,
             backend,
             connection,
-            connection.send(data, call.request_id),
+            connection.send(head, call.request_id, call.request.body),
             now_s,
             is_connection_reused,
             has_carried_call,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/metrics.py
@@ -11,6 +11,7 @@
 import functools
 from collections.abc import Callable, Iterator, Mapping
 
+from chicoryplank.admission import ShedReason
 from chicoryplank.errors import ErrorCode
 from chicoryplank.ids import AccountId
 from chicoryplank.verdict import Verdict
@@ -54,6 +55,7 @@
         self._skipped_responses = 0
         self._evacuated_zones = 0
         self._slow_callers = 0
+        self._shed_clients: collections.Counter[str] = collections.Counter()
         self._first_output: dict[str, _Latencies] = {}
         self._total: dict[str, _Latencies] = {}
 
@@ -123,6 +125,10 @@
         """Counts a connection aborted for the memory of unread responses."""
         self._slow_callers += 1
 
+    def count_shed_client(self, reason: ShedReason) -> None:
+        """Counts a client that is shed for the memory that clients take."""
+        self._shed_clients[reason.value] += 1
+
     def observe_first_output(self, route: str, elapsed_s: float) -> None:
         """Records the time to the first output."""
         _get_latencies(self._first_output, route).observe(elapsed_s)
@@ -171,6 +177,12 @@
             ["reason"],
             _wrap_keys(self._holds),
         )
+        yield (
+            f"{prefix}_shed_clients",
+            "Clients shed for the memory and connections they took, by reason.",
+            ["reason"],
+            _wrap_keys(self._shed_clients),
+        )
         yield (
             f"{prefix}_refusals",
             "Requests that got an answer of the entry's own, by code and "
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_slow_readers.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/tests/test_slow_readers.py
@@ -91,8 +91,8 @@
         """Returns the bytes held for each caller."""
         return [
             connection._transport.get_write_buffer_size()
-            + sum(len(request.body) for request, _ in connection._queued)
-            + sum(map(len, connection._body))
+            + sum(len(item.request.body) for item in connection._queued)
+            + connection._body.size
             for connection in self._connections
         ]
 
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -17,6 +17,7 @@
 from chicoryplank.process_state import ProcessState
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry import metrics
+from chicoryplank_entry.client_memory import check_parsed_size
 from chicoryplank_entry.dispatch import Dispatcher
 from chicoryplank_entry.http_inputs import (
     parse_completion_body,
@@ -178,6 +179,7 @@
         timeout = read_timeout(request, self._settings)
         priority = read_priority(request)
         body = await read_body(request, self._settings)
+        check_parsed_size(body, self._settings.limits)
         parsed = parse_completion_body(body)
         return await self._dispatch(
             request,
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http_inputs.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http_inputs.py
@@ -10,8 +10,10 @@
 
 from starlette.requests import Request
 
+from chicoryplank.admission import SMALL_BODY_BYTES
 from chicoryplank.configuration import EntrySettings, Priority
 from chicoryplank.errors import ChicoryplankError, ErrorCode
+from chicoryplank_entry.client_memory import SCOPE_KEY, RequestMemory
 
 _MAX_KEY_LENGTH = 255
 _ESCAPED_SURROGATE = re.compile(rb"\\u[dD][89a-fA-F]")
@@ -173,29 +175,33 @@
     """Returns the complete request body.
 
     Raises:
-        ChicoryplankError: If the body exceeds the size limit or does not arrive
-            within the body timeout.
+        ChicoryplankError: If the body exceeds the size limit, does not arrive
+            within the body timeout, or there is no memory for it.
     """
-    limit = settings.limits.max_body_bytes
-    content_length = request.headers.get("content-length", "0")
-    if int(content_length) > limit:
+    memory: RequestMemory = request.scope[SCOPE_KEY]
+    limit = min(settings.limits.max_body_bytes, memory.max_body_bytes)
+    announced = request.headers.get("content-length")
+    if announced is not None and int(announced) > limit:
         raise _make_size_error(limit)
-    chunks = []
-    size = 0
+    body = bytearray()
     try:
         async with asyncio.timeout(
             settings.limits.body_timeout.total_seconds()
         ):
+            await memory.reserve(int(announced or 0))
             async for data in request.stream():
-                size += len(data)
-                if size > limit:
+                body += data
+                if len(body) > limit:
                     raise _make_size_error(limit)
-                chunks.append(data)
+                memory.observe_body(len(body))
+                if len(body) > SMALL_BODY_BYTES:
+                    await memory.reserve(limit)
     except TimeoutError as error:
         raise ChicoryplankError(
             ErrorCode.REQUEST_TIMEOUT, "the body did not arrive in time"
         ) from error
-    return b"".join(chunks)
+    memory.settle(len(body))
+    return bytes(body)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_client_memory.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/tests/test_client_memory.py
@@ -77,7 +77,7 @@
     Yields:
         Address and process id of the entry.
     """
-    limits = {"max_body_bytes": _BODY_BYTES}
+    limits = {"max_body_bytes": _BODY_BYTES, "memory_bytes": _MACHINE_BYTES}
     options = layout.SiteOptions(
         entries=1,
         engines=1,
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/calls.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/calls.py
@@ -9,7 +9,7 @@
     ConnectionBrokenError,
     Response,
     connect,
-    encode_request,
+    encode_head,
 )
 
 
@@ -106,7 +106,7 @@
                 fields = [("Host", self.address)]
                 fields.extend((headers or {}).items())
                 response = connection.send(
-                    encode_request(method, target, fields, body)
+                    encode_head(method, target, fields, len(body)), body=body
                 )
                 await response.wait_head()
                 content = await response.read_all(self._max_response_bytes)
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
@@ -17,6 +17,9 @@
 
 # Number of unread response bytes above which reading from the socket pauses.
 _MAX_BUFFERED_BYTES = 262_144
+# Size of the parts in which a request body is written, so that a server that
+# does not read it causes no copy of the whole.
+_WRITE_BYTES = 65_536
 # Number of responses to other requests that are skipped before the connection
 # is closed.
 _MAX_MISMATCHED_RESPONSES = 3
@@ -229,6 +232,8 @@
         self._ends_at_close = False
         self._keep_alive = False
         self._closed = False
+        self._unsent = memoryview(b"")
+        self._is_writing_paused = False
         self.idle_timeout_s: float | None = None
         self.requests_sent = 0
         self.idle_since_s = 0.0
@@ -242,6 +247,7 @@
             and self._response is None
             and self._transport is not None
             and not self._transport.is_closing()
+            and not self._unsent
             and not self._transport.get_write_buffer_size()
         )
 
@@ -253,16 +259,20 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport and sets the socket options."""
         self._transport = transport
+        transport.set_write_buffer_limits(high=_WRITE_BYTES)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             set_socket_options(sock)
 
-    def send(self, request: bytes, expected: str = "") -> Response:
+    def send(
+        self, head: bytes, expected: str = "", body: bytes = b""
+    ) -> Response:
         """Writes a request and returns its response, which is still pending.
 
         Args:
-            request: Encoded head and body.
+            head: Encoded head.
             expected: Value of the match header in the response to this request.
+            body: Body, of which the connection makes no copy.
         """
         self._expected_id = expected
         if expected:
@@ -275,9 +285,28 @@
         if self._closed or self._transport.is_closing():
             self._response.fail(ConnectionBrokenError(BreakReason.CLOSED))
         else:
-            self._transport.write(request)
+            self._unsent = memoryview(body)[_WRITE_BYTES:]
+            self._transport.write(head + body[:_WRITE_BYTES])
+            self._write_unsent()
         return self._response
 
+    def _write_unsent(self) -> None:
+        """Writes further parts of the body while the server reads them."""
+        while self._unsent and not self._is_writing_paused:
+            part = self._unsent[:_WRITE_BYTES]
+            self._unsent = self._unsent[_WRITE_BYTES:]
+            self._transport.write(part)
+
+    def pause_writing(self) -> None:
+        """Stops writing the body, as the write buffer is full."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Continues to write the body."""
+        self._is_writing_paused = False
+        if not self._closed and not self._transport.is_closing():
+            self._write_unsent()
+
     def has_carried(self, expected: str) -> bool:
         """Returns whether one of the last requests had an id.
 
@@ -289,6 +318,7 @@
     def abort(self) -> None:
         """Closes the connection immediately and discards unsent data."""
         self._closed = True
+        self._unsent = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
 
@@ -335,6 +365,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Marks a pending response as failed."""
         self._closed = True
+        self._unsent = memoryview(b"")
         reason = BreakReason.CLOSED if exc is None else BreakReason.RESET
         self._fail(ConnectionBrokenError(reason, repr(exc) if exc else ""))
 
@@ -483,19 +514,19 @@
     return connection
 
 
-def encode_request(
+def encode_head(
     method: str,
     target: str,
     headers: Iterable[tuple[str, str]],
-    body: bytes = b"",
+    body_bytes: int = 0,
 ) -> bytes:
-    """Encodes a request.
+    """Encodes the head of a request.
 
     Content-Length is added if there is a body or the method usually has one.
     """
     lines = [f"{method} {target} HTTP/1.1"]
     lines.extend(f"{name}: {value}" for name, value in headers)
-    if body or method not in ("GET", "HEAD", "DELETE"):
-        lines.append(f"Content-Length: {len(body)}")
+    if body_bytes or method not in ("GET", "HEAD", "DELETE"):
+        lines.append(f"Content-Length: {body_bytes}")
     head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("latin-1") + body
+    return head.encode("latin-1")
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
@@ -4,10 +4,21 @@
 import collections
 import dataclasses
 import http
+import random
+import socket
 from collections.abc import Awaitable, Callable, Iterable
 
 import httptools
 
+from chicoryplank.admission import (
+    RECEIVE_BUFFER_BYTES,
+    SMALL_BODY_BYTES,
+    Activity,
+    ClientMemory,
+    ClientMemoryLimits,
+    ClientUsage,
+    ShedReason,
+)
 from chicoryplank.traffic import ClientLimits
 from chicoryplank_wire.client_connection import set_socket_options
 
@@ -18,12 +29,19 @@
 # Bytes of their bodies above which reading pauses until the request in progress
 # has ended.
 _MAX_QUEUED_BYTES = 65_536
-# Unread bytes above which a caller counts as reading slowly. At 2,000
-# connections, the bytes below it take 33 MB.
+# Unread bytes above which a caller counts as reading slowly.
 _SLOW_CALLER_BYTES = 16_384
-# Unread bytes of all slow callers above which the connection of the slowest one
-# is aborted. The smallest instances have 200 MB.
-_MAX_UNREAD_BYTES = 33_554_432
+# Memory of a request without its text and body, and of a header without its
+# text.
+_REQUEST_BYTES = 8_192
+_HEADER_BYTES = 224
+# Size up to which parts of a body are joined as they arrive.
+_BLOCK_BYTES = 65_536
+# Interval in seconds in which a connection that waits for memory is checked.
+_RESERVATION_CHECK_S = 0.25
+# Range of the time in seconds after which a client that was shed may return.
+_MIN_RETRY_AFTER_S = 0.3
+_MAX_RETRY_AFTER_S = 1.0
 # Additional time before an idle connection is closed, so that a request sent
 # just before the idle timeout still arrives.
 _IDLE_SLACK_S = 1.0
@@ -38,14 +56,14 @@
         method: HTTP method.
         target: Path and query, as received.
         headers: Header names and values, as received and in received order.
-        body: Body without its transfer encoding.
+        body: Body without its transfer encoding; not to be changed.
         received_s: Clock time, in seconds, at which the head began to arrive.
     """
 
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: bytes | bytearray
     received_s: float
 
     def get(self, name: str) -> str | None:
@@ -144,6 +162,61 @@
 Handler = Callable[[ReceivedRequest, Reply], Awaitable[None]]
 
 
+class _BodyBuffer:
+    """Parts of a body, joined so that small ones take no more than their size.
+
+    Attributes:
+        size: Number of bytes received.
+    """
+
+    def __init__(self) -> None:
+        self._whole: bytearray | None = None
+        self._blocks: list[bytearray] = []
+        self.size = 0
+
+    def append(self, data: bytes) -> None:
+        """Appends a part."""
+        start = self.size
+        self.size += len(data)
+        if self._whole is not None:
+            self._whole[start : self.size] = data
+        elif self._blocks and (
+            len(self._blocks[-1]) + len(data) <= _BLOCK_BYTES
+        ):
+            self._blocks[-1] += data
+        else:
+            self._blocks.append(bytearray(data))
+
+    def allocate(self, size_bytes: int) -> None:
+        """Allocates a large body at once, which leaves no gaps in the heap."""
+        if self._whole is not None:
+            return
+        whole = bytearray(size_bytes)
+        start = 0
+        for block in self._blocks:
+            whole[start : start + len(block)] = block
+            start += len(block)
+        self._whole, self._blocks = whole, []
+
+    def take(self) -> bytes | bytearray:
+        """Returns the complete body and discards it."""
+        whole, self._whole = self._whole, None
+        blocks, self._blocks = self._blocks, []
+        size, self.size = self.size, 0
+        if whole is None:
+            return b"".join(blocks)
+        return whole if len(whole) == size else bytes(memoryview(whole)[:size])
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _QueuedRequest:
+    """A complete request and the memory that it takes, in bytes."""
+
+    request: ReceivedRequest
+    reply: Reply
+    held_bytes: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListenerHooks:
     """Application functions and state that server connections use.
@@ -155,9 +228,10 @@
         now_s: Returns the current time in seconds.
         is_draining: Whether connections close after their next response.
         connections: All open connections, which a shutdown has to close.
-        slow_connections: Those whose callers read slowly, the slowest first.
-        on_unread: Called with the number of unread bytes before the connection
-            of a caller is aborted because slow callers use too much memory.
+        memory: Bound on what the callers of all listeners take; None for one of
+            this listener alone.
+        on_shed: Called with the reason and the number of bytes held or unread
+            before a connection is shed.
     """
 
     handle: Handler
@@ -165,10 +239,13 @@
     now_s: Callable[[], float]
     is_draining: Callable[[], bool]
     connections: set["CallerConnection"]
-    slow_connections: dict["CallerConnection", None] = dataclasses.field(
-        default_factory=dict
-    )
-    on_unread: Callable[[int], None] = lambda unread_bytes: None
+    memory: ClientMemory | None = None
+    on_shed: Callable[[ShedReason, int], None] = lambda reason, size: None
+
+    def __post_init__(self) -> None:
+        if self.memory is None:
+            memory = ClientMemory(ClientMemoryLimits(), self.now_s)
+            object.__setattr__(self, "memory", memory)
 
 
 class CallerConnection(asyncio.Protocol):
@@ -182,13 +259,14 @@
 
     def __init__(self, hooks: ListenerHooks) -> None:
         self._hooks = hooks
+        self._memory = hooks.memory
+        self._usage: ClientUsage | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._queued: collections.deque[tuple[ReceivedRequest, Reply]] = (
-            collections.deque()
-        )
+        self._queued: collections.deque[_QueuedRequest] = collections.deque()
         self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._reservation_timer: asyncio.TimerHandle | None = None
         self._write_resumed: asyncio.Future | None = None
         self._closed = False
         self._rejected = False
@@ -197,9 +275,12 @@
         self._header_bytes = 0
         self._reads_head = False
         self._bytes_outside_body = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = _BodyBuffer()
+        self._announced_bytes: int | None = None
+        self._awaits_continue = False
+        # Memory of the queued requests and of the one in progress.
         self._queued_bytes = 0
+        self._current_bytes = 0
         self._is_reading_paused = False
         self._receive_started_s: float | None = None
         self._last_active_s = 0.0
@@ -221,10 +302,16 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Registers the connection and starts its timeout checks."""
         self._transport = transport
+        self._usage = self._memory.open(self._shed)
+        if self._usage is None:
+            self._closed = True
+            transport.abort()
+            return
         transport.set_write_buffer_limits(high=_SLOW_CALLER_BYTES)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             set_socket_options(sock)
+            limit_receive_buffer(sock)
         self._hooks.connections.add(self)
         self._last_active_s = self._hooks.now_s()
         self._schedule_timeout_check()
@@ -233,12 +320,18 @@
         """Cancels the request of a caller that has disconnected."""
         self._closed = True
         self._hooks.connections.discard(self)
-        if self._timer is not None:
-            self._timer.cancel()
-        self._queued.clear()
+        for timer in (self._timer, self._reservation_timer):
+            if timer is not None:
+                timer.cancel()
+        self._discard_unfinished()
         if self._task is not None:
             self._task.cancel()
         self.resume_writing()
+        if self._usage is not None:
+            self._memory.close(self._usage)
+        # The parser refers to this connection, which would stay until the
+        # garbage collector finds the cycle.
+        self._parser = None
 
     def eof_received(self) -> bool:
         """Closes the connection, even if the caller closed only its side."""
@@ -266,14 +359,53 @@
         )
         if self._bytes_outside_body > max_bytes:
             self.reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        self._limit_reading()
+        self._report_usage(len(data))
 
     def _start_request(self, now_s: float) -> None:
         self._receive_started_s = now_s
         self._target = b""
         self._headers = []
         self._header_bytes = 0
-        self._body = []
-        self._body_bytes = 0
+        self._body = _BodyBuffer()
+        self._announced_bytes = None
+        self._awaits_continue = False
+
+    def _discard_unfinished(self) -> None:
+        """Discards the request being received and the queued ones."""
+        self._queued.clear()
+        self._queued_bytes = 0
+        self._headers = []
+        self._header_bytes = 0
+        self._body = _BodyBuffer()
+
+    def _report_usage(self, received_bytes: int = 0) -> None:
+        """Reports what this connection holds, which may shed connections."""
+        if self._closed:
+            return
+        if self._receive_started_s is not None or self._queued:
+            activity = Activity.RECEIVING
+        elif self._task is not None:
+            activity = Activity.BUSY
+        else:
+            activity = Activity.IDLE
+        self._memory.set_activity(self._usage, activity)
+        self._memory.observe(
+            self._usage,
+            self._measure_unfinished()
+            + self._queued_bytes
+            + self._current_bytes,
+            received_bytes,
+            is_paused=self._is_reading_paused,
+        )
+
+    def _measure_unfinished(self) -> int:
+        return (
+            self._bytes_outside_body
+            + self._header_bytes
+            + len(self._headers) * _HEADER_BYTES
+            + self._body.size
+        )
 
     # Callbacks of the HTTP parser.
 
@@ -302,33 +434,51 @@
             self.reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
-        """Sends 100 Continue if the caller waits for it before the body."""
+        """Rejects a body that is too large before it arrives."""
         self._reads_head = False
         self._bytes_outside_body = 0
         for name, value in self._headers:
-            if name.lower() == "expect" and value.lower() == "100-continue":
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            lower_name = name.lower()
+            if lower_name == "expect" and value.lower() == "100-continue":
+                self._awaits_continue = True
+            elif lower_name == "content-length" and value.isdecimal():
+                self._announced_bytes = int(value)
+        if (self._announced_bytes or 0) > self._get_max_body_bytes():
+            self.reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        elif not self._needs_reservation():
+            self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Sends 100 Continue if the caller waits for it before the body."""
+        if self._awaits_continue:
+            self._awaits_continue = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _get_max_body_bytes(self) -> int:
+        return min(
+            self._hooks.get_limits().max_body_bytes, self._memory.max_body_bytes
+        )
 
     def on_body(self, data: bytes) -> None:
         """Stores a part of the body; rejects the request if it is too large."""
         self._bytes_outside_body = 0
-        self._body_bytes += len(data)
-        if self._body_bytes > self._hooks.get_limits().max_body_bytes:
+        if self._rejected:
+            return
+        self._body.append(data)
+        if self._body.size > self._get_max_body_bytes():
             self.reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        elif not self._rejected:
-            self._body.append(data)
-            self._limit_queue()
 
     def on_message_complete(self) -> None:
         """Queues the complete request and starts it if none is in progress."""
         self._bytes_outside_body = 0
         if self._rejected or self._receive_started_s is None:
             return
+        held_bytes = _REQUEST_BYTES + self._measure_unfinished()
         request = ReceivedRequest(
             self._parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
             tuple(self._headers),
-            b"".join(self._body),
+            self._body.take(),
             self._receive_started_s,
         )
         reply = Reply(
@@ -337,34 +487,84 @@
             self._parser.get_http_version() == _KEEP_ALIVE_VERSION,
         )
         self._receive_started_s = None
-        self._body = []
-        self._body_bytes = 0
-        self._queued_bytes += len(request.body)
-        self._queued.append((request, reply))
+        self._headers = []
+        self._header_bytes = 0
+        self._queued_bytes += held_bytes
+        self._queued.append(_QueuedRequest(request, reply, held_bytes))
         if len(self._queued) > _MAX_PIPELINED:
             self.reject(http.HTTPStatus.BAD_REQUEST)
         elif self._task is None:
             self._start_next()
 
     def _start_next(self) -> None:
-        request, reply = self._queued.popleft()
-        self._queued_bytes -= len(request.body)
+        queued = self._queued.popleft()
+        self._queued_bytes -= queued.held_bytes
+        self._current_bytes = queued.held_bytes
         self._task = asyncio.get_running_loop().create_task(
-            self._handle_request(request, reply)
+            self._handle_request(queued.request, queued.reply)
+        )
+        self._report_usage()
+        self._memory.settle(self._usage)
+
+    def _needs_reservation(self) -> bool:
+        if self._usage.reserved_bytes or self._receive_started_s is None:
+            return False
+        size = max(self._announced_bytes or 0, self._body.size)
+        return size > SMALL_BODY_BYTES
+
+    def _limit_reading(self) -> None:
+        """Pauses reading while there is no memory for what follows.
+
+        Requests behind the one in progress wait for its end if they are large.
+        """
+        if self._closed or self._rejected:
+            return
+        unfinished_bytes = self._queued_bytes + self._measure_unfinished()
+        if self._task is not None:
+            if unfinished_bytes > _MAX_QUEUED_BYTES:
+                self._pause_reading()
+        elif self._needs_reservation():
+            self._reserve()
+
+    def _reserve(self) -> None:
+        if self._memory.reserve(
+            self._usage, self._get_expected_bytes(), self._resume_body
+        ):
+            self._resume_body()
+            return
+        self._pause_reading()
+        self._schedule_reservation_check()
+
+    def _get_expected_bytes(self) -> int:
+        """Returns the size of the body, or the largest one if it is unknown."""
+        if self._announced_bytes is not None:
+            return self._announced_bytes
+        return max(self._body.size, self._get_max_body_bytes())
+
+    def _resume_body(self) -> None:
+        """Receives a body for which memory has been reserved."""
+        self._body.allocate(self._get_expected_bytes())
+        self._send_continue()
+        self._resume_reading()
+
+    def _schedule_reservation_check(self) -> None:
+        self._reservation_timer = asyncio.get_running_loop().call_later(
+            _RESERVATION_CHECK_S, self._check_reservation
         )
 
-    def _limit_queue(self) -> None:
-        """Pauses reading if requests behind the current one are large."""
-        queued_bytes = self._queued_bytes + self._body_bytes
-        if self._task is not None and queued_bytes > _MAX_QUEUED_BYTES:
+    def _check_reservation(self) -> None:
+        if self._closed or self._rejected or self._usage.reserved_bytes:
+            return
+        self._memory.check_waiting(self._usage)
+        self._schedule_reservation_check()
+
+    def _pause_reading(self) -> None:
+        if not self._is_reading_paused and not self._closed:
             self._is_reading_paused = True
             self._transport.pause_reading()
 
     def _resume_reading(self) -> None:
-        queued_bytes = self._queued_bytes + self._body_bytes
-        if self._is_reading_paused and (
-            self._task is None or queued_bytes <= _MAX_QUEUED_BYTES
-        ):
+        if self._is_reading_paused and not self._transport.is_closing():
             self._is_reading_paused = False
             self._transport.resume_reading()
 
@@ -393,10 +593,12 @@
                 await self._hooks.handle(request, reply)
         finally:
             self._task = None
+            self._current_bytes = 0
             self._last_active_s = self._hooks.now_s()
             if not self._closed:
+                self._memory.release(self._usage)
                 self._finish_response(reply)
-                self._resume_reading()
+                self._report_usage()
 
     def _finish_response(self, reply: Reply) -> None:
         """Closes the connection or starts the next queued request."""
@@ -406,45 +608,84 @@
             self._transport.close()
         elif self._queued:
             self._start_next()
+            if self._queued_bytes + self._body.size <= _MAX_QUEUED_BYTES:
+                self._resume_reading()
+        elif self._needs_reservation():
+            self._reserve()
+        else:
+            self._resume_reading()
+
+    def _shed(self, reason: ShedReason) -> int | None:
+        """Ends this connection, or what is not in progress on it.
 
-    def reject(self, status: http.HTTPStatus) -> None:
+        Returns:
+            Memory of the request in progress, in bytes; None if there is none.
+        """
+        self._hooks.on_shed(
+            reason, self._usage.held_bytes + self._usage.unread_bytes
+        )
+        if reason is ShedReason.UNREAD:
+            self.abort()
+            return None
+        if self.is_idle:
+            self._end_now()
+            return None
+        delay_s = random.uniform(_MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S)
+        self.reject(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            (("retry-after", f"{delay_s:.3f}"),),
+        )
+        if self._task is not None:
+            return self._current_bytes
+        self._end_now()
+        return None
+
+    def _end_now(self) -> None:
+        """Closes the connection without waiting for a caller to read."""
+        if self.unread_bytes:
+            self._transport.abort()
+        else:
+            self._transport.close()
+
+    def reject(
+        self,
+        status: http.HTTPStatus,
+        headers: Iterable[tuple[str, str]] = (),
+    ) -> None:
         """Rejects an unreadable request and closes the connection.
 
         While an earlier request is in progress, nothing is sent, because the
         status would be taken for the response to that request. Data received
         after a rejection is ignored.
+
+        Args:
+            status: Status to send.
+            headers: Headers to send.
         """
         if self._rejected or self._closed:
             return
         self._rejected = True
-        self._queued.clear()
-        self._queued_bytes = 0
+        self._discard_unfinished()
         if self._task is None:
-            Reply(self, False, True).send(status, (), b"")
+            Reply(self, False, True).send(status, headers, b"")
             self._transport.close()
+        else:
+            # The end of the connection is noticed only while reading.
+            self._resume_reading()
 
     def write(self, data: bytes) -> None:
         """Writes bytes unless the caller has disconnected."""
-        if not self._closed:
-            self._transport.write(data)
+        if self._closed:
+            return
+        self._transport.write(data)
+        if self._write_resumed is not None:
+            self._memory.observe_unread(self._usage, self.unread_bytes)
 
     def pause_writing(self) -> None:
-        """Makes drain wait, as the write buffer is full.
-
-        Aborts the connections that have been slow for the longest time while
-        the unread bytes of all slow callers exceed the limit.
-        """
+        """Makes drain wait, as the write buffer is full."""
         if self._write_resumed is None:
             self._write_resumed = asyncio.get_running_loop().create_future()
-        slow = self._hooks.slow_connections
-        slow[self] = None
-        unread_bytes = sum(connection.unread_bytes for connection in slow)
-        while unread_bytes > _MAX_UNREAD_BYTES and slow:
-            connection = next(iter(slow))
-            del slow[connection]
-            unread_bytes -= connection.unread_bytes
-            self._hooks.on_unread(connection.unread_bytes)
-            connection.abort()
+        self._memory.observe_unread(self._usage, self.unread_bytes)
 
     def abort(self) -> None:
         """Closes the connection immediately and discards unsent data."""
@@ -452,7 +693,8 @@
 
     def resume_writing(self) -> None:
         """Wakes the task that waits in drain."""
-        self._hooks.slow_connections.pop(self, None)
+        if self._usage is not None:
+            self._memory.observe_unread(self._usage, 0)
         waiter, self._write_resumed = self._write_resumed, None
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
@@ -486,7 +728,7 @@
         idle_s = limits.idle_timeout.total_seconds()
         if self._receive_started_s is not None and self._task is None:
             allowed_s = limits.head_timeout.total_seconds()
-            if self._body_bytes:
+            if self._body.size:
                 allowed_s = idle_s
             if now_s - self._last_active_s > allowed_s:
                 self.reject(http.HTTPStatus.REQUEST_TIMEOUT)
@@ -499,6 +741,11 @@
         self._schedule_timeout_check()
 
 
+def limit_receive_buffer(sock: socket.socket) -> None:
+    """Bounds what the kernel receives before the process reads it."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 def _get_reason_phrase(status: int) -> str:
     try:
         return http.HTTPStatus(status).phrase
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/tests/test_client_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/tests/test_client_connection.py
@@ -9,10 +9,10 @@
     BreakReason,
     ConnectionBrokenError,
     connect,
-    encode_request,
+    encode_head,
 )
 
-_REQUEST = encode_request("GET", "/", [("Host", "h")])
+_REQUEST = encode_head("GET", "/", [("Host", "h")])
 
 
 class ScriptedServerCase(testtools.TestCase):
--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -4,6 +4,16 @@
 """
 
 from chicoryplank.admission._circuit_breaker import CircuitBreaker
+from chicoryplank.admission._client_memory import (
+    RECEIVE_BUFFER_BYTES,
+    SMALL_BODY_BYTES,
+    Activity,
+    ClientMemory,
+    ClientMemoryLimits,
+    ClientUsage,
+    ShedReason,
+    compute_client_limits,
+)
 from chicoryplank.admission._cold_replicas import (
     PERMIT_VALIDITY_S,
     ColdBoundParameters,
@@ -48,20 +58,26 @@
 
 __all__ = [
     "PERMIT_VALIDITY_S",
+    "RECEIVE_BUFFER_BYTES",
+    "SMALL_BODY_BYTES",
     "UNUSABLE",
     "WITHDRAWN",
     "WITHOUT_RETURN",
+    "Activity",
     "CircuitBreaker",
+    "ClientMemory",
+    "ClientMemoryLimits",
+    "ClientUsage",
     "ColdBoundParameters",
     "ColdReplicas",
     "EntryCount",
     "HoldReason",
-    "Occupancy",
-    "OutputTimes",
     "LimitReport",
     "LimitSource",
     "MalformedLimitError",
     "MalformedPauseError",
+    "Occupancy",
+    "OutputTimes",
     "PaceOutcome",
     "PaceState",
     "RateBucket",
@@ -73,9 +89,11 @@
     "ReturningReplicas",
     "ServerLimits",
     "ServiceTimes",
+    "ShedReason",
     "SlotQueue",
     "SlowReplicas",
     "Waiter",
+    "compute_client_limits",
     "compute_issue_rate",
     "find_slow_replicas",
     "parse_limit",
--- a/packages/chicoryplank/src/chicoryplank/configuration/_settings.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_settings.py
@@ -52,6 +52,8 @@
             headers.
         write_timeout: Longest wait for a caller that does not read its
             response.
+        memory_bytes: Memory that the process may use, from which the bound on
+            what callers take follows; 0 for the memory of the machine.
     """
 
     max_body_bytes: int = 1_048_576
@@ -66,6 +68,7 @@
     max_connections: int = 8_192
     header_timeout: timedelta = timedelta(seconds=10)
     write_timeout: timedelta = timedelta(seconds=30)
+    memory_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/chicoryplank/src/chicoryplank/configuration/_settings_parser.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_settings_parser.py
@@ -71,6 +71,7 @@
         Field("max_connections", make_integer_validator(1, 1_000_000)),
         _make_duration_field("header_timeout", "s", 0.1, 3_600),
         _make_duration_field("write_timeout", "s", 0.1, 3_600),
+        Field("memory_bytes", make_integer_validator(0, 1 << 50)),
     ),
 )
 _ENTRY_VALIDATOR = make_object_validator(
--- a/packages/chicoryplank/src/chicoryplank/events.py
+++ b/packages/chicoryplank/src/chicoryplank/events.py
@@ -364,6 +364,12 @@
         "connection of a slow caller aborted with {unread_bytes} unread bytes, "
         "since unread responses take too much memory",
     )
+    CLIENTS_SHED = (
+        1323,
+        logbook.WARNING,
+        "{count} clients shed, since clients take too much memory or too many "
+        "connections; the last one: {reason}, {held_bytes} bytes",
+    )
     REGISTRATION_FAILED = (
         1308,
         logbook.WARNING,
