Status that HTTP does not define is no response

What callers saw: silence until the deadline if a replica answers with a status below 100, such as 000, and the answer itself above 599.

Cause: the connection to a replica took a status below 200 for an interim response and skipped it, and had no upper bound. The agent of the own front passed any number on.

Change: a status outside of 100 to 599 breaks the connection as malformed, so the request may have run: it is retried where it may be, else answered with 502. The same holds for orders and reports to replicas, whose result is unknown, and for the agent's backend server.

--- a/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
+++ b/packages/chicoryplank-agent/src/chicoryplank_agent/backend.py
@@ -28,6 +28,8 @@
 # that ends closes its sockets one after the other.
 _CRASH_CHECK_DELAY_S = 0.02
 _HTTP_OK = 200
+# Statuses of complete responses that HTTP defines.
+_FINAL_STATUSES = range(200, 600)
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _EVENT_ID = re.compile(rb"^id: ?(\S+)", re.MULTILINE)
 _END_MARKER = b"data: [DONE]"
@@ -210,6 +212,14 @@
             ) from error
         except HTTP_FAILURES as error:
             raise await self._make_break_error(error) from error
+        if response.status_code not in _FINAL_STATUSES:
+            await response.aclose()
+            raise ChicoryplankError(
+                ErrorCode.BACKEND_FAILED,
+                f"status {response.status_code} of the backend server is "
+                "invalid",
+                Verdict.MAY_HAVE_RUN,
+            )
         self.limit.observe(response.status_code, response.headers, sent_s)
         return response
 
--- a/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/client_connection.py
@@ -38,6 +38,8 @@
 # an unreachable peer.
 _USER_TIMEOUT_MS = 4_000
 _FIRST_FINAL_STATUS = 200
+# Statuses that HTTP defines (RFC 9110, section 15).
+_DEFINED_STATUSES = range(100, 600)
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 HeaderList = tuple[tuple[str, str], ...]
@@ -407,6 +409,9 @@
         if self._response is None or self._closed:
             return
         status = self._parser.get_status_code()
+        if status not in _DEFINED_STATUSES:
+            self._break(BreakReason.MALFORMED, f"status {status:03} is invalid")
+            return
         if status < _FIRST_FINAL_STATUS:
             self._skipping = True
             self._interim_responses += 1
