Client memory: small machines serve the largest body; backlog of each listener

A machine of 80 MB refused a body of 4 MiB in calm, since half of the reservations was the largest body and an eighth of the machine the least bound. Several listeners could accept more connections at once than the descriptors that are left. The limit on parsed values is computed once.

--- a/packages/chicoryplank-entry/src/chicoryplank_entry/client_memory.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/client_memory.py
@@ -58,16 +58,23 @@
     )
 
 
-def check_parsed_size(body: bytes, limits: RequestLimits) -> None:
+def compute_max_parsed_bytes(limits: RequestLimits) -> int:
+    """Returns the memory that the values of one JSON body may take."""
+    return int(compute_limits(limits).max_bytes * _PARSING_SHARE)
+
+
+def check_parsed_size(body: bytes, max_bytes: int) -> None:
     """Checks that the values of a JSON body fit into memory.
 
+    Args:
+        body: Body that has not been parsed.
+        max_bytes: Memory that its values may take.
+
     Raises:
-        ChicoryplankError: With REQUEST_TOO_LARGE if they may not.
+        ChicoryplankError: With REQUEST_TOO_LARGE if they may take more.
     """
     values = sum(map(body.count, _VALUE_MARKS))
-    size = len(body) + values * _VALUE_BYTES
-    max_bytes = int(compute_limits(limits).max_bytes * _PARSING_SHARE)
-    if size > max_bytes:
+    if len(body) + values * _VALUE_BYTES > max_bytes:
         raise ChicoryplankError(
             ErrorCode.REQUEST_TOO_LARGE,
             f"the body has up to {values} values, which take more than "
@@ -145,6 +152,7 @@
     "RequestMemory",
     "check_parsed_size",
     "compute_limits",
+    "compute_max_parsed_bytes",
     "make_client_memory",
     "make_shed_error",
 ]
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/forwarding/application.py
@@ -62,6 +62,8 @@
 # aborted.
 _SHUTDOWN_MARGIN_S = 0.4
 _POLL_INTERVAL_S = 0.05
+# Share of its connections that a listener accepts at once, as a divisor.
+_ACCEPTED_AT_ONCE = 4
 # Longest time for which callers may cache a directory response, in seconds.
 # Some cache it three times as long, and a draining entry accepts requests for
 # about three seconds.
@@ -318,7 +320,9 @@
             sock=listener,
             # So many may be accepted at once before the first is counted.
             backlog=min(
-                BACKLOG, self._parameters.client_memory.max_connections
+                BACKLOG,
+                self._parameters.client_memory.max_connections
+                // _ACCEPTED_AT_ONCE,
             ),
         )
         self._servers.append(server)
--- a/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
+++ b/packages/chicoryplank-entry/src/chicoryplank_entry/http.py
@@ -17,7 +17,10 @@
 from chicoryplank.process_state import ProcessState
 from chicoryplank.verdict import Verdict
 from chicoryplank_entry import metrics
-from chicoryplank_entry.client_memory import check_parsed_size
+from chicoryplank_entry.client_memory import (
+    check_parsed_size,
+    compute_max_parsed_bytes,
+)
 from chicoryplank_entry.dispatch import Dispatcher
 from chicoryplank_entry.http_inputs import (
     parse_completion_body,
@@ -99,6 +102,7 @@
         choose_addresses: Callable[[str], list[str]],
     ) -> None:
         self._settings = settings
+        self._max_parsed_bytes = compute_max_parsed_bytes(settings.limits)
         self._process_state = process_state
         self._dispatcher = dispatcher
         self._choose_addresses = choose_addresses
@@ -179,7 +183,7 @@
         timeout = read_timeout(request, self._settings)
         priority = read_priority(request)
         body = await read_body(request, self._settings)
-        check_parsed_size(body, self._settings.limits)
+        check_parsed_size(body, self._max_parsed_bytes)
         parsed = parse_completion_body(body)
         return await self._dispatch(
             request,
--- a/packages/chicoryplank/src/chicoryplank/admission/_client_memory.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_client_memory.py
@@ -21,7 +21,7 @@
 # fragmentation, and for garbage that has not been collected.
 _CLIENT_SHARE = 0.6
 # Share of the memory of a machine that clients get at least.
-_MIN_CLIENT_SHARE = 0.125
+_MIN_CLIENT_SHARE = 0.2
 # Share of the bound that reservations may take.
 _RESERVED_SHARE = 0.75
 # Largest share of the bound for responses that clients have not read, and its
@@ -216,7 +216,9 @@
     @property
     def max_body_bytes(self) -> int:
         """Size of the largest body that can be held."""
-        return max(SMALL_BODY_BYTES, self._max_reserved // 2)
+        return max(
+            SMALL_BODY_BYTES, self._max_reserved - _RESERVATION_EXTRA_BYTES
+        )
 
     def open(
         self, shed: Callable[[ShedReason], int | None]
