--- a/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
+++ b/packages/chicoryplank-wire/src/chicoryplank_wire/server_connection.py
@@ -21,6 +21,8 @@
 )
 from chicoryplank.traffic import ClientLimits
 from chicoryplank_wire.client_connection import set_socket_options
+from chicoryplank_wire.received_request import BodyBuffer, ReceivedRequest
+from chicoryplank_wire.reply import Reply
 
 # Bytes of a head beside target and headers: method, version, line ends.
 _REQUEST_LINE_BYTES = 1_024
@@ -35,8 +37,6 @@
 # text.
 _REQUEST_BYTES = 8_192
 _HEADER_BYTES = 224
-# Size up to which parts of a body are joined as they arrive.
-_BLOCK_BYTES = 65_536
 # Interval in seconds in which a connection that waits for memory is checked.
 _RESERVATION_CHECK_S = 0.25
 # Range of the time in seconds after which a client that was shed may return.
@@ -48,166 +48,9 @@
 _KEEP_ALIVE_VERSION = "1.1"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReceivedRequest:
-    """A complete request from a caller.
-
-    Attributes:
-        method: HTTP method.
-        target: Path and query, as received.
-        headers: Header names and values, as received and in received order.
-        body: Body without its transfer encoding; not to be changed.
-        received_s: Clock time, in seconds, at which the head began to arrive.
-    """
-
-    method: str
-    target: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes | bytearray
-    received_s: float
-
-    def get(self, name: str) -> str | None:
-        """Returns the value of a header, by its name in lower case."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
-
-
-class Reply:
-    """Writer of the response to one request, in parts or at once.
-
-    Args:
-        connection: Connection to the caller.
-        keep_alive: Whether the caller can reuse the connection.
-        supports_chunked: Whether the caller supports chunked encoding.
-
-    Attributes:
-        keep_alive: Whether the connection stays open after the response.
-        started: Whether the head has been written.
-        ended: Whether the response is complete.
-    """
-
-    def __init__(
-        self,
-        connection: "CallerConnection",
-        keep_alive: bool,
-        supports_chunked: bool,
-    ) -> None:
-        self._connection = connection
-        self._supports_chunked = supports_chunked
-        self._chunked = False
-        self.keep_alive = keep_alive
-        self.started = False
-        self.ended = False
-
-    def start(
-        self,
-        status: int,
-        headers: Iterable[tuple[str, str]],
-        content_length: int | None,
-    ) -> None:
-        """Writes the status line and the headers.
-
-        Args:
-            status: Status code.
-            headers: End-to-end headers.
-            content_length: Length of the body in bytes; None if unknown.
-        """
-        self.started = True
-        self.keep_alive = (
-            self.keep_alive and not self._connection.closes_after_response()
-        )
-        lines = [f"HTTP/1.1 {status} {_get_reason_phrase(status)}"]
-        lines.extend(f"{name}: {value}" for name, value in headers)
-        if content_length is not None:
-            lines.append(f"content-length: {content_length}")
-        elif self._supports_chunked:
-            self._chunked = True
-            lines.append("transfer-encoding: chunked")
-        else:
-            self.keep_alive = False
-        if not self.keep_alive:
-            lines.append("connection: close")
-        head = "\r\n".join(lines) + "\r\n\r\n"
-        self._connection.write(head.encode("latin-1"))
-
-    def write(self, data: bytes) -> None:
-        """Writes a part of the body."""
-        if not data:
-            return
-        if self._chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._connection.write(data)
-
-    def end(self) -> None:
-        """Completes the response."""
-        self.ended = True
-        if self._chunked:
-            self._connection.write(b"0\r\n\r\n")
-
-    def send(
-        self, status: int, headers: Iterable[tuple[str, str]], body: bytes
-    ) -> None:
-        """Writes a complete response."""
-        self.start(status, headers, len(body))
-        self._connection.write(body)
-        self.ended = True
-
-    async def drain(self) -> None:
-        """Waits until the write buffer has room, if the caller reads slowly."""
-        await self._connection.drain()
-
-
 Handler = Callable[[ReceivedRequest, Reply], Awaitable[None]]
 
 
-class _BodyBuffer:
-    """Parts of a body, joined so that small ones take no more than their size.
-
-    Attributes:
-        size: Number of bytes received.
-    """
-
-    def __init__(self) -> None:
-        self._whole: bytearray | None = None
-        self._blocks: list[bytearray] = []
-        self.size = 0
-
-    def append(self, data: bytes) -> None:
-        """Appends a part."""
-        start = self.size
-        self.size += len(data)
-        if self._whole is not None:
-            self._whole[start : self.size] = data
-        elif self._blocks and (
-            len(self._blocks[-1]) + len(data) <= _BLOCK_BYTES
-        ):
-            self._blocks[-1] += data
-        else:
-            self._blocks.append(bytearray(data))
-
-    def allocate(self, size_bytes: int) -> None:
-        """Allocates a large body at once, which leaves no gaps in the heap."""
-        if self._whole is not None:
-            return
-        whole = bytearray(size_bytes)
-        start = 0
-        for block in self._blocks:
-            whole[start : start + len(block)] = block
-            start += len(block)
-        self._whole, self._blocks = whole, []
-
-    def take(self) -> bytes | bytearray:
-        """Returns the complete body and discards it."""
-        whole, self._whole = self._whole, None
-        blocks, self._blocks = self._blocks, []
-        size, self.size = self.size, 0
-        if whole is None:
-            return b"".join(blocks)
-        return whole if len(whole) == size else bytes(memoryview(whole)[:size])
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _QueuedRequest:
     """A complete request and the memory that it takes, in bytes."""
@@ -275,7 +118,7 @@
         self._header_bytes = 0
         self._reads_head = False
         self._bytes_outside_body = 0
-        self._body = _BodyBuffer()
+        self._body = BodyBuffer()
         self._announced_bytes: int | None = None
         self._awaits_continue = False
         # Memory of the queued requests and of the one in progress.
@@ -367,7 +210,7 @@
         self._target = b""
         self._headers = []
         self._header_bytes = 0
-        self._body = _BodyBuffer()
+        self._body = BodyBuffer()
         self._announced_bytes = None
         self._awaits_continue = False
 
@@ -377,7 +220,7 @@
         self._queued_bytes = 0
         self._headers = []
         self._header_bytes = 0
-        self._body = _BodyBuffer()
+        self._body = BodyBuffer()
 
     def _report_usage(self, received_bytes: int = 0) -> None:
         """Reports what this connection holds, which may shed connections."""
@@ -744,10 +587,3 @@
 def limit_receive_buffer(sock: socket.socket) -> None:
     """Bounds what the kernel receives before the process reads it."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-
-
-def _get_reason_phrase(status: int) -> str:
-    try:
-        return http.HTTPStatus(status).phrase
-    except ValueError:
-        return "Unknown"
