Configuration check: a body that entries refuse for their memory

Since entries bound the memory of clients, a body limit above the bound has no effect, and callers get 413. The check of the platform's configuration warned only above half of the memory.

--- a/packages/chicoryplank/src/chicoryplank/admission/__init__.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/__init__.py
@@ -13,6 +13,7 @@
     ClientUsage,
     ShedReason,
     compute_client_limits,
+    compute_max_body_bytes,
 )
 from chicoryplank.admission._cold_replicas import (
     PERMIT_VALIDITY_S,
@@ -95,6 +96,7 @@
     "Waiter",
     "compute_client_limits",
     "compute_issue_rate",
+    "compute_max_body_bytes",
     "find_slow_replicas",
     "parse_limit",
     "parse_pause",
--- a/packages/chicoryplank/src/chicoryplank/admission/_client_memory.py
+++ b/packages/chicoryplank/src/chicoryplank/admission/_client_memory.py
@@ -128,6 +128,12 @@
     )
 
 
+def compute_max_body_bytes(limits: ClientMemoryLimits) -> int:
+    """Returns the size of the largest body that can be held."""
+    reserved_bytes = int(limits.max_bytes * _RESERVED_SHARE)
+    return max(SMALL_BODY_BYTES, reserved_bytes - _RESERVATION_EXTRA_BYTES)
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class ClientUsage:
     """What one connection takes.
@@ -216,9 +222,7 @@
     @property
     def max_body_bytes(self) -> int:
         """Size of the largest body that can be held."""
-        return max(
-            SMALL_BODY_BYTES, self._max_reserved - _RESERVATION_EXTRA_BYTES
-        )
+        return compute_max_body_bytes(self._limits)
 
     def open(
         self, shed: Callable[[ShedReason], int | None]
--- a/packages/chicoryplank/src/chicoryplank/configuration/_traffic_lint.py
+++ b/packages/chicoryplank/src/chicoryplank/configuration/_traffic_lint.py
@@ -4,9 +4,12 @@
 from collections.abc import Iterator, Mapping, Sequence
 from datetime import timedelta
 
-from chicoryplank.admission import RetryBudgetParameters
+from chicoryplank.admission import (
+    RetryBudgetParameters,
+    compute_client_limits,
+    compute_max_body_bytes,
+)
 from chicoryplank.configuration._lint import (
-    BODY_COPIES,
     CheckCode,
     Finding,
     make_warning,
@@ -244,13 +247,17 @@
 def _find_limit_warnings(
     document: TrafficDocument, environment: TrafficEnvironment
 ) -> Iterator[Finding]:
-    limits = document.limits
-    body_bytes = BODY_COPIES * limits.max_body_bytes
     memory = environment.memory_bytes
+    if memory is None:
+        return
     name = document.fields.get("max_body_bytes", "max_body_bytes")
-    if memory is not None and body_bytes > memory:
+    max_bytes = compute_max_body_bytes(
+        compute_client_limits(memory, max_descriptors=0)
+    )
+    if document.limits.max_body_bytes > max_bytes:
         yield make_warning(
             CheckCode.BODY_TOO_LARGE,
             f"limits.{name}",
-            f"an entry has {memory} bytes, and one body takes {body_bytes}",
+            f"an entry has {memory} bytes and refuses bodies of more than "
+            f"{max_bytes}",
         )
